Add the balancer core, settings, logs, rings and UDP sockets

Cause: nothing decided yet where an open goes or what a balancer does with a bound packet.

Change: BalancerCore resolves names, places opens at the less loaded of the first two eligible ranks, routes bound packets by their binding, refuses early when all targets asked to be left alone, suspects silent targets, limits retries, and forwards nothing after a pause until its view is confirmed.

Ruled out: preferring a target with a fresh report over one with none, because a target that is never chosen is never heard of again.

--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -1,6 +1,8 @@
 # Every source file, one a line and sorted, so that branches merge without conflicts.
 
 set(CORE_SOURCES
+    src/balancer_cmd.cpp
+    src/balancer_query.cpp
     src/binding_func.cpp
     src/codec_func.cpp
     src/config_view.cpp
@@ -8,10 +10,14 @@
     src/keyring_func.cpp
     src/packet_func.cpp
     src/placement_func.cpp
+    src/target_hint_func.cpp
     src/verdict_func.cpp
 )
 
 set(SHELL_SOURCES
+    src/log_func.cpp
+    src/settings_func.cpp
+    src/udp_func.cpp
     src/version_func.cpp
 )
 
@@ -19,6 +25,7 @@
 )
 
 set(TEST_SOURCES
+    tests/balancer_test.cpp
     tests/codec_test.cpp
     tests/main_test.cpp
     tests/placement_test.cpp
--- /dev/null
+++ b/src/balancer_cmd.cpp
@@ -0,0 +1,270 @@
+#include "balancer_base.h"
+#include "binding_func.h"
+#include "table/balancer_times.h"
+#include "table/limits.h"
+
+#include <algorithm>
+
+namespace hawthorncroft {
+
+using Kind = PacketKind;
+
+namespace {
+
+    constexpr std::size_t indexOf(PacketKind kind) { return static_cast<std::size_t>(kind); }
+
+    /** Outcome of a packet other than an Open that a balancer cannot deliver. The fabric may have delivered a copy. */
+    constexpr Outcome mayHaveRun(Reason reason) { return { .verdict = Verdict::MayHaveRun, .reason = reason }; }
+
+    constexpr Outcome didNotRun(Reason reason, std::uint32_t retryAfterMs = 0)
+    {
+        return { .verdict = Verdict::DidNotRun, .reason = reason, .retryAfterMs = retryAfterMs };
+    }
+
+    std::uint32_t millisecondsUntil(TimePoint now, TimePoint later)
+    {
+        return static_cast<std::uint32_t>(std::max<std::int64_t>((later - now).us / 1000, 1));
+    }
+
+}
+
+const std::array<BalancerCore::Handler, indexOf(Kind::End)> BalancerCore::callerHandlers = [] {
+    std::array<Handler, indexOf(Kind::End)> handlers {};
+    handlers.fill(&BalancerCore::handleBadKind);
+    handlers[indexOf(Kind::Open)] = &BalancerCore::handleOpen;
+    handlers[indexOf(Kind::Query)] = &BalancerCore::handleQuery;
+    for (Kind kind :
+        { Kind::Execute, Kind::AnswerAck, Kind::Cancel, Kind::Data, Kind::EventAck, Kind::KeepAlive, Kind::Close })
+        handlers[indexOf(kind)] = &BalancerCore::handleBound;
+    return handlers;
+}();
+
+const std::array<BalancerCore::Handler, indexOf(Kind::End)> BalancerCore::processHandlers = [] {
+    std::array<Handler, indexOf(Kind::End)> handlers {};
+    handlers.fill(&BalancerCore::handleBadKind);
+    for (Kind kind :
+        { Kind::Opened, Kind::Refused, Kind::Answer, Kind::DataAck, Kind::Event, Kind::Renewed, Kind::Closed })
+        handlers[indexOf(kind)] = &BalancerCore::handleReply;
+    handlers[indexOf(Kind::StampReply)] = &BalancerCore::handleHint;
+    return handlers;
+}();
+
+BalancerCore::BalancerCore(BalancerOptions options, const Keyring& keyring)
+    : m_options(options)
+    , m_keyring(keyring)
+{
+}
+
+void BalancerCore::onCallerPacket(TimePoint now, Endpoint from, Packet& packet, BalancerEffects& effects)
+{
+    noticePause(now, effects);
+    (this->*callerHandlers[indexOf(packet.kind)])(now, from, packet, effects);
+}
+
+void BalancerCore::onProcessPacket(TimePoint now, Endpoint from, Packet& packet, BalancerEffects& effects)
+{
+    noticePause(now, effects);
+    constexpr Duration contactInterval = milliseconds(100);
+    bool isNewer = packet.revision > m_view.completeThrough();
+    if (isNewer || now - m_lastContactEffect >= contactInterval) {
+        m_lastContactEffect = now;
+        effects.push_back(ContactSeen { from, packet.revision });
+    }
+    (this->*processHandlers[indexOf(packet.kind)])(now, from, packet, effects);
+}
+
+void BalancerCore::onTick(TimePoint now, BalancerEffects& effects)
+{
+    noticePause(now, effects);
+    for (auto& [target, hint] : m_hints)
+        hint.noteTick(now);
+}
+
+bool BalancerCore::noticePause(TimePoint now, BalancerEffects& effects)
+{
+    bool isPause = m_lastEvent.us && now - m_lastEvent >= pauseGap;
+    m_lastEvent = now;
+    if (!isPause)
+        return false;
+    ++m_pause;
+    count(BalancerCounter::Pauses);
+    effects.push_back(ConfirmView { m_pause });
+    return true;
+}
+
+void BalancerCore::confirmView(std::uint64_t pause)
+{
+    // A confirmation asked for before the latest pause may have waited in a queue through that pause.
+    if (pause == m_pause)
+        m_confirmedPause = pause;
+}
+
+void BalancerCore::applyDocument(TimePoint now, const VersionedDocument& document)
+{
+    bool isChanged = m_view.apply(document);
+    if (isChanged && document.document) {
+        if (const auto* operations = std::get_if<OperationsDocument>(document.document.get()))
+            noteOut(now, *operations);
+    }
+}
+
+void BalancerCore::noteOut(TimePoint now, const OperationsDocument& operations)
+{
+    std::unordered_map<std::string, TimePoint> outSince;
+    // Before the first confirmation nobody was served, so there is no flow for which a grace time would help.
+    TimePoint since = m_serving.isReady ? now : now - outGrace;
+    auto keepOrAdd = [&](const std::string& name) {
+        auto known = m_outSince.find(name);
+        outSince[name] = known == m_outSince.end() ? since : known->second;
+    };
+    std::for_each(operations.domainsOut.begin(), operations.domainsOut.end(), keepOrAdd);
+    std::for_each(operations.vmsOut.begin(), operations.vmsOut.end(), keepOrAdd);
+    m_outSince = std::move(outSince);
+}
+
+void BalancerCore::handleOpen(TimePoint now, Endpoint from, Packet& packet, BalancerEffects& effects)
+{
+    if (!admitOpen(now, from, packet, effects))
+        return;
+    Resolution resolution = m_view.resolve(packet.name);
+    if (!resolution.service) {
+        count(BalancerCounter::UnknownNames);
+        effects.push_back(UnknownNameSeen { packet.name });
+        refuse(from, packet, didNotRun(Reason::UnknownName), effects);
+        return;
+    }
+    packet.callerEndpoint = from;
+    packet.hops = 0;
+    place(now, resolution, packet, effects);
+}
+
+bool BalancerCore::admitOpen(TimePoint now, Endpoint from, const Packet& packet, BalancerEffects& effects)
+{
+    if (m_isShuttingDown) {
+        refuse(from, packet, didNotRun(Reason::ShutDown, notReadyRetryMs), effects);
+        return false;
+    }
+    if (!isServing()) {
+        count(BalancerCounter::NotServing);
+        refuse(from, packet, didNotRun(m_serving.isIsolated ? Reason::Isolated : Reason::NotReady, notReadyRetryMs),
+            effects);
+        return false;
+    }
+    if (packet.attempt && !m_retryBudget.take(now)) {
+        count(BalancerCounter::RetriesRefused);
+        refuse(from, packet, didNotRun(Reason::RetryBudget, noTargetRetryMs), effects);
+        return false;
+    }
+    return true;
+}
+
+void BalancerCore::place(TimePoint now, const Resolution& resolution, Packet& packet, BalancerEffects& effects)
+{
+    Choice choice = choose(now, resolution.service, packet);
+    if (!choice.target) {
+        bool areAllBusy = choice.busyUntil > now;
+        count(areAllBusy ? BalancerCounter::EarlyRefusals : BalancerCounter::NoTargets);
+        Outcome outcome = areAllBusy ? didNotRun(Reason::Overloaded, millisecondsUntil(now, choice.busyUntil))
+                                     : didNotRun(Reason::NoTarget, noTargetRetryMs);
+        refuse(packet.callerEndpoint, packet, outcome, effects);
+        return;
+    }
+    m_hints[choice.target->id].noteOpenSent(now, packet.flowKind);
+    packet.service = resolution.service;
+    packet.resolvedAt = resolution.revision;
+    packet.target = choice.target->id;
+    count(BalancerCounter::OpensPlaced);
+    forward(choice.target->agent, packet, effects);
+}
+
+void BalancerCore::handleBound(TimePoint now, Endpoint from, Packet& packet, BalancerEffects& effects)
+{
+    if (!isServing()) {
+        count(BalancerCounter::NotServing);
+        return;
+    }
+    if (!packet.hasBinding() || !isAuthentic(m_keyring, packet.key, packet.binding)) {
+        count(BalancerCounter::BadBindings);
+        return;
+    }
+    packet.callerEndpoint = from;
+    const TargetConfig* target = m_view.target(packet.binding.target);
+    if (target && m_view.isOut(*target) && isPastGrace(now, *target)) {
+        count(BalancerCounter::OutOfService);
+        refuse(from, packet, mayHaveRun(Reason::OutOfService), effects);
+        return;
+    }
+    // The binding names the agent itself: a target that left the configuration keeps its flows until they end.
+    packet.service = packet.binding.service;
+    packet.resolvedAt = m_view.completeThrough();
+    packet.target = packet.binding.target;
+    count(BalancerCounter::BoundForwarded);
+    forward(packet.binding.agent, packet, effects);
+}
+
+void BalancerCore::handleQuery(TimePoint now, Endpoint from, Packet& packet, BalancerEffects& effects)
+{
+    if (packet.hasBinding()) {
+        handleBound(now, from, packet, effects);
+        return;
+    }
+    if (!isServing()) {
+        count(BalancerCounter::NotServing);
+        return;
+    }
+    Resolution resolution = m_view.resolve(packet.name);
+    std::array<TargetId, ranksConsidered> ranks {};
+    std::size_t found = m_view.ranksOf(resolution.service).rank(packet.key, ranks);
+    packet.callerEndpoint = from;
+    packet.service = resolution.service;
+    packet.resolvedAt = resolution.revision;
+    // Without a binding the flow's owner is looked for along the ranks, one for each attempt.
+    const TargetConfig* target = found ? m_view.target(ranks[packet.attempt % found]) : nullptr;
+    if (!target || m_view.isOut(*target)) {
+        refuse(from, packet, mayHaveRun(Reason::Unknown), effects);
+        return;
+    }
+    packet.target = target->id;
+    forward(target->agent, packet, effects);
+}
+
+void BalancerCore::handleReply(TimePoint now, Endpoint, Packet& packet, BalancerEffects& effects)
+{
+    m_hints[packet.target].noteReply(now, packet);
+    if (packet.kind == Kind::Opened)
+        m_retryBudget.noteSuccess(m_view.preset().retryPercent);
+    count(BalancerCounter::RepliesForwarded);
+    Endpoint caller = packet.callerEndpoint;
+    effects.push_back(SendToCaller { caller, std::move(packet) });
+}
+
+void BalancerCore::handleHint(TimePoint now, Endpoint, Packet& packet, BalancerEffects&)
+{
+    // An agent that relays an Open reports its own state to the balancer, since the reply comes from another agent.
+    if (packet.target)
+        m_hints[packet.target].noteReply(now, packet);
+}
+
+void BalancerCore::handleBadKind(TimePoint, Endpoint, Packet&, BalancerEffects&) { count(BalancerCounter::BadKinds); }
+
+void BalancerCore::forward(Endpoint to, Packet& packet, BalancerEffects& effects)
+{
+    packet.revision = m_view.completeThrough();
+    effects.push_back(SendToProcess { to, std::move(packet) });
+}
+
+void BalancerCore::refuse(Endpoint to, const Packet& packet, Outcome outcome, BalancerEffects& effects)
+{
+    Packet reply;
+    reply.kind = Kind::Refused;
+    reply.flowKind = packet.flowKind;
+    reply.key = packet.key;
+    reply.attempt = packet.attempt;
+    reply.nonce = packet.nonce;
+    reply.binding = packet.binding;
+    reply.revision = m_view.completeThrough();
+    reply.outcome = outcome;
+    effects.push_back(SendToCaller { to, std::move(reply) });
+}
+
+} // namespace hawthorncroft
--- /dev/null
+++ b/src/balancer_query.cpp
@@ -0,0 +1,87 @@
+#include "balancer_base.h"
+#include "table/balancer_names.h"
+#include "table/balancer_times.h"
+
+#include <algorithm>
+
+namespace hawthorncroft {
+
+std::string_view nameOf(BalancerCounter counter)
+{
+    auto index = static_cast<std::size_t>(counter);
+    return index < balancerCounterNames.size() ? balancerCounterNames[index] : "invalid";
+}
+
+std::string_view nameOf(BalancerCore::Eligibility eligibility)
+{
+    auto index = static_cast<std::size_t>(eligibility);
+    return index < eligibilityNames.size() ? eligibilityNames[index] : "invalid";
+}
+
+BalancerCore::Eligibility BalancerCore::eligibilityOf(TimePoint now, TargetId id) const
+{
+    const TargetConfig* target = m_view.target(id);
+    if (!target)
+        return Eligibility::Unknown;
+    if (m_view.isOut(*target))
+        return Eligibility::Out;
+    if (m_view.isLeaving(target->vm))
+        return Eligibility::Leaving;
+    auto hint = m_hints.find(id);
+    if (hint == m_hints.end())
+        return Eligibility::Eligible;
+    if (hint->second.refusesWork(now))
+        return Eligibility::Refusing;
+    return hint->second.isSuspected(now) ? Eligibility::Suspected : Eligibility::Eligible;
+}
+
+BalancerCore::Choice BalancerCore::choose(TimePoint now, ServiceId service, const Packet& open) const
+{
+    std::array<TargetId, ranksConsidered> ranks {};
+    std::size_t found = m_view.ranksOf(service).rank(open.key, ranks);
+    std::array<const TargetConfig*, ranksConsidered> ready {};
+    std::size_t readyCount = 0;
+    TimePoint busyUntil;
+    for (std::size_t i = 0; i < found; ++i) {
+        if (eligibilityOf(now, ranks[i]) != Eligibility::Eligible)
+            continue;
+        auto hint = m_hints.find(ranks[i]);
+        if (hint != m_hints.end() && hint->second.busyUntil() > now) {
+            busyUntil = busyUntil.us ? std::min(busyUntil, hint->second.busyUntil()) : hint->second.busyUntil();
+            continue;
+        }
+        ready[readyCount++] = m_view.target(ranks[i]);
+    }
+    if (!readyCount)
+        return { .busyUntil = busyUntil };
+    std::size_t first = open.attempt % readyCount;
+    std::size_t second = (first + 1) % readyCount;
+    return { .target = lessLoaded(now, ready[first], ready[second], open.flowKind) };
+}
+
+const TargetConfig* BalancerCore::lessLoaded(
+    TimePoint now, const TargetConfig* first, const TargetConfig* second, FlowKind kind) const
+{
+    auto loadOf = [&](const TargetConfig& target) -> std::optional<std::uint32_t> {
+        auto hint = m_hints.find(target.id);
+        std::uint32_t weight = kind == FlowKind::Request ? target.slots : target.connections;
+        return hint == m_hints.end() ? std::nullopt : hint->second.estimatedLoad(now, kind, weight);
+    };
+    auto firstLoad = loadOf(*first);
+    auto secondLoad = loadOf(*second);
+    // A target without a fresh report must get its turn by rank, or it would never be heard of again.
+    if (!firstLoad || !secondLoad)
+        return first;
+    return *secondLoad < *firstLoad ? second : first;
+}
+
+bool BalancerCore::isPastGrace(TimePoint now, const TargetConfig& target) const
+{
+    auto isLongOut = [&](const std::string& name) {
+        auto since = m_outSince.find(name);
+        return since != m_outSince.end() && now - since->second >= outGrace;
+    };
+    return isLongOut(target.failureDomain) || isLongOut(target.vm);
+}
+
+} // namespace hawthorncroft
--- /dev/null
+++ b/src/target_hint_func.cpp
@@ -0,0 +1,62 @@
+#include "target_hint_type.h"
+
+#include "table/balancer_times.h"
+
+#include <algorithm>
+
+namespace hawthorncroft {
+
+void TargetHint::noteOpenSent(TimePoint now, FlowKind kind)
+{
+    ++m_loads[static_cast<std::size_t>(kind)].opensSince;
+    if (!m_unanswered++)
+        m_firstUnanswered = now;
+    // A probe was just sent; the next one waits for its outcome.
+    if (m_probeAt.us && now >= m_probeAt) {
+        m_probeDelay = std::min(m_probeDelay * 2, longestProbeDelay);
+        m_probeAt = now + m_probeDelay;
+    }
+}
+
+void TargetHint::noteReply(TimePoint now, const Packet& reply)
+{
+    m_unanswered = 0;
+    m_probeAt = {};
+    if (reply.targetState == TargetState::Unknown)
+        return;
+    m_state = reply.targetState;
+    m_stateAt = now;
+    m_loads[static_cast<std::size_t>(reply.flowKind)] = { .load = reply.load, .opensSince = 0, .at = now };
+    bool isFull = reply.outcome.reason == Reason::Overloaded || reply.outcome.reason == Reason::Cold;
+    if (isFull)
+        m_busyUntil = now + milliseconds(reply.outcome.retryAfterMs);
+    else if (reply.kind == PacketKind::Opened)
+        m_busyUntil = {};
+}
+
+void TargetHint::noteTick(TimePoint now)
+{
+    bool isSilent = m_unanswered >= suspectCount && now - m_firstUnanswered >= suspectAfter;
+    if (!isSilent || m_probeAt.us)
+        return;
+    m_probeDelay = firstProbeDelay;
+    m_probeAt = now + m_probeDelay;
+}
+
+bool TargetHint::isSuspected(TimePoint now) const { return m_probeAt.us && now < m_probeAt; }
+
+bool TargetHint::refusesWork(TimePoint now) const
+{
+    bool isClosed = m_state == TargetState::Draining || m_state == TargetState::Out || m_state == TargetState::Down;
+    return isClosed && now - m_stateAt < stateFreshFor;
+}
+
+std::optional<std::uint32_t> TargetHint::estimatedLoad(TimePoint now, FlowKind kind, std::uint32_t weight) const
+{
+    const LoadReport& report = m_loads[static_cast<std::size_t>(kind)];
+    if (!report.at.us || now - report.at >= loadFreshFor)
+        return std::nullopt;
+    return report.load + report.opensSince * 1000 / std::max<std::uint32_t>(weight, 1);
+}
+
+} // namespace hawthorncroft
