Parse, check and write configuration documents

Processes receive configuration as JSON text and need typed documents that every process accepts or refuses alike.

config_func.h reads one document by the kind that its key names and reports every fault at once with document, path, value and what is allowed. Unknown and repeated keys, wrong types, values out of range, duplicate ids and names, a preset in force that does not exist and a signing key that is not accepted refuse the whole document. Boost.JSON keeps one of two equal keys silently, so a second pass over the text finds them. toJson writes a document back. The bounds of integer fields are data in table/config_fields.h.

The check sees one document only; an id used in two documents passes it.

--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -3,7 +3,12 @@
 set(CORE_SOURCES
     src/binding_func.cpp
     src/codec_func.cpp
+    src/config_check.cpp
+    src/config_distance.cpp
+    src/config_reader.cpp
+    src/config_repeated.cpp
     src/config_view.cpp
+    src/config_write.cpp
     src/core_func.cpp
     src/keyring_func.cpp
     src/packet_func.cpp
@@ -20,6 +25,7 @@
 
 set(TEST_SOURCES
     tests/codec_test.cpp
+    tests/config_test.cpp
     tests/main_test.cpp
     tests/placement_test.cpp
 )
