--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -5,7 +5,12 @@
     src/balancer_query.cpp
     src/binding_func.cpp
     src/codec_func.cpp
+    src/config_check.cpp
+    src/config_distance.cpp
+    src/config_reader.cpp
+    src/config_repeated.cpp
     src/config_view.cpp
+    src/config_write.cpp
     src/core_func.cpp
     src/keyring_func.cpp
     src/packet_func.cpp
@@ -27,6 +32,7 @@
 set(TEST_SOURCES
     tests/balancer_test.cpp
     tests/codec_test.cpp
+    tests/config_test.cpp
     tests/main_test.cpp
     tests/placement_test.cpp
 )
