Add the caller's core: requests, feeds, uploads and queries

Callers need a library that keeps the promises on their side: one binding per confirmation, truthful verdicts, complete answers, and feeds and uploads that survive a replaced agent. CallerCore is pure: it gets the time and packets and returns effects.

A refusal ends or rebinds a bound flow only if it carries that binding or the nonce of the packets sent under it. Without this check, a late refusal of a first Open would be taken for a refusal of the Execute that followed another Opened, and the request would run twice.

The losing reservation of a hedged Open is given back with a Cancel, so that it does not occupy a slot until its lease ends. Events are acknowledged in order only, so agents may read the number as one event or as all up to it.

--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -2,6 +2,11 @@
 
 set(CORE_SOURCES
     src/binding_func.cpp
+    src/caller_cmd.cpp
+    src/caller_open.cpp
+    src/caller_packet.cpp
+    src/caller_send.cpp
+    src/caller_tick.cpp
     src/codec_func.cpp
     src/config_view.cpp
     src/core_func.cpp
@@ -19,6 +24,7 @@
 )
 
 set(TEST_SOURCES
+    tests/caller_test.cpp
     tests/codec_test.cpp
     tests/main_test.cpp
     tests/placement_test.cpp
--- /dev/null
+++ b/src/caller_base.h
@@ -0,0 +1,238 @@
+/**
+ * @file caller_base.h
+ * The caller's state machine: requests, feeds, uploads and queries over a fabric that loses, duplicates, delays and
+ * reorders packets. It has no socket and no clock: every call passes the time, and effects are appended to a list.
+ */
+#pragma once
+
+#include "caller_type.h"
+
+#include <array>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+namespace hawthorncroft {
+
+/** Limits retries and hedges to a share of successes plus a small reserve, so that retries cannot multiply overload. */
+class CallerRetryBudget {
+public:
+    /**
+     * @param percent Retries per 100 successes.
+     * @param reserve Retries at start; at the same time the most that can be saved up, with a minimum of 10.
+     */
+    CallerRetryBudget(std::uint32_t percent, std::uint32_t reserve);
+
+    /** Counts one success. */
+    void addSuccess();
+
+    /** @return Whether one retry was allowed; it is then spent. */
+    bool take();
+
+private:
+    std::uint64_t m_percent;
+    std::uint64_t m_limit; ///< In 1/100 retries.
+    std::uint64_t m_tokens; ///< In 1/100 retries.
+};
+
+/** All flows of one caller. Not safe for use by several threads at a time. */
+class CallerCore {
+public:
+    explicit CallerCore(const CallerSettings& settings);
+
+    /**
+     * Starts a request. It ends with exactly one Finished.
+     * @param now Current time.
+     * @param options The request.
+     * @param[in,out] effects Effects are appended.
+     * @return The flow, or why it was refused.
+     */
+    Started startRequest(TimePoint now, RequestOptions options, CallerEffects& effects);
+
+    /** Opens a feed. Reports FeedOpened, then FeedEvents, and ends with FlowBroken or Finished. @see startRequest */
+    Started openFeed(TimePoint now, FeedOptions options, CallerEffects& effects);
+
+    /** Starts an upload. Reports UploadProgress and ends with exactly one Finished. @see startRequest */
+    Started startUpload(TimePoint now, UploadOptions options, CallerEffects& effects);
+
+    /** Asks for the outcome of an earlier request. Ends with exactly one Finished. @see startRequest */
+    Started startQuery(TimePoint now, const QueryOptions& options, CallerEffects& effects);
+
+    /**
+     * Cancels a request or upload. Finished follows: at once if nothing was executed, else when the agent answers.
+     * @return Whether the flow is open.
+     */
+    bool cancel(TimePoint now, FlowId flow, CallerEffects& effects);
+
+    /**
+     * Ends a feed; Finished follows. Any other flow is cancelled.
+     * @return Whether the flow is open.
+     */
+    bool closeFlow(TimePoint now, FlowId flow, CallerEffects& effects);
+
+    /** Handles a packet from a balancer. */
+    void onPacket(TimePoint now, const Packet& packet, CallerEffects& effects);
+
+    /** Performs what is due: retransmissions, hedges, keep-alives, deadlines and ends of leases. */
+    void onTick(TimePoint now, CallerEffects& effects);
+
+    /** @return When onTick has something to do next; empty when no flow is open. */
+    std::optional<TimePoint> nextWake() const;
+
+    /** @return Number of open flows. */
+    std::size_t openFlows() const { return m_flows.size(); }
+
+    /** @return Counters. */
+    const CallerCounters& counters() const { return m_counters; }
+
+    /** @return Binding of an open or recently finished flow; absent (no reservation) when it never had one. */
+    Binding bindingOf(FlowId flow) const;
+
+private:
+    enum class State : std::uint8_t {
+        Opening, ///< Open sent.
+        Waiting, ///< Refused; another Open follows.
+        Executing, ///< Execute sent.
+        Feeding, ///< The feed is open.
+        Uploading, ///< Chunks are sent.
+        Committing, ///< Close of an upload sent.
+        Closing, ///< Close of a feed sent.
+        Cancelling, ///< Cancel sent.
+        Querying, ///< Query sent.
+        End,
+    };
+
+    static constexpr TimePoint never { INT64_MAX };
+
+    /** Fragments of an answer, which arrive in any order and more than once. */
+    struct Assembly {
+        Outcome outcome;
+        std::size_t missing {};
+        std::vector<std::optional<std::vector<std::uint8_t>>> fragments;
+    };
+
+    /** A chunk that is sent and not acknowledged. */
+    struct Chunk {
+        std::uint32_t sequence {};
+        std::uint32_t sends {};
+        TimePoint resendAt;
+    };
+
+    struct Flow {
+        FlowId id;
+        FlowKind kind { FlowKind::Request };
+        State state { State::Opening };
+        std::string service;
+        std::vector<std::uint8_t> payload; ///< Request, subscription or upload.
+        bool idempotent {};
+        bool reopen {};
+        bool executed {}; ///< An Execute or Close was sent that no agent has truthfully refused.
+        bool opened {}; ///< FeedOpened was reported.
+        Duration feedDeadline; ///< For reopening a feed.
+        TimePoint deadline { never };
+        TimePoint agentDeadline; ///< `deadline` on the agent's clock.
+        Binding binding; ///< Absent while not bound.
+        Binding refused; ///< The last one that was refused; a late copy of its Opened is ignored.
+        std::uint64_t bindNonce {}; ///< Carried by all packets under the binding.
+        std::vector<std::uint64_t> openNonces; ///< Opens without a reply.
+        Outcome refusal; ///< The last one.
+        std::uint32_t attempt {};
+        std::uint32_t retries {};
+        std::uint32_t sends {}; ///< Transmissions in the current state.
+        TimePoint hedgeAt { never };
+        TimePoint resendAt { never };
+        TimePoint keepAliveAt { never };
+        TimePoint leaseEndsAt { never };
+        TimePoint wakeAt { never }; ///< Key in m_wakes.
+        Assembly answer;
+        std::uint32_t delivered {}; ///< Feed: last event delivered.
+        std::map<std::uint32_t, std::vector<std::uint8_t>> pendingEvents;
+        std::uint32_t chunks {}; ///< Upload: number of chunks.
+        std::uint32_t nextChunk { 1 }; ///< Upload: first chunk never sent under this binding.
+        std::uint32_t acknowledged {}; ///< Upload: chunks that the target holds.
+        std::vector<Chunk> inFlight;
+
+        bool isBound() const { return static_cast<bool>(binding.reservation); }
+    };
+
+    using Resend = void (CallerCore::*)(TimePoint, Flow&, CallerEffects&);
+    using Receive = void (CallerCore::*)(TimePoint, Flow&, const Packet&, CallerEffects&);
+    static const std::array<Resend, static_cast<std::size_t>(State::End)> resendByState;
+    static const std::array<Receive, static_cast<std::size_t>(PacketKind::End)> receiveByKind;
+
+    // Start and end of flows.
+    Reason refusalOf(const std::string& service, std::size_t payload, std::size_t limit) const;
+    Flow& addFlow(FlowId id, FlowKind kind, std::string service, std::vector<std::uint8_t> payload);
+    void finish(Flow& flow, Outcome outcome, CallerEffects& effects, std::vector<std::uint8_t> payload = {});
+    void breakFeed(TimePoint now, Flow& flow, Outcome outcome, CallerEffects& effects);
+    void remember(const Flow& flow);
+    void erase(Flow& flow);
+    static Outcome feedOutcome(const Flow& flow);
+    void expire(TimePoint now, Flow& flow, CallerEffects& effects);
+
+    // Opening and refusals.
+    void beginOpening(TimePoint now, Flow& flow, CallerEffects& effects);
+    void hedge(TimePoint now, Flow& flow, CallerEffects& effects);
+    void begin(TimePoint now, Flow& flow, CallerEffects& effects);
+    void release(Packet inUse, const Packet& opened, CallerEffects& effects);
+    void didNotRun(TimePoint now, Flow& flow, Outcome outcome, CallerEffects& effects);
+    void openAgainAt(Flow& flow, TimePoint openAt);
+    void endRefused(TimePoint now, Flow& flow, Outcome outcome, CallerEffects& effects);
+
+    // Received packets.
+    void onOpened(TimePoint now, Flow& flow, const Packet& packet, CallerEffects& effects);
+    void onRefused(TimePoint now, Flow& flow, const Packet& packet, CallerEffects& effects);
+    void onRefusedOpen(TimePoint now, Flow& flow, const Packet& packet, CallerEffects& effects);
+    void onAnswer(TimePoint now, Flow& flow, const Packet& packet, CallerEffects& effects);
+    void onDataAck(TimePoint now, Flow& flow, const Packet& packet, CallerEffects& effects);
+    void onEvent(TimePoint now, Flow& flow, const Packet& packet, CallerEffects& effects);
+    void onRenewed(TimePoint now, Flow& flow, const Packet& packet, CallerEffects& effects);
+    void onClosed(TimePoint now, Flow& flow, const Packet& packet, CallerEffects& effects);
+    void onStray(TimePoint now, Flow& flow, const Packet& packet, CallerEffects& effects);
+    void onLatePacket(const Packet& packet, CallerEffects& effects);
+    bool addFragment(Flow& flow, const Packet& packet);
+    void deliverEvents(Flow& flow, CallerEffects& effects);
+    void reportOpened(Flow& flow, CallerEffects& effects);
+
+    // Sending.
+    Packet packetFor(const Flow& flow, PacketKind kind) const;
+    void send(Packet packet, CallerEffects& effects);
+    void sendOpen(TimePoint now, Flow& flow, CallerEffects& effects);
+    void sendExecute(TimePoint now, Flow& flow, CallerEffects& effects);
+    void sendKeepAlive(TimePoint now, Flow& flow, CallerEffects& effects);
+    void sendChunks(TimePoint now, Flow& flow, CallerEffects& effects);
+    void sendChunk(TimePoint now, Flow& flow, Chunk& chunk, CallerEffects& effects);
+    void sendClose(TimePoint now, Flow& flow, CallerEffects& effects);
+    void sendCancel(TimePoint now, Flow& flow, CallerEffects& effects);
+    void sendQuery(TimePoint now, Flow& flow, CallerEffects& effects);
+    void sendEventAck(const Flow& flow, std::uint32_t sequence, CallerEffects& effects);
+
+    // Timing.
+    void enter(Flow& flow, State state);
+    void resend(TimePoint now, Flow& flow, CallerEffects& effects);
+    void tick(TimePoint now, Flow& flow, CallerEffects& effects);
+    void setNextResend(TimePoint now, Flow& flow);
+    void setWake(Flow& flow);
+    Duration backoff(std::uint32_t tries);
+    Duration withJitter(Duration duration);
+
+    Flow* find(FlowId id);
+    static bool isFromTarget(const Flow& flow, const Packet& packet);
+    static bool isSameAdmission(const Binding& a, const Binding& b);
+    static bool isFromBinding(const Flow& flow, const Packet& packet);
+
+    CallerSettings m_settings;
+    CallerRetryBudget m_budget;
+    CallerCounters m_counters;
+    std::unordered_map<FlowId, Flow> m_flows;
+    std::set<std::pair<TimePoint, FlowId>> m_wakes; ///< One entry per open flow.
+    std::unordered_map<FlowId, Packet> m_finished; ///< Name and binding, for late answers and queries.
+    std::deque<FlowId> m_finishedOrder; ///< Oldest first.
+    FlowId m_nextFlow;
+    std::uint64_t m_nonce {};
+    std::uint64_t m_random {};
+};
+
+} // namespace hawthorncroft
