--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -4,6 +4,11 @@
     src/balancer_cmd.cpp
     src/balancer_query.cpp
     src/binding_func.cpp
+    src/caller_cmd.cpp
+    src/caller_open.cpp
+    src/caller_packet.cpp
+    src/caller_send.cpp
+    src/caller_tick.cpp
     src/codec_func.cpp
     src/config_check.cpp
     src/config_distance.cpp
@@ -31,6 +36,7 @@
 
 set(TEST_SOURCES
     tests/balancer_test.cpp
+    tests/caller_test.cpp
     tests/codec_test.cpp
     tests/config_test.cpp
     tests/main_test.cpp
