Add the HTTP/2 server and client

The control streams, the platform watch and the agent's connection to its target all speak HTTP/2, and none of them may let a peer that stalls or floods end the process or grow its memory.

Add a server and a client on nghttp2 and Asio for an io_context of the caller. A request ends with a result that says whether it may have run: a refused stream, GOAWAY and a request that never left did not run; a reset, a timeout or a lost connection after the headers left may have run. Every bound is in table/limits.h, and reaching it is counted.

The tests drive the server with raw sockets: half a frame, half a request, a silent long poll, pings and resets at full speed, a thousand streams, responses that nobody reads, headers without end, too many connections. Not tested: the client against a server that refuses streams or sends GOAWAY for streams in flight.

--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -12,6 +12,9 @@
 )
 
 set(SHELL_SOURCES
+    src/http2_client.cpp
+    src/http2_connection.cpp
+    src/http2_server.cpp
     src/version_func.cpp
 )
 
@@ -20,6 +23,7 @@
 
 set(TEST_SOURCES
     tests/codec_test.cpp
+    tests/http2_test.cpp
     tests/main_test.cpp
     tests/placement_test.cpp
 )
--- /dev/null
+++ b/src/table/http2_names.h
@@ -0,0 +1,45 @@
+/**
+ * @file http2_names.h
+ * Names of the HTTP/2 errors and counters, in the order of their enumerations.
+ */
+#pragma once
+
+#include "../http2_type.h"
+
+namespace hawthorncroft {
+
+inline constexpr std::array<std::string_view, static_cast<std::size_t>(Http2Error::End)> http2ErrorNames = {
+    "none",
+    "connect failed",
+    "too many requests",
+    "refused",
+    "go away",
+    "reset",
+    "connection lost",
+    "timeout",
+    "cancelled",
+    "response too large",
+};
+
+inline constexpr std::array<std::string_view, static_cast<std::size_t>(Http2Counter::End)> http2CounterNames = {
+    "connections",
+    "connections_refused",
+    "connect_failures",
+    "peer_closed",
+    "idle_closed",
+    "silent_closed",
+    "stalled_closed",
+    "flooded_closed",
+    "protocol_errors",
+    "local_closed",
+    "requests",
+    "streams_refused",
+    "headers_too_large",
+    "bodies_too_large",
+    "output_full",
+    "requests_too_slow",
+    "streams_reset",
+    "unanswered",
+};
+
+} // namespace hawthorncroft
--- a/src/table/limits.h
+++ b/src/table/limits.h
@@ -19,4 +19,20 @@
 inline constexpr std::uint8_t maxHops = 4; ///< Relays of one Open.
 inline constexpr std::size_t maxDocumentBytes = 1000000; ///< The platform's limit for one value.
 
+inline constexpr std::size_t maxHttp2HeaderBytes = 16 * 1024; ///< Headers of one HTTP/2 message.
+inline constexpr std::size_t maxHttp2BodyBytes = 4 * 1024 * 1024; ///< Body of one message; holds a document of 1 MB.
+inline constexpr std::size_t maxHttp2Streams = 256; ///< Concurrent streams of one connection.
+inline constexpr std::size_t maxHttp2Waiting = 1024; ///< Requests of one client that wait for a stream.
+inline constexpr std::size_t maxHttp2Connections = 512; ///< Connections of one server.
+inline constexpr std::size_t maxHttp2InputBytes = 8 * 1024 * 1024; ///< Incomplete requests of one connection.
+inline constexpr std::size_t maxHttp2OutputBytes = 8 * 1024 * 1024; ///< Bodies waiting to be sent on one connection.
+inline constexpr std::size_t maxHttp2TotalBytes = 64 * 1024 * 1024; ///< Both of the above over one server.
+inline constexpr std::size_t maxHttp2WriteBytes = 64 * 1024; ///< One write to a socket.
+inline constexpr std::size_t maxHttp2QueuedFrames = 1024; ///< Frames to send; beyond it nothing is read from the peer.
+inline constexpr std::size_t maxHttp2ResetsPerSecond = 200; ///< Stream resets by one peer; beyond it, closed.
+inline constexpr std::size_t maxHttp2ControlFramesPerSecond = 2000; ///< Frames of one peer that carry no message.
+inline constexpr Duration http2IdleTimeout = seconds(30); ///< Without a whole frame from the peer.
+inline constexpr Duration http2StallTimeout = seconds(10); ///< For one write, and for connecting.
+inline constexpr Duration http2RequestTimeout = seconds(10); ///< For a request to arrive completely.
+
 } // namespace hawthorncroft
--- /dev/null
+++ b/tests/loop_util.h
@@ -0,0 +1,114 @@
+/**
+ * @file loop_util.h
+ * Runs an io_context in a test for a bounded time, and a raw TCP peer that misbehaves.
+ */
+#pragma once
+
+#include "core_type.h"
+
+#include <boost/asio.hpp>
+#include <chrono>
+#include <string>
+
+namespace hawthorncroft {
+
+inline constexpr Endpoint anyLoopback { 0x7f000001, 0 }; ///< 127.0.0.1 with a port that the kernel chooses.
+
+/**
+ * Runs handlers until a condition holds.
+ * @return Whether it held within the time.
+ */
+template <typename Condition>
+bool runUntil(boost::asio::io_context& context, Condition condition,
+    std::chrono::milliseconds limit = std::chrono::milliseconds(5000))
+{
+    auto end = std::chrono::steady_clock::now() + limit;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > end)
+            return false;
+        context.restart();
+        context.run_one_for(std::chrono::milliseconds(5));
+    }
+    return true;
+}
+
+inline void runFor(boost::asio::io_context& context, std::chrono::milliseconds time)
+{
+    runUntil(
+        context, [] { return false; }, time);
+}
+
+/** A TCP client that sends bytes as it likes and reads only when asked. */
+class RawPeer {
+public:
+    RawPeer(boost::asio::io_context& context, Endpoint endpoint)
+        : m_socket(context)
+    {
+        m_socket.connect({ boost::asio::ip::address_v4(endpoint.address), endpoint.port });
+        m_socket.non_blocking(true);
+    }
+
+    static std::string preface()
+    {
+        using namespace std::string_literals;
+        return "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"s + frame(4, 0, 0, "");
+    }
+
+    static std::string number(std::uint32_t value)
+    {
+        std::string bytes;
+        for (int shift = 24; shift >= 0; shift -= 8)
+            bytes += static_cast<char>(value >> shift);
+        return bytes;
+    }
+
+    static std::string frame(int type, int flags, std::uint32_t stream, const std::string& payload)
+    {
+        std::string bytes = number(static_cast<std::uint32_t>(payload.size())).substr(1);
+        bytes += static_cast<char>(type);
+        bytes += static_cast<char>(flags);
+        return bytes + number(stream) + payload;
+    }
+
+    /** Headers of a request in HPACK: method by the index in the static table, scheme, authority and path. */
+    static std::string headers(char method, const std::string& path)
+    {
+        return method + std::string("\x86\x01\x01h\x04") + static_cast<char>(path.size()) + path;
+    }
+
+    /** A GET that ends its stream. */
+    static std::string get(std::uint32_t stream, const std::string& path = "/")
+    {
+        return frame(1, 5, stream, headers('\x82', path));
+    }
+
+    static std::string ping() { return frame(6, 0, 0, "12345678"); }
+    static std::string reset(std::uint32_t stream) { return frame(3, 0, stream, number(8)); }
+
+    /** Sends as much as the socket takes. @return Whether the connection still takes bytes. */
+    bool send(const std::string& bytes)
+    {
+        boost::system::error_code error;
+        std::size_t sent = 0;
+        while (sent < bytes.size() && !error)
+            sent += m_socket.write_some(boost::asio::buffer(bytes.data() + sent, bytes.size() - sent), error);
+        return !error || error == boost::asio::error::would_block;
+    }
+
+    /** Reads what is there. @return Whether the server closed the connection. */
+    bool isClosed()
+    {
+        std::array<char, 65536> buffer;
+        boost::system::error_code error;
+        while (!error)
+            received += m_socket.read_some(boost::asio::buffer(buffer), error);
+        return error != boost::asio::error::would_block;
+    }
+
+    std::size_t received {};
+
+private:
+    boost::asio::ip::tcp::socket m_socket;
+};
+
+} // namespace hawthorncroft
