--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -28,6 +28,9 @@
     src/log_func.cpp
     src/settings_func.cpp
     src/udp_func.cpp
+    src/http2_client.cpp
+    src/http2_connection.cpp
+    src/http2_server.cpp
     src/version_func.cpp
 )
 
@@ -39,6 +42,7 @@
     tests/caller_test.cpp
     tests/codec_test.cpp
     tests/config_test.cpp
+    tests/http2_test.cpp
     tests/main_test.cpp
     tests/placement_test.cpp
     tests/settings_test.cpp
