Add the configuration replica with gossip, pause, isolation and readers

Every process must hold the newest accepted documents within seconds, know when it may act on them, and leave the platform to a few readers.

ConfigReplica is a pure core. DocumentStore keeps the newest document of each key in the order of revisions, answers deltas in pieces that are each complete up to their own revision, remembers 10,000 removals and gives a full answer below them. Stamps spread a new revision to six peers at once and to one random peer every 500 ms; a newer stamp leads to a delta fetched from its sender. Stamps carry the age of the platform's confirmation (sequence), whether the sender reads the platform itself (hops) and whether it serves (count). The first three ranks of each minute always read. Further ranks start one a second once the confirmation is older than 10 s and stop after four seconds, so readers stay a handful in any fleet and outage. A reader whose rank has passed goes on until one of the new first ranks shows that it reads.

--- /dev/null
+++ b/bench/replica_bench.cpp
@@ -0,0 +1,105 @@
+/**
+ * @file replica_bench.cpp
+ * Measures how a configuration change spreads over a simulated fleet. Prints one line for each size and platform state.
+ * Arguments: none. The simulated network delays each datagram by 20 ms to 60 ms and loses 1 % of them.
+ */
+#include "replica_fleet.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace {
+
+using namespace hawthorncroft;
+using namespace hawthorncroft::bench;
+
+constexpr int changes = 12;
+constexpr Duration changeInterval = seconds(10);
+constexpr Duration limit = seconds(60);
+
+struct Row {
+    std::vector<double> secondsToHold;
+    double bytesPerSecond {};
+    double platformCallsPerSecond {};
+    double pendingReads {};
+    std::size_t mostPendingReads {};
+    double oldestAge {};
+};
+
+std::string operationsText(int change)
+{
+    return R"({"presets":{"ordinary":{},"peak":{"slotPercent":90},"maintenance":{"slotPercent":50}},)"
+           R"("inForce":"ordinary","domainsOut":[],"vmsOut":["vm)"
+        + std::to_string(change) + "\"]}";
+}
+
+void runAndWatch(Fleet& fleet, Duration duration, Row& row, int& samples)
+{
+    for (Duration passed; passed < duration; passed = passed + milliseconds(500)) {
+        fleet.run(milliseconds(500));
+        row.pendingReads += static_cast<double>(fleet.pendingReads());
+        row.mostPendingReads = std::max(row.mostPendingReads, fleet.pendingReads());
+        row.oldestAge = std::max(row.oldestAge, static_cast<double>(fleet.oldestPlatformAge().us) / 1e6);
+        ++samples;
+    }
+}
+
+Row measure(std::size_t size, Reach reach, std::uint64_t seed)
+{
+    Fleet fleet(size, seed);
+    fleet.run(seconds(40));
+    fleet.setReach(reach);
+    fleet.run(seconds(60));
+    Row row;
+    int samples = 0;
+    TimePoint start = fleet.now();
+    std::uint64_t bytes = fleet.traffic().datagramBytes + fleet.traffic().streamBytes;
+    std::uint64_t calls = fleet.platformCalls();
+    for (int change = 0; change < changes; ++change) {
+        // While the platform is down nothing is published; the change is there when the platform comes back.
+        if (reach == Reach::None) {
+            runAndWatch(fleet, changeInterval, row, samples);
+            continue;
+        }
+        Revision revision = fleet.publish("operations", operationsText(change));
+        Duration taken = fleet.runUntilHeld(revision, limit);
+        row.secondsToHold.push_back(static_cast<double>(taken.us) / 1e6);
+        if (taken < changeInterval)
+            runAndWatch(fleet, changeInterval - taken, row, samples);
+    }
+    double elapsed = static_cast<double>((fleet.now() - start).us) / 1e6;
+    bytes = fleet.traffic().datagramBytes + fleet.traffic().streamBytes - bytes;
+    row.bytesPerSecond = static_cast<double>(bytes) / elapsed / static_cast<double>(size);
+    row.platformCallsPerSecond = static_cast<double>(fleet.platformCalls() - calls) / elapsed;
+    row.pendingReads /= std::max(1, samples);
+    if (reach == Reach::None) {
+        Revision revision = fleet.publish("operations", operationsText(0));
+        fleet.setReach(Reach::All);
+        row.secondsToHold.push_back(static_cast<double>(fleet.runUntilHeld(revision, limit).us) / 1e6);
+    }
+    return row;
+}
+
+void print(std::size_t size, const char* state, Row row)
+{
+    std::sort(row.secondsToHold.begin(), row.secondsToHold.end());
+    double median = row.secondsToHold[row.secondsToHold.size() / 2];
+    std::printf("| %5zu | %-4s | %6.2f | %6.2f | %7.0f | %6.2f | %5.1f | %3zu | %6.1f |\n", size, state, median,
+        row.secondsToHold.back(), row.bytesPerSecond, row.platformCallsPerSecond, row.pendingReads,
+        row.mostPendingReads, row.oldestAge);
+    std::fflush(stdout);
+}
+
+}
+
+int main()
+{
+    std::puts("| instances | platform | in force everywhere, median s | longest s | B/s sent per instance "
+              "| platform calls/s | pending reads, mean | most | oldest platform age s |");
+    std::puts("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    for (std::size_t size : { 100, 300, 1000 }) {
+        print(size, "up", measure(size, Reach::All, size + 1));
+        print(size, "down", measure(size, Reach::None, size + 2));
+        print(size, "half", measure(size, Reach::Half, size + 3));
+    }
+}
--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -13,6 +13,12 @@
     src/keyring_func.cpp
     src/packet_func.cpp
     src/placement_func.cpp
+    src/replica_func.cpp
+    src/replica_gossip.cpp
+    src/replica_peers.cpp
+    src/replica_reader.cpp
+    src/replica_standing.cpp
+    src/replica_store.cpp
     src/verdict_func.cpp
 )
 
@@ -24,11 +30,19 @@
 )
 
 set(TEST_SOURCES
+    bench/replica_fleet.cpp
     tests/codec_test.cpp
     tests/config_test.cpp
     tests/main_test.cpp
     tests/placement_test.cpp
+    tests/replica_test.cpp
 )
 
 set(BENCHES
+    replica-bench
+)
+
+set(replica-bench_SOURCES
+    bench/replica_bench.cpp
+    bench/replica_fleet.cpp
 )
--- a/src/packet_type.h
+++ b/src/packet_type.h
@@ -86,7 +86,7 @@
     Revision revision; ///< Configuration revision of the sender; for caller packets set by the balancer.
     Endpoint callerEndpoint; ///< Where the caller receives replies; set by the balancer.
     std::uint8_t attempt {}; ///< Open: number of earlier tries; shifts the first rank.
-    std::uint8_t hops {}; ///< Open: relays so far.
+    std::uint8_t hops {}; ///< Open: relays so far. Stamp, StampReply: 0 when the sender itself reads the platform.
     bool idempotent {}; ///< Execute: the request may run more than once.
     TargetState targetState { TargetState::Unknown }; ///< Replies of an agent: its target's state.
     std::uint16_t load {}; ///< Replies of an agent: use of the admission limit in 1/1000; above 1000 when overloaded.
@@ -94,8 +94,12 @@
     Revision resolvedAt; ///< Revision of the configuration under which `service` was resolved.
     TargetId target; ///< Target addressed by an Open, or the replying target.
     Outcome outcome; ///< Refused, Answer, Closed.
-    std::uint32_t sequence {}; ///< Data, DataAck, Event, EventAck: number from 1. Answer: fragment from 0.
-    std::uint32_t count {}; ///< Answer: number of fragments. Close of an upload: number of chunks.
+    /** Data, DataAck, Event, EventAck: number from 1. Answer: fragment from 0. Stamp, StampReply: milliseconds since
+     * the platform confirmed the sender's view, or 4294967295 when it never did. */
+    std::uint32_t sequence {};
+    /** Answer: number of fragments. Close of an upload: number of chunks. Stamp, StampReply: 1 when the sender's view
+     * is checked enough to serve. */
+    std::uint32_t count {};
     TimePoint agentTime; ///< Opened, Renewed: the agent's clock when it replied.
     TimePoint deadline; ///< Execute, Close: last moment to start, on the agent's clock; zero when there is none.
     std::uint64_t nonce {}; ///< Stamp, StampReply, and attempts of an Open for telling replies apart.
--- /dev/null
+++ b/src/replica_reader.cpp
@@ -0,0 +1,132 @@
+#include "replica_base.h"
+
+#include <algorithm>
+
+namespace hawthorncroft {
+
+void ConfigReplica::tickReader(TimePoint now, std::uint64_t minute, ReplicaEffects& effects)
+{
+    if (m_nextReadAt == TimePoint()) {
+        // Peers usually answer a new process first; the random delay keeps a restarted fleet from reading at once.
+        Duration spread = milliseconds(static_cast<std::int64_t>(300 + nextRandom() % 2000));
+        m_nextReadAt = now + (peerCount() ? spread : Duration());
+    }
+    m_minute = minute;
+    if (m_readStartedAt && now - *m_readStartedAt > m_options.tuning.readTimeout)
+        onPlatformFailed(now);
+    bool isTurn = isReaderTurn(now, minute);
+    if (m_readStartedAt) {
+        askForRelief(now, effects);
+        return;
+    }
+    if (isTurn && now >= m_nextReadAt)
+        startRead(now, effects);
+}
+
+bool ConfigReplica::isReaderTurn(TimePoint now, std::uint64_t minute)
+{
+    if (!m_isServing)
+        return !m_platformAnswered;
+    std::size_t rank = m_peers.ownRank(minute);
+    if (rank < m_options.tuning.baseReaders || isSweepTurn(now, rank)) {
+        m_isReader = true;
+        return true;
+    }
+    // A reader goes on until one of the present first ranks proves that it reads: all of these may be cut off.
+    bool isRelieved = m_relievedMinute == minute;
+    m_isReader = m_isReader && !isRelieved && hasReadLately(now);
+    return m_isReader;
+}
+
+bool ConfigReplica::isSweepTurn(TimePoint now, std::size_t rank) const
+{
+    Duration age = m_platformConfirmedAt ? now - *m_platformConfirmedAt : now - *m_startedAt;
+    Duration beyond = age - m_options.tuning.readerGrace;
+    if (beyond.us <= 0)
+        return false;
+    // One further rank starts with each step, and each stops after a few, so their number does not grow with the
+    // fleet or with the length of an outage. After the last rank the first one is next.
+    std::size_t ranks = peerCount() + 1 - m_options.tuning.baseReaders;
+    std::size_t position = rank - m_options.tuning.baseReaders;
+    auto step = static_cast<std::size_t>(beyond.us / m_options.tuning.readerStep.us);
+    return step >= position && (step - position) % ranks < m_options.tuning.readerWindow;
+}
+
+bool ConfigReplica::hasReadLately(TimePoint now) const
+{
+    return m_ownConfirmationAt && now - *m_ownConfirmationAt <= m_options.tuning.reliefFreshness;
+}
+
+void ConfigReplica::askForRelief(TimePoint now, ReplicaEffects& effects)
+{
+    bool isBase = m_peers.ownRank(m_minute) < m_options.tuning.baseReaders;
+    if (isBase || m_relievedMinute == m_minute || now < m_nextReliefAt)
+        return;
+    m_nextReliefAt = now + m_options.tuning.reliefInterval;
+    for (std::size_t i = 0; i < std::min(m_options.tuning.baseReaders, m_peers.first().size()); ++i)
+        sendStamp(now, m_peers.first()[i], true, effects);
+}
+
+void ConfigReplica::takePlatformAge(TimePoint now, Endpoint from, const Packet& packet)
+{
+    if (packet.sequence == neverConfirmed)
+        return;
+    Duration age = milliseconds(packet.sequence);
+    TimePoint confirmedAt = now - age - m_options.tuning.assumedTransit;
+    if (!m_platformConfirmedAt || *m_platformConfirmedAt < confirmedAt)
+        m_platformConfirmedAt = confirmedAt;
+    if (packet.hops == 0 && m_peers.isAmongFirst(from, m_options.tuning.baseReaders))
+        m_relievedMinute = m_minute;
+}
+
+void ConfigReplica::startRead(TimePoint now, ReplicaEffects& effects)
+{
+    m_readStartedAt = now;
+    m_readSince = completeThrough();
+    m_nextReadAt = now + m_options.tuning.readMinInterval;
+    ++m_counters.platformReads;
+    effects.emplace_back(ReadPlatform { completeThrough() });
+}
+
+void ConfigReplica::notePlatform(TimePoint now)
+{
+    m_lastContactAt = now;
+    m_platformConfirmedAt = now;
+    m_ownConfirmationAt = now;
+    m_readBackoff = m_options.tuning.readBackoffMin;
+}
+
+std::vector<VersionedDocument> ConfigReplica::applyPlatform(TimePoint now, const Delta& delta, ReplicaEffects& effects)
+{
+    checkPause(now);
+    // A late answer to a read that was given up, and an answer older than the question, may be used but confirm
+    // nothing.
+    if (m_readStartedAt && delta.completeThrough < m_readSince) {
+        onPlatformFailed(now);
+    } else if (m_readStartedAt) {
+        m_readStartedAt.reset();
+        m_platformAnswered = true;
+        notePlatform(now);
+        if (!m_isConfirmed)
+            confirmAt(delta.completeThrough);
+    }
+    return applyChanges(now, delta, effects);
+}
+
+void ConfigReplica::onPlatformAlive(TimePoint now)
+{
+    checkPause(now);
+    if (m_readStartedAt)
+        notePlatform(now);
+}
+
+void ConfigReplica::onPlatformFailed(TimePoint now)
+{
+    ++m_counters.platformFailures;
+    m_readStartedAt.reset();
+    Duration jittered = m_readBackoff * static_cast<std::int64_t>(75 + nextRandom() % 51) / 100;
+    m_nextReadAt = now + jittered;
+    m_readBackoff = std::min(m_readBackoff * 2, m_options.tuning.readBackoffMax);
+}
+
+} // namespace hawthorncroft
--- /dev/null
+++ b/src/replica_standing.cpp
@@ -0,0 +1,93 @@
+#include "replica_base.h"
+
+#include <algorithm>
+
+namespace hawthorncroft {
+
+void ConfigReplica::checkPause(TimePoint now)
+{
+    if (!m_lastTickAt || now - *m_lastTickAt <= m_options.tuning.pauseGap)
+        return;
+    ++m_counters.pauses;
+    m_lastTickAt = now;
+    m_isConfirmed = false;
+    m_wokeAt = now;
+    m_confirmAt.reset();
+    m_nextStampAt = now;
+    // Reads and fetches from before the pause say nothing of what changed during it.
+    m_readStartedAt.reset();
+    m_fetch.reset();
+}
+
+void ConfigReplica::confirmAt(Revision revision)
+{
+    if (!m_confirmAt || revision < *m_confirmAt)
+        m_confirmAt = revision;
+}
+
+void ConfigReplica::updateStanding(TimePoint now)
+{
+    if (!m_startedAt)
+        m_startedAt = now;
+    if (m_confirmAt && *m_confirmAt <= completeThrough()) {
+        m_isConfirmed = true;
+        m_confirmAt.reset();
+    }
+    if (!m_isServing && hasEnoughConfirmations(now)) {
+        m_isServing = true;
+        m_startPeers.clear();
+    }
+}
+
+std::size_t ConfigReplica::countConfirmations(bool onlyServing) const
+{
+    return static_cast<std::size_t>(std::count_if(m_startPeers.begin(), m_startPeers.end(), [&](const auto& entry) {
+        const StartPeer& peer = entry.second;
+        return peer.revision <= completeThrough() && (peer.isServing || !onlyServing);
+    }));
+}
+
+bool ConfigReplica::hasEnoughConfirmations(TimePoint now) const
+{
+    // A process without any configuration knows no service, so it has nothing to serve with.
+    if (!completeThrough())
+        return false;
+    Duration sinceStart = now - *m_startedAt;
+    if (sinceStart >= m_options.tuning.startLimit)
+        return m_platformAnswered || countConfirmations(false) > 0;
+    if (m_newestSeen > completeThrough())
+        return false;
+    if (countConfirmations(true)
+        >= std::min(m_options.tuning.startConfirmations, std::max<std::size_t>(1, peerCount())))
+        return true;
+    // A stale platform may answer first, so peers get a moment to contradict it.
+    bool waitedForPeers = !peerCount() || !m_startPeers.empty() || sinceStart >= m_options.tuning.startWaitForPeers;
+    return m_platformAnswered && waitedForPeers;
+}
+
+bool ConfigReplica::isUrgent(TimePoint now) const
+{
+    if (!m_isServing || !m_isConfirmed || !m_lastContactAt)
+        return true;
+    return now - *m_lastContactAt > m_options.tuning.contactLow;
+}
+
+bool ConfigReplica::isConfirmed(TimePoint now) const
+{
+    bool pausedSinceTick = m_lastTickAt && now - *m_lastTickAt > m_options.tuning.pauseGap;
+    return m_isConfirmed && !pausedSinceTick;
+}
+
+bool ConfigReplica::isIsolated(TimePoint now) const
+{
+    return !m_lastContactAt || now - *m_lastContactAt > m_options.tuning.isolation;
+}
+
+std::optional<Duration> ConfigReplica::platformAge(TimePoint now) const
+{
+    if (!m_platformConfirmedAt)
+        return std::nullopt;
+    return std::max(Duration(), now - *m_platformConfirmedAt);
+}
+
+} // namespace hawthorncroft
