--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -21,6 +21,12 @@
     src/packet_func.cpp
     src/placement_func.cpp
     src/target_hint_func.cpp
+    src/replica_func.cpp
+    src/replica_gossip.cpp
+    src/replica_peers.cpp
+    src/replica_reader.cpp
+    src/replica_standing.cpp
+    src/replica_store.cpp
     src/verdict_func.cpp
 )
 
@@ -40,6 +46,7 @@
 set(TEST_SOURCES
     tests/balancer_test.cpp
     tests/caller_test.cpp
+    bench/replica_fleet.cpp
     tests/codec_test.cpp
     tests/config_test.cpp
     tests/http2_test.cpp
@@ -50,5 +57,15 @@
 
 set(BENCHES
     core-bench
+    tests/replica_test.cpp
+)
+
+set(BENCHES
+    replica-bench
+)
+
+set(replica-bench_SOURCES
+    bench/replica_bench.cpp
+    bench/replica_fleet.cpp
 )
 set(core-bench_SOURCES bench/core_bench.cpp)
