Add the agent core: admission, deduplication, opens, requests, feeds, uploads

The agent decides alone what runs at its target, so its rules must be testable without sockets or clocks.

AgentCore takes packets, ticks, reports of the target and configuration documents with a time, and appends effects to a list of its caller. Admission keeps an adaptive limit with a queue as long as the limit in front of it; an unused reservation gives its place back after 300 ms, so that hedged opens that lose do not block a cold target for the whole lease of 5 s.

The tests of the adaptive limit found that successes of requests started before a cold start raised the new limit from 2 to 4; they no longer count.

--- /dev/null
+++ b/src/admission_cmd.cpp
@@ -0,0 +1,153 @@
+#include "admission_base.h"
+#include "table/admission_gains.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hawthorncroft {
+
+void Admission::setCapacity(const AdmissionCapacity& capacity)
+{
+    bool wasAtColdLimit = m_isCold && !m_samples;
+    m_capacity = capacity;
+    m_limit = std::min<double>(m_limit, std::max(ceiling(), 1U));
+    m_connectionLimit = std::min<double>(m_connectionLimit, std::max(offeredConnections(), 1U));
+    if (wasAtColdLimit)
+        startCold();
+}
+
+void Admission::startCold()
+{
+    m_isCold = true;
+    m_limit = coldLimit();
+    m_connectionLimit = std::max(1.0, offeredConnections() * m_capacity.preset.coldStartPercent / 100.0);
+    // Connections that are open already stay; only new ones wait for the ramp.
+    m_connectionSucceeded = false;
+    m_fastUs = 0;
+    m_slowUs = 0;
+    m_samples = 0;
+}
+
+double Admission::coldLimit() const
+{
+    double cold = std::floor(m_capacity.slots * m_capacity.preset.coldStartPercent / 100.0);
+    return std::max(1.0, std::min<double>(cold, ceiling()));
+}
+
+Reason Admission::reserve(FlowKind kind)
+{
+    if (kind == FlowKind::Request) {
+        if (occupied() >= places())
+            return fullReason();
+        ++m_held;
+        return Reason::None;
+    }
+    if (m_connections >= connectionLimit())
+        return fullReason();
+    if (kind == FlowKind::Upload && m_uploads >= uploadLimit())
+        return Reason::Overloaded;
+    adoptConnection(kind);
+    return Reason::None;
+}
+
+void Admission::adoptConnection(FlowKind kind)
+{
+    ++m_connections;
+    m_uploads += kind == FlowKind::Upload;
+}
+
+void Admission::releaseConnection(FlowKind kind)
+{
+    --m_connections;
+    m_uploads -= kind == FlowKind::Upload;
+}
+
+void Admission::queueHeld()
+{
+    --m_held;
+    ++m_queued;
+}
+
+bool Admission::queueUnheld(bool isBounded)
+{
+    if (isBounded && occupied() >= places())
+        return false;
+    ++m_queued;
+    return true;
+}
+
+void Admission::start()
+{
+    --m_queued;
+    ++m_running;
+}
+
+bool Admission::finishWithSuccess(TimePoint now, Duration serviceTime)
+{
+    std::uint32_t runningBefore = m_running--;
+    m_connectionSucceeded = true;
+    learnServiceTime(serviceTime);
+    if (hasJumped(now)) {
+        m_lastDrop = now;
+        startCold();
+        return true;
+    }
+    growLimit(runningBefore);
+    return false;
+}
+
+void Admission::learnServiceTime(Duration serviceTime)
+{
+    auto us = static_cast<double>(serviceTime.us);
+    ++m_samples;
+    if (m_samples == 1)
+        m_fastUs = m_slowUs = us;
+    m_fastUs += (us - m_fastUs) / fastSamples;
+    m_slowUs += (us - m_slowUs) / std::min<double>(m_samples, slowSamples);
+}
+
+bool Admission::hasJumped(TimePoint now) const
+{
+    if (m_isCold || m_samples < minJumpSamples || now - m_lastDrop < jumpInterval)
+        return false;
+    return m_fastUs > m_slowUs * jumpFactor + static_cast<double>(jumpSlack.us);
+}
+
+void Admission::growLimit(std::uint32_t runningBefore)
+{
+    // Requests that started under a higher limit say nothing about the present one.
+    if (runningBefore > limit())
+        return;
+    // Success while most of the limit is idle says nothing about a higher one. In a cold start every success warms the
+    // target, and without this a lightly used one would stay cold.
+    if (!m_isCold && runningBefore + 1 < limit())
+        return;
+    m_limit = std::min<double>(m_limit + 1 / m_limit, std::max(ceiling(), 1U));
+    if (m_limit >= ceiling() * warmShare)
+        m_isCold = false;
+}
+
+void Admission::finishWithFailure(TimePoint now)
+{
+    --m_running;
+    m_connectionSucceeded = false;
+    // Requests that run together fail together; they count as one signal.
+    if (now - m_lastDrop < dropInterval)
+        return;
+    m_lastDrop = now;
+    m_limit = std::max(1.0, m_limit * dropFactor);
+}
+
+void Admission::tick(TimePoint now)
+{
+    if (now - m_lastStep < connectionStepInterval)
+        return;
+    m_lastStep = now;
+    if (!m_connectionSucceeded)
+        return;
+    m_connectionSucceeded = false;
+    double offered = offeredConnections();
+    m_connectionLimit = std::min(std::max(offered, 1.0), m_connectionLimit + std::max(1.0, offered * connectionStep));
+}
+
+} // namespace hawthorncroft
--- /dev/null
+++ b/src/admission_query.cpp
@@ -0,0 +1,72 @@
+#include "admission_base.h"
+#include "table/admission_gains.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace hawthorncroft {
+
+std::uint32_t Admission::ceiling() const
+{
+    std::uint64_t percent = m_capacity.preset.slotPercent;
+    if (!percent)
+        return 0;
+    return static_cast<std::uint32_t>(std::max<std::uint64_t>(1, m_capacity.slots * percent / 100));
+}
+
+std::uint32_t Admission::limit() const { return std::min(static_cast<std::uint32_t>(m_limit), ceiling()); }
+
+std::uint32_t Admission::places() const
+{
+    // The queue bridges the round trip between a reservation and its Execute, so that slots do not idle meanwhile.
+    return 2 * limit();
+}
+
+std::uint32_t Admission::offeredConnections() const
+{
+    std::uint64_t offered = m_capacity.connections;
+    return static_cast<std::uint32_t>(offered * m_capacity.preset.connectionPercent / 100);
+}
+
+std::uint32_t Admission::connectionLimit() const
+{
+    return std::min(static_cast<std::uint32_t>(m_connectionLimit), offeredConnections());
+}
+
+std::uint32_t Admission::uploadLimit() const
+{
+    std::uint64_t offered = offeredConnections();
+    return static_cast<std::uint32_t>(offered * m_capacity.preset.uploadPercent / 100);
+}
+
+bool Admission::canStart() const { return m_queued && m_running < limit(); }
+
+bool Admission::isCold() const
+{
+    // A target without requests warms up by its feeds and uploads alone.
+    bool isWarmByStreams = !m_samples && m_connectionLimit >= offeredConnections() * warmShare;
+    return m_isCold && !(m_connections && isWarmByStreams);
+}
+
+std::uint16_t Admission::load() const
+{
+    // A limit of zero is no capacity that could be compared; with neither kind offered the target counts as full.
+    std::uint64_t use = limit() || connectionLimit() ? 0 : 1000;
+    if (limit())
+        use = std::uint64_t { occupied() } * 1000 / limit();
+    if (connectionLimit())
+        use = std::max<std::uint64_t>(use, std::uint64_t { m_connections } * 1000 / connectionLimit());
+    return static_cast<std::uint16_t>(std::min<std::uint64_t>(use, std::numeric_limits<std::uint16_t>::max()));
+}
+
+std::uint32_t Admission::retryAfterMs(FlowKind kind) const
+{
+    if (kind != FlowKind::Request)
+        return static_cast<std::uint32_t>(connectionStepInterval.us / 1000);
+    double serviceUs = m_samples ? m_fastUs : static_cast<double>(assumedServiceTime.us);
+    // The refused request waits for its share of the requests ahead of it.
+    double waitMs = serviceUs / 1000 * (occupied() + 1) / std::max(limit(), 1U);
+    return static_cast<std::uint32_t>(std::clamp<double>(waitMs, minRetryAfterMs, maxRetryAfterMs));
+}
+
+} // namespace hawthorncroft
--- /dev/null
+++ b/src/agent_outcome_cmd.cpp
@@ -0,0 +1,96 @@
+#include "agent_base.h"
+#include "table/agent_times.h"
+
+#include <algorithm>
+
+namespace hawthorncroft {
+
+void AgentCore::refuseFlow(TimePoint now, FlowRecord& record, Reason reason)
+{
+    Outcome outcome { Verdict::DidNotRun, reason };
+    if (reason == Reason::Overloaded || reason == Reason::Cold)
+        outcome.retryAfterMs = m_admission.retryAfterMs(record.kind);
+    // The tombstone comes first: from here on no copy can run, so the refusal is true.
+    count(AgentCounter::Tombstones);
+    finish(now, record, outcome);
+    repeatOutcome(now, record, record.balancer);
+}
+
+void AgentCore::giveUp(TimePoint now, FlowRecord& record, Reason reason)
+{
+    finish(now, record, { Verdict::MayHaveRun, reason });
+    repeatOutcome(now, record, record.balancer);
+}
+
+void AgentCore::finish(TimePoint now, FlowRecord& record, Outcome outcome)
+{
+    release(record);
+    m_records.releaseWork(record);
+    m_records.setState(record, FlowState::Finished);
+    record.outcome = outcome;
+    record.resendAt = {};
+    record.retainUntil = std::max(record.expiresAt, now) + recordMargin;
+    m_records.wakeAt(record, record.retainUntil);
+}
+
+void AgentCore::answer(TimePoint now, FlowRecord& record, Outcome outcome, std::vector<std::uint8_t> payload)
+{
+    release(record);
+    m_records.keepAnswer(record, std::move(payload));
+    record.outcome = outcome;
+    record.retainUntil = std::max(record.expiresAt + recordMargin, now + answerRetention);
+    record.resends = 0;
+    sendAnswer(now, record, record.balancer);
+    scheduleResend(now, record);
+}
+
+void AgentCore::release(FlowRecord& record)
+{
+    if (record.holdsPlace)
+        m_admission.releasePlace();
+    if (record.state == FlowState::Queued)
+        m_admission.leaveQueue();
+    if (record.holdsConnection)
+        m_admission.releaseConnection(record.kind);
+    record.holdsPlace = false;
+    record.holdsConnection = false;
+}
+
+void AgentCore::repeatOutcome(TimePoint now, FlowRecord& record, Endpoint to)
+{
+    if (record.state == FlowState::Answering) {
+        sendAnswer(now, record, to);
+        return;
+    }
+    if (record.state != FlowState::Finished)
+        return;
+    bool isRefusal = record.outcome.verdict == Verdict::DidNotRun;
+    PacketKind kind = record.kind == FlowKind::Request ? PacketKind::Answer : PacketKind::Closed;
+    Packet reply = replyTo(now, record, isRefusal ? PacketKind::Refused : kind);
+    reply.outcome = record.outcome;
+    reply.binding = bindingOf(record);
+    // A count of zero says that the answer was acknowledged and is gone.
+    reply.count = reply.kind == PacketKind::Answer && record.outcome.verdict != Verdict::Done ? 1 : 0;
+    send(to, std::move(reply));
+}
+
+void AgentCore::sendAnswer(TimePoint now, FlowRecord& record, Endpoint to)
+{
+    static const std::vector<std::uint8_t> none;
+    const auto& payload = record.work ? record.work->payload : none;
+    std::size_t fragments = std::max<std::size_t>(1, (payload.size() + maxPayloadBytes - 1) / maxPayloadBytes);
+    bool isRequest = record.kind == FlowKind::Request;
+    for (std::size_t i = 0; i < fragments; ++i) {
+        Packet reply = replyTo(now, record, isRequest ? PacketKind::Answer : PacketKind::Closed);
+        reply.outcome = record.outcome;
+        reply.sequence = static_cast<std::uint32_t>(i);
+        reply.count = isRequest ? static_cast<std::uint32_t>(fragments) : record.chunkCount;
+        std::size_t first = i * maxPayloadBytes;
+        std::size_t last = std::min(payload.size(), first + maxPayloadBytes);
+        reply.payload.assign(
+            payload.begin() + static_cast<std::ptrdiff_t>(first), payload.begin() + static_cast<std::ptrdiff_t>(last));
+        send(to, std::move(reply));
+    }
+}
+
+} // namespace hawthorncroft
--- /dev/null
+++ b/src/agent_stream_cmd.cpp
@@ -0,0 +1,222 @@
+#include "agent_base.h"
+#include "table/agent_times.h"
+
+#include <algorithm>
+
+namespace hawthorncroft {
+
+FlowRecord* AgentCore::streamOf(TimePoint now, Endpoint from, const Packet& packet)
+{
+    Reason fault = bindingFault(packet);
+    if (fault != Reason::None) {
+        refuseBound(now, from, packet, { Verdict::MayHaveRun, fault });
+        return nullptr;
+    }
+    FlowRecord* record = m_records.find(packet.key);
+    if (!record) {
+        // An agent that does not know its target yet, or that is about to leave, cannot judge; the caller repeats.
+        if (!m_targetIncarnation || m_isShuttingDown) {
+            count(AgentCounter::DroppedOther);
+            return nullptr;
+        }
+        fault = adoptionFault(now, packet);
+        if (fault != Reason::None) {
+            refuseBound(now, from, packet, { Verdict::MayHaveRun, fault });
+            return nullptr;
+        }
+        record = adopt(now, packet);
+    }
+    if (record->kind == FlowKind::Request) {
+        count(AgentCounter::DroppedOther);
+        return nullptr;
+    }
+    touch(now, *record, from, packet);
+    if (record->state == FlowState::Reserved) {
+        fault = startFault(now, *record, packet);
+        if (fault != Reason::None) {
+            refuseFlow(now, *record, fault);
+            return nullptr;
+        }
+        activate(now, *record, 0);
+    }
+    if (record->state == FlowState::Finished || record->state == FlowState::Answering) {
+        repeatOutcome(now, *record, from);
+        return nullptr;
+    }
+    return record;
+}
+
+FlowRecord* AgentCore::adopt(TimePoint now, const Packet& packet)
+{
+    FlowRecord* record = m_records.add(packet.key);
+    record->reservation = ReservationId(++m_lastReservation);
+    record->firstReservation = record->reservation;
+    record->kind = packet.flowKind;
+    record->service = packet.binding.service;
+    record->expiresAt = packet.binding.expiresAt;
+    record->holdsConnection = true;
+    m_admission.adoptConnection(record->kind);
+    count(AgentCounter::Adopted);
+    // A KeepAlive names the last event that the caller holds, where the numbers go on.
+    activate(now, *record, packet.kind == PacketKind::KeepAlive ? packet.sequence : 0);
+    return record;
+}
+
+void AgentCore::activate(TimePoint now, FlowRecord& record, std::uint32_t after)
+{
+    m_records.setState(record, FlowState::Active);
+    record.lastEvent = after;
+    record.resendAt = {};
+    record.resends = 0;
+    record.hasLostEvents = false;
+    record.isEndedByTarget = false;
+    renew(now, record);
+    if (record.kind == FlowKind::Feed)
+        m_effects.emplace_back(OpenFeed { record.key, after });
+}
+
+void AgentCore::renew(TimePoint now, FlowRecord& record)
+{
+    record.expiresAt = std::max(record.expiresAt, now + streamLease);
+    if (record.state == FlowState::Active)
+        scheduleStream(now, record);
+}
+
+void AgentCore::onKeepAlive(TimePoint now, Endpoint from, Packet& packet)
+{
+    FlowRecord* record = streamOf(now, from, packet);
+    if (!record)
+        return;
+    if (record->hasLostEvents) {
+        // The caller would wait for the dropped events forever.
+        endStream(now, *record, Reason::Expired);
+        return;
+    }
+    renew(now, *record);
+    Packet reply = replyTo(now, *record, PacketKind::Renewed);
+    reply.binding = bindingOf(*record);
+    reply.nonce = packet.nonce;
+    send(from, std::move(reply));
+}
+
+void AgentCore::onData(TimePoint now, Endpoint from, Packet& packet)
+{
+    FlowRecord* record = streamOf(now, from, packet);
+    if (!record || record->state != FlowState::Active)
+        return;
+    if (!serves(packet)) {
+        refuseBound(now, from, packet, { Verdict::MayHaveRun, Reason::WrongService });
+        return;
+    }
+    auto& chunks = record->needWork().chunks;
+    bool isUnderWay = std::find(chunks.begin(), chunks.end(), packet.sequence) != chunks.end();
+    if (isUnderWay || chunks.size() >= maxChunksInFlight) {
+        count(AgentCounter::DroppedChunks);
+        return;
+    }
+    chunks.push_back(packet.sequence);
+    m_effects.emplace_back(StoreChunk { record->key, record->kind, packet.sequence, std::move(packet.payload) });
+}
+
+void AgentCore::onChunkStored(TimePoint now, const FlowKey& key, std::uint32_t sequence, bool isStored)
+{
+    notePause(now);
+    FlowRecord* record = m_records.find(key);
+    if (!record || record->state != FlowState::Active || !record->work || !std::erase(record->work->chunks, sequence)) {
+        count(AgentCounter::LateTargetReports);
+        return;
+    }
+    releaseIdleWork(*record);
+    if (!isStored)
+        return;
+    m_admission.noteConnectionSuccess();
+    Packet reply = replyTo(now, *record, PacketKind::DataAck);
+    reply.sequence = sequence;
+    send(record->balancer, std::move(reply));
+}
+
+void AgentCore::onClose(TimePoint now, Endpoint from, Packet& packet)
+{
+    if (packet.flowKind == FlowKind::Feed) {
+        FlowRecord* feed = acknowledgedRecord(now, from, packet);
+        if (!feed)
+            refuseBound(now, from, packet, { Verdict::MayHaveRun, Reason::Unknown });
+        else if (feed->state == FlowState::Answering)
+            onAnswerAck(now, from, packet);
+        else if (feed->state == FlowState::Active || feed->state == FlowState::Reserved)
+            endStream(now, *feed, Reason::None);
+        else
+            repeatOutcome(now, *feed, from);
+        return;
+    }
+    FlowRecord* record = boundRecord(now, from, packet);
+    if (!record)
+        return;
+    bool isOpen = record->state == FlowState::Active || record->state == FlowState::Reserved;
+    if (!isOpen || record->kind != FlowKind::Upload) {
+        count(AgentCounter::DuplicateExecutes);
+        repeatOutcome(now, *record, from);
+        return;
+    }
+    // A chunk still under way must not arrive after the commit; the caller repeats its Close.
+    if (record->work && !record->work->chunks.empty()) {
+        count(AgentCounter::DroppedOther);
+        return;
+    }
+    Reason fault = startFault(now, *record, packet);
+    if (fault != Reason::None)
+        refuseFlow(now, *record, fault);
+    else
+        queueRequest(now, *record, packet);
+}
+
+void AgentCore::onTargetFeedOpened(TimePoint now, const FlowKey& key)
+{
+    notePause(now);
+    FlowRecord* record = m_records.find(key);
+    if (record && record->state == FlowState::Active)
+        m_admission.noteConnectionSuccess();
+}
+
+void AgentCore::onTargetFeedEnded(TimePoint now, const FlowKey& key, bool hasFailed)
+{
+    notePause(now);
+    FlowRecord* record = m_records.find(key);
+    if (!record || record->state != FlowState::Active || record->kind != FlowKind::Feed) {
+        count(AgentCounter::LateTargetReports);
+        return;
+    }
+    record->outcome
+        = { hasFailed ? Verdict::MayHaveRun : Verdict::Done, hasFailed ? Reason::TargetFailed : Reason::None };
+    record->isEndedByTarget = true;
+    deliverEnd(now, *record);
+}
+
+void AgentCore::deliverEnd(TimePoint now, FlowRecord& record)
+{
+    // The events before the end are delivered first; afterwards nothing would retransmit them.
+    bool hasEvents = record.work && !record.work->events.empty();
+    if (record.isEndedByTarget && !hasEvents)
+        answer(now, record, record.outcome, {});
+}
+
+void AgentCore::endStream(TimePoint now, FlowRecord& record, Reason reason)
+{
+    closeAtTarget(record);
+    // An upload that was never committed did not run. A feed has no such verdict, unless it was never opened.
+    bool isClosedByCaller = reason == Reason::None;
+    Outcome outcome { isClosedByCaller ? Verdict::Done : Verdict::MayHaveRun, reason };
+    if (record.kind == FlowKind::Upload || record.state == FlowState::Reserved)
+        outcome = { Verdict::DidNotRun, isClosedByCaller ? Reason::Cancelled : reason };
+    finish(now, record, outcome);
+    repeatOutcome(now, record, record.balancer);
+}
+
+void AgentCore::closeAtTarget(const FlowRecord& record)
+{
+    bool isOpen = record.kind == FlowKind::Feed && record.state == FlowState::Active && !record.isEndedByTarget;
+    if (isOpen)
+        m_effects.emplace_back(CloseFeed { record.key });
+}
+
+} // namespace hawthorncroft
--- /dev/null
+++ b/src/dedup_cmd.cpp
@@ -0,0 +1,73 @@
+#include "dedup_base.h"
+
+namespace hawthorncroft {
+
+FlowWork& FlowRecord::needWork()
+{
+    if (!work)
+        work = std::make_unique<FlowWork>();
+    return *work;
+}
+
+RecordTable::RecordTable()
+    : m_wheel(std::make_unique<TimerWheel>())
+{
+}
+
+RecordTable::~RecordTable() = default;
+
+FlowRecord* RecordTable::find(const FlowKey& key)
+{
+    auto entry = m_records.find(key);
+    return entry == m_records.end() ? nullptr : &entry->second;
+}
+
+const FlowRecord* RecordTable::find(const FlowKey& key) const
+{
+    auto entry = m_records.find(key);
+    return entry == m_records.end() ? nullptr : &entry->second;
+}
+
+FlowRecord* RecordTable::add(const FlowKey& key)
+{
+    if (isFull())
+        return nullptr;
+    FlowRecord& record = m_records[key];
+    record.key = key;
+    ++countOf(record.state);
+    return &record;
+}
+
+void RecordTable::setState(FlowRecord& record, FlowState state)
+{
+    --countOf(record.state);
+    record.state = state;
+    ++countOf(record.state);
+}
+
+void RecordTable::keepAnswer(FlowRecord& record, std::vector<std::uint8_t> payload)
+{
+    releaseWork(record);
+    setState(record, FlowState::Answering);
+    m_keptAnswerBytes += payload.size();
+    if (!payload.empty())
+        record.needWork().payload = std::move(payload);
+}
+
+void RecordTable::releaseWork(FlowRecord& record)
+{
+    if (record.work && record.state == FlowState::Answering)
+        m_keptAnswerBytes -= record.work->payload.size();
+    record.work.reset();
+}
+
+void RecordTable::remove(FlowRecord& record)
+{
+    releaseWork(record);
+    record.unlink();
+    --countOf(record.state);
+    FlowKey key = record.key;
+    m_records.erase(key);
+}
+
+} // namespace hawthorncroft
--- /dev/null
+++ b/tests/admission_test.cpp
@@ -0,0 +1,169 @@
+#include "admission_base.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hawthorncroft;
+
+namespace {
+
+Admission admissionOf(std::uint32_t slots, std::uint32_t connections, PresetConfig preset = {})
+{
+    Admission admission;
+    admission.setCapacity({ .slots = slots, .connections = connections, .preset = preset });
+    return admission;
+}
+
+/** Runs as many requests as the limit allows to their end. */
+bool serve(Admission& admission, TimePoint& now, Duration serviceTime)
+{
+    std::uint32_t running = admission.limit();
+    for (std::uint32_t i = 0; i < running; ++i) {
+        REQUIRE(admission.reserve(FlowKind::Request) == Reason::None);
+        admission.queueHeld();
+        REQUIRE(admission.canStart());
+        admission.start();
+    }
+    now = now + serviceTime;
+    bool hasJumped = false;
+    for (std::uint32_t i = 0; i < running; ++i)
+        hasJumped |= admission.finishWithSuccess(now, serviceTime);
+    return hasJumped;
+}
+
+void warmUp(Admission& admission, TimePoint& now)
+{
+    for (int i = 0; i < 100 && admission.limit() < admission.ceiling(); ++i)
+        serve(admission, now, milliseconds(10));
+    REQUIRE(admission.limit() == admission.ceiling());
+}
+
+}
+
+TEST_CASE("The concurrency limit of a target with ten slots", "[admission]")
+{
+    Admission admission = admissionOf(10, 100, { .slotPercent = 80, .coldStartPercent = 20 });
+    TimePoint now { 1000000 };
+
+    SECTION("starts low, which guards against full load on a cold target")
+    {
+        CHECK(admission.isCold());
+        CHECK(admission.limit() == 2);
+        for (int i = 0; i < 4; ++i)
+            CHECK(admission.reserve(FlowKind::Request) == Reason::None);
+        CHECK(admission.reserve(FlowKind::Request) == Reason::Cold);
+
+        SECTION("and lets no more run than the limit, however many are queued")
+        {
+            for (int i = 0; i < 4; ++i)
+                admission.queueHeld();
+            admission.start();
+            admission.start();
+            CHECK_FALSE(admission.canStart());
+        }
+        SECTION("and time alone does not raise it")
+        {
+            for (int i = 0; i < 100; ++i)
+                admission.tick(now = now + seconds(1));
+            CHECK(admission.limit() == 2);
+        }
+    }
+    SECTION("grows with success up to the preset's share of the slots and never above")
+    {
+        warmUp(admission, now);
+        CHECK(admission.limit() == 8);
+        CHECK_FALSE(admission.isCold());
+        for (int i = 0; i < 200; ++i)
+            serve(admission, now, milliseconds(10));
+        CHECK(admission.limit() == 8);
+
+        SECTION("and follows a lower preset at once")
+        {
+            admission.setCapacity({ .slots = 10, .connections = 100, .preset = { .slotPercent = 30 } });
+            CHECK(admission.limit() == 3);
+        }
+        SECTION("and drops once for a burst of failures, which guards against a collapse")
+        {
+            for (int i = 0; i < 8; ++i) {
+                admission.queueUnheld(true);
+                admission.start();
+            }
+            for (int i = 0; i < 8; ++i)
+                admission.finishWithFailure(now = now + milliseconds(1));
+            CHECK(admission.limit() == 5);
+        }
+        SECTION("and is cold again when the service time jumps, which guards against a target that loses its caches")
+        {
+            now = now + seconds(5);
+            bool hasJumped = false;
+            int served = 0;
+            for (; served < 20 && !hasJumped; ++served)
+                hasJumped = serve(admission, now, milliseconds(100));
+            CHECK(hasJumped);
+            CHECK(admission.limit() == 2);
+            CHECK(admission.isCold());
+        }
+        SECTION("and stays warm when the service time varies by half")
+        {
+            for (int i = 0; i < 500; ++i)
+                CHECK_FALSE(serve(admission, now, milliseconds(i % 2 ? 5 : 15)));
+        }
+    }
+    SECTION("advises a longer wait when more requests are ahead")
+    {
+        warmUp(admission, now);
+        std::uint32_t idle = admission.retryAfterMs(FlowKind::Request);
+        for (int i = 0; i < 16; ++i)
+            admission.reserve(FlowKind::Request);
+        CHECK(admission.reserve(FlowKind::Request) == Reason::Overloaded);
+        CHECK(admission.retryAfterMs(FlowKind::Request) > idle);
+        CHECK(admission.load() == 2000);
+    }
+    SECTION("is zero when the preset offers no slots, and the target then counts as full")
+    {
+        admission.setCapacity({ .slots = 10, .connections = 0, .preset = { .slotPercent = 0 } });
+        CHECK(admission.reserve(FlowKind::Request) != Reason::None);
+        CHECK(admission.load() == 1000);
+    }
+}
+
+TEST_CASE("The connection limit of a target", "[admission]")
+{
+    Admission admission = admissionOf(4, 100, { .connectionPercent = 50, .uploadPercent = 40, .coldStartPercent = 20 });
+    TimePoint now { 1000000 };
+
+    SECTION("starts low and takes one step a second while connections succeed")
+    {
+        CHECK(admission.connectionLimit() == 10);
+        for (int i = 0; i < 10; ++i)
+            REQUIRE(admission.reserve(FlowKind::Feed) == Reason::None);
+        CHECK(admission.reserve(FlowKind::Feed) == Reason::Cold);
+        admission.noteConnectionSuccess();
+        admission.tick(now = now + seconds(1));
+        CHECK(admission.connectionLimit() == 12);
+
+        SECTION("but not without success, which guards against filling a target that hangs")
+        {
+            for (int i = 0; i < 60; ++i)
+                admission.tick(now = now + seconds(1));
+            CHECK(admission.connectionLimit() == 12);
+        }
+        SECTION("and ends at the preset's share")
+        {
+            for (int i = 0; i < 60; ++i) {
+                admission.noteConnectionSuccess();
+                admission.tick(now = now + seconds(1));
+            }
+            CHECK(admission.connectionLimit() == 50);
+
+            SECTION("of which uploads take only theirs, which guards against uploads that crowd out feeds")
+            {
+                for (int i = 0; i < 20; ++i)
+                    REQUIRE(admission.reserve(FlowKind::Upload) == Reason::None);
+                CHECK(admission.reserve(FlowKind::Upload) == Reason::Overloaded);
+                CHECK(admission.reserve(FlowKind::Feed) == Reason::None);
+                admission.releaseConnection(FlowKind::Upload);
+                CHECK(admission.reserve(FlowKind::Upload) == Reason::None);
+            }
+        }
+    }
+}
