--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -3,6 +3,16 @@
 set(CORE_SOURCES
     src/balancer_cmd.cpp
     src/balancer_query.cpp
+    src/admission_cmd.cpp
+    src/admission_query.cpp
+    src/agent_core.cpp
+    src/agent_event_cmd.cpp
+    src/agent_open_cmd.cpp
+    src/agent_outcome_cmd.cpp
+    src/agent_query.cpp
+    src/agent_request_cmd.cpp
+    src/agent_stream_cmd.cpp
+    src/agent_timer_cmd.cpp
     src/binding_func.cpp
     src/caller_cmd.cpp
     src/caller_open.cpp
@@ -17,6 +27,7 @@
     src/config_view.cpp
     src/config_write.cpp
     src/core_func.cpp
+    src/dedup_cmd.cpp
     src/keyring_func.cpp
     src/packet_func.cpp
     src/placement_func.cpp
@@ -50,6 +61,10 @@
     tests/codec_test.cpp
     tests/config_test.cpp
     tests/http2_test.cpp
+    tests/admission_test.cpp
+    tests/agent_test.cpp
+    tests/codec_test.cpp
+    tests/dedup_test.cpp
     tests/main_test.cpp
     tests/placement_test.cpp
     tests/settings_test.cpp
