Bound the growth of a cold target's limit by time and join the cores in a fake fleet

Cause: fleet_test joins balancer, agent and caller cores with fake targets that fail work beyond what they bear. A failure domain that returned cold got 90 to 114 requests too many per target in 12 s, and a target that turned cold without notice 26, because the limit grew by one for each round of successes while the target still warmed up.

Ruled out: trusting the target's own report of its state, because reports lag and the fake target says warm throughout; going cold at the first failure, because one bad request would take a target's capacity.

Change: while cold, the limit stays below a ramp of coldStartSeconds (10 s by default); two separate failures among the last eight requests start a cold start again; the first health report starts one too. The balancer program with its data, control and configuration threads is added.

--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -42,6 +42,11 @@
 )
 
 set(SHELL_SOURCES
+    src/balancer_report.cpp
+    src/balancer_thread.cpp
+    src/clock_func.cpp
+    src/config_thread.cpp
+    src/control_thread.cpp
     src/log_func.cpp
     src/settings_func.cpp
     src/udp_func.cpp
@@ -52,14 +57,20 @@
 )
 
 set(PROGRAMS
+    hawthorncroft-balancer
 )
 
+set(hawthorncroft-balancer_SOURCES src/balancer_main.cpp)
+
 set(TEST_SOURCES
     tests/balancer_test.cpp
     tests/caller_test.cpp
     bench/replica_fleet.cpp
     tests/codec_test.cpp
     tests/config_test.cpp
+    tests/fake_fleet.cpp
+    tests/fake_target.cpp
+    tests/fleet_test.cpp
     tests/http2_test.cpp
     tests/admission_test.cpp
     tests/agent_test.cpp
--- a/src/admission_base.h
+++ b/src/admission_base.h
@@ -29,8 +29,11 @@
      */
     void setCapacity(const AdmissionCapacity& capacity);
 
-    /** Lowers both limits to the start of a cold start and forgets the target's service time. */
-    void startCold();
+    /**
+     * Lowers both limits to the start of a cold start and forgets the target's service time.
+     * @param now The time; the limit needs at least the preset's coldStartSeconds from here to its ceiling.
+     */
+    void startCold(TimePoint now);
 
     /**
      * Tries to reserve a place for a request, or a connection for a feed or upload.
@@ -72,8 +75,13 @@
      */
     bool finishWithSuccess(TimePoint now, Duration serviceTime);
 
-    /** A request ended because the target failed or shed it. */
-    void finishWithFailure(TimePoint now);
+    /**
+     * A request ended because the target failed or shed it. Several failures among the last requests mean that the
+     * target is cold, whatever it reports.
+     * @param now The time.
+     * @return Whether the limits are cold from now on.
+     */
+    bool finishWithFailure(TimePoint now);
 
     /** A request ended in a way that says nothing about the target's capacity. */
     void finishNeutral() { --m_running; }
@@ -117,10 +125,12 @@
     std::uint32_t offeredConnections() const;
     std::uint32_t uploadLimit() const;
     double coldLimit() const;
+    double rampLimit(TimePoint now) const;
+    void resetLimits();
     Reason fullReason() const { return m_isCold ? Reason::Cold : Reason::Overloaded; }
     void learnServiceTime(Duration serviceTime);
     bool hasJumped(TimePoint now) const;
-    void growLimit(std::uint32_t runningBefore);
+    void growLimit(TimePoint now, std::uint32_t runningBefore);
 
     AdmissionCapacity m_capacity;
     double m_limit { 1 };
@@ -135,6 +145,8 @@
     std::uint32_t m_uploads {};
     bool m_isCold { true };
     bool m_connectionSucceeded {};
+    std::uint8_t m_failures {}; ///< One bit for each of the last eight requests; set when it failed.
+    TimePoint m_coldSince; ///< Start of the ramp.
     TimePoint m_lastDrop;
     TimePoint m_lastStep;
 };
--- a/src/admission_cmd.cpp
+++ b/src/admission_cmd.cpp
@@ -2,6 +2,7 @@
 #include "table/admission_gains.h"
 
 #include <algorithm>
+#include <bit>
 #include <cmath>
 
 namespace hawthorncroft {
@@ -13,10 +14,17 @@
     m_limit = std::min<double>(m_limit, std::max(ceiling(), 1U));
     m_connectionLimit = std::min<double>(m_connectionLimit, std::max(offeredConnections(), 1U));
     if (wasAtColdLimit)
-        startCold();
+        resetLimits();
 }
 
-void Admission::startCold()
+void Admission::startCold(TimePoint now)
+{
+    m_coldSince = now;
+    m_failures = 0;
+    resetLimits();
+}
+
+void Admission::resetLimits()
 {
     m_isCold = true;
     m_limit = coldLimit();
@@ -34,6 +42,15 @@
     return std::max(1.0, std::min<double>(cold, ceiling()));
 }
 
+double Admission::rampLimit(TimePoint now) const
+{
+    Duration ramp = seconds(m_capacity.preset.coldStartSeconds);
+    if (!m_isCold || now - m_coldSince >= ramp)
+        return std::max(ceiling(), 1U);
+    double progress = static_cast<double>((now - m_coldSince).us) / static_cast<double>(ramp.us);
+    return coldLimit() + (std::max(ceiling(), 1U) - coldLimit()) * progress;
+}
+
 Reason Admission::reserve(FlowKind kind)
 {
     if (kind == FlowKind::Request) {
@@ -86,13 +103,14 @@
 {
     std::uint32_t runningBefore = m_running--;
     m_connectionSucceeded = true;
+    m_failures = static_cast<std::uint8_t>(m_failures << 1);
     learnServiceTime(serviceTime);
     if (hasJumped(now)) {
         m_lastDrop = now;
-        startCold();
+        startCold(now);
         return true;
     }
-    growLimit(runningBefore);
+    growLimit(now, runningBefore);
     return false;
 }
 
@@ -113,7 +131,7 @@
     return m_fastUs > m_slowUs * jumpFactor + static_cast<double>(jumpSlack.us);
 }
 
-void Admission::growLimit(std::uint32_t runningBefore)
+void Admission::growLimit(TimePoint now, std::uint32_t runningBefore)
 {
     // Requests that started under a higher limit say nothing about the present one.
     if (runningBefore > limit())
@@ -122,20 +140,27 @@
     // target, and without this a lightly used one would stay cold.
     if (!m_isCold && runningBefore + 1 < limit())
         return;
-    m_limit = std::min<double>(m_limit + 1 / m_limit, std::max(ceiling(), 1U));
+    // Success at a low limit does not show what a cold target bears at a higher one, so time bounds the growth too.
+    m_limit = std::max(m_limit, std::min(m_limit + 1 / m_limit, rampLimit(now)));
     if (m_limit >= ceiling() * warmShare)
         m_isCold = false;
 }
 
-void Admission::finishWithFailure(TimePoint now)
+bool Admission::finishWithFailure(TimePoint now)
 {
     --m_running;
     m_connectionSucceeded = false;
     // Requests that run together fail together; they count as one signal.
     if (now - m_lastDrop < dropInterval)
-        return;
+        return false;
     m_lastDrop = now;
+    m_failures = static_cast<std::uint8_t>(m_failures << 1 | 1);
+    if (std::popcount(m_failures) >= coldFailures) {
+        startCold(now);
+        return true;
+    }
     m_limit = std::max(1.0, m_limit * dropFactor);
+    return false;
 }
 
 void Admission::tick(TimePoint now)
--- a/src/agent_core.cpp
+++ b/src/agent_core.cpp
@@ -139,7 +139,7 @@
         goOut(now);
     // The target's caches are stale after an outage, so it returns with a cold start.
     if (wasOut && !isOut) {
-        m_admission.startCold();
+        m_admission.startCold(now);
         count(AgentCounter::ColdStarts);
     }
     startQueued(now);
@@ -187,6 +187,8 @@
     Incarnation former = std::exchange(m_targetIncarnation, incarnation);
     if (former && former != incarnation)
         loseTarget(now);
+    else if (!former)
+        m_admission.startCold(now);
     startQueued(now);
 }
 
@@ -209,7 +211,7 @@
             break;
         }
     });
-    m_admission.startCold();
+    m_admission.startCold(now);
     count(AgentCounter::ColdStarts);
 }
 
--- a/src/agent_request_cmd.cpp
+++ b/src/agent_request_cmd.cpp
@@ -235,10 +235,10 @@
 void AgentCore::endRunning(TimePoint now, FlowRecord& record, TargetFailure failure)
 {
     const FailureRule& rule = failureRules.at(static_cast<std::size_t>(failure));
-    if (rule.isCapacitySignal)
-        m_admission.finishWithFailure(now);
-    else
+    if (!rule.isCapacitySignal)
         m_admission.finishNeutral();
+    else if (m_admission.finishWithFailure(now))
+        count(AgentCounter::ColdStarts);
     count(AgentCounter::Failed);
     if (rule.outcome.verdict == Verdict::DidNotRun)
         refuseFlow(now, record, rule.outcome.reason);
--- /dev/null
+++ b/src/clock_func.cpp
@@ -0,0 +1,43 @@
+#include "clock_func.h"
+
+#include <openssl/rand.h>
+
+#include <chrono>
+#include <ctime>
+#include <stdexcept>
+
+namespace hawthorncroft {
+
+namespace {
+
+    template <typename Unit> std::uint64_t wallClock()
+    {
+        return static_cast<std::uint64_t>(
+            std::chrono::duration_cast<Unit>(std::chrono::system_clock::now().time_since_epoch()).count());
+    }
+
+}
+
+TimePoint monotonicNow()
+{
+    // Unlike CLOCK_MONOTONIC, this clock goes on while the VM is suspended, so a suspension shows as a pause.
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return { static_cast<std::int64_t>(time.tv_sec) * 1000000 + time.tv_nsec / 1000 };
+}
+
+std::uint64_t wallClockMinutes() { return wallClock<std::chrono::minutes>(); }
+
+std::uint64_t wallClockSeconds() { return wallClock<std::chrono::seconds>(); }
+
+std::uint64_t randomNumber()
+{
+    std::uint64_t number = 0;
+    while (!number) {
+        if (RAND_bytes(reinterpret_cast<unsigned char*>(&number), sizeof(number)) != 1)
+            throw std::runtime_error("the system gives no random numbers");
+    }
+    return number;
+}
+
+} // namespace hawthorncroft
--- /dev/null
+++ b/src/config_thread.cpp
@@ -0,0 +1,274 @@
+#include "config_thread.h"
+
+#include "clock_func.h"
+#include "http2_base.h"
+#include "log_func.h"
+#include "replica_base.h"
+#include "replica_func.h"
+#include "settings_func.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <charconv>
+#include <chrono>
+#include <map>
+#include <random>
+#include <thread>
+
+namespace hawthorncroft {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr Duration tickInterval = milliseconds(100);
+    constexpr Duration platformTimeout = seconds(25); ///< The platform answers a watch within 20 s.
+    constexpr std::size_t maxPeerConnections = 8; ///< Connections to peers that are kept open.
+    constexpr Duration peerTimeout = milliseconds(900); ///< Below the replica's own limit for one fetch.
+
+    Revision revisionIn(const std::string& argument)
+    {
+        constexpr std::string_view prefix = "since=";
+        std::uint64_t number = 0;
+        if (argument.starts_with(prefix))
+            std::from_chars(argument.data() + prefix.size(), argument.data() + argument.size(), number);
+        return Revision(number);
+    }
+
+}
+
+struct ConfigThread::Impl {
+    Impl(ConfigThreadOptions options, Ring<DataInput>& toDataRing, Ring<ControlAnswer>& toControlRing)
+        : toData(toDataRing)
+        , toControl(toControlRing)
+        , random(options.randomSeed)
+        , keyring(keyringOf(options.settings))
+        , replica({ .node = options.node,
+              .data = options.settings.data,
+              .control = options.settings.control,
+              .seeds = options.settings.peers,
+              .randomSeed = options.randomSeed })
+        , platform(context, options.settings.platform)
+        , timer(context)
+        , input(ringCapacity, [this] { asio::post(context, [this] { drainInput(); }); })
+        , questions(ringCapacity, [this] { asio::post(context, [this] { drainQuestions(); }); })
+    {
+    }
+
+    void run()
+    {
+        scheduleTick();
+        context.run();
+    }
+
+    void scheduleTick()
+    {
+        timer.expires_after(std::chrono::microseconds(tickInterval.us));
+        timer.async_wait([this](boost::system::error_code error) {
+            if (error)
+                return;
+            tick();
+            scheduleTick();
+        });
+    }
+
+    void tick()
+    {
+        ReplicaEffects effects;
+        TimePoint now = monotonicNow();
+        replica.onTick(now, wallClockMinutes(), random(), effects);
+        if (replica.isReading() && platformCall)
+            replica.onPlatformAlive(now);
+        carryOut(effects);
+        reportStanding(now);
+    }
+
+    void drainInput()
+    {
+        // A pause that the data thread noticed is noticed here by the gap between two ticks.
+        tick();
+        input.drain([this](ConfigInput& message) { std::visit([this](auto& m) { handle(m); }, message); });
+        reportStanding(monotonicNow());
+    }
+
+    void handle(StampArrived& stamp)
+    {
+        ReplicaEffects effects;
+        if (stamp.packet.kind == PacketKind::Stamp)
+            replica.onStamp(monotonicNow(), stamp.from, stamp.packet, effects);
+        else
+            replica.onStampReply(monotonicNow(), stamp.from, stamp.packet, effects);
+        carryOut(effects);
+    }
+
+    void handle(PeerContact& contact)
+    {
+        ReplicaEffects effects;
+        replica.noteContact(monotonicNow(), contact.revision, {}, effects);
+        carryOut(effects);
+    }
+
+    void handle(PauseNoticed& pause) { openPause = pause.pause; }
+
+    void reportStanding(TimePoint now)
+    {
+        ServingChanged standing { .isReady = replica.isServing(), .isIsolated = replica.isIsolated(now) };
+        bool isSame = standing.isReady == reported.isReady && standing.isIsolated == reported.isIsolated;
+        if (!isSame && toData.push(standing)) {
+            reported = standing;
+            log(LogPart::Config, LogLevel::Info, describe(standing));
+        }
+        if (openPause && replica.isConfirmed(now) && toData.push(PauseEnded { openPause }))
+            openPause = 0;
+    }
+
+    static std::string describe(const ServingChanged& standing)
+    {
+        if (!standing.isReady)
+            return "The configuration is not confirmed yet.";
+        return standing.isIsolated ? "No peer, agent or platform can be reached." : "The configuration is confirmed.";
+    }
+
+    void carryOut(ReplicaEffects& effects)
+    {
+        for (auto& effect : effects)
+            std::visit([this](auto& e) { carryOutOne(e); }, effect);
+    }
+
+    void carryOutOne(SendToProcess& effect) { toData.push(std::move(effect)); }
+
+    void carryOutOne(FetchDelta& effect)
+    {
+        std::string path = "/config?since=" + std::to_string(effect.since.value);
+        Http2Call call;
+        call.request.path = path;
+        call.timeout = peerTimeout;
+        clientOf(effect.control).send(std::move(call), [this, effect](const Http2Result& result) {
+            ReplicaEffects further;
+            Delta delta;
+            bool isRead = result.succeeded() && parseDelta(result.body, effect.since, delta).empty();
+            if (isRead)
+                publish(replica.applyDelta(monotonicNow(), effect.control, delta, further));
+            else
+                replica.onFetchFailed(monotonicNow(), effect.control, further);
+            carryOut(further);
+        });
+    }
+
+    Http2Client& clientOf(Endpoint control)
+    {
+        auto entry = peers.find(control);
+        if (entry != peers.end())
+            return *entry->second;
+        if (peers.size() >= maxPeerConnections)
+            peers.erase(peers.begin());
+        return *peers.emplace(control, std::make_unique<Http2Client>(context, control)).first->second;
+    }
+
+    void carryOutOne(ReadPlatform& effect)
+    {
+        if (platformCall)
+            platform.cancel(platformCall);
+        Http2Call call;
+        call.request.path = "/watch?since=" + std::to_string(effect.since.value);
+        call.timeout = platformTimeout;
+        platformCall = platform.send(std::move(call), [this, effect](const Http2Result& result) {
+            if (result.error == Http2Error::Cancelled)
+                return;
+            platformCall = 0;
+            takePlatform(effect.since, result);
+        });
+    }
+
+    void takePlatform(Revision since, const Http2Result& result)
+    {
+        ReplicaEffects further;
+        Delta delta;
+        std::string fault = result.succeeded() ? parseDelta(result.body, since, delta) : "the read failed";
+        if (fault.empty()) {
+            publish(replica.applyPlatform(monotonicNow(), delta, further));
+        } else {
+            replica.onPlatformFailed(monotonicNow());
+            if (limiter.allow(monotonicNow().us))
+                log(LogPart::Config, LogLevel::Warning, "The platform gives no configuration: " + fault + ".");
+        }
+        carryOut(further);
+        reportStanding(monotonicNow());
+    }
+
+    void publish(std::vector<VersionedDocument> documents)
+    {
+        for (const auto& document : documents)
+            useKeys(document);
+        if (!documents.empty())
+            log(LogPart::Config, LogLevel::Info,
+                "Accepted " + std::to_string(documents.size()) + " documents, complete through revision "
+                    + std::to_string(replica.completeThrough().value) + ".");
+        unsent.insert(
+            unsent.end(), std::make_move_iterator(documents.begin()), std::make_move_iterator(documents.end()));
+        // Documents that a full ring did not take must not be lost, or the data thread's view would have a gap.
+        if (toData.push(DocumentsAccepted { unsent, replica.completeThrough() }))
+            unsent.clear();
+    }
+
+    void useKeys(const VersionedDocument& document)
+    {
+        const auto* keys = document.document ? std::get_if<KeysDocument>(document.document.get()) : nullptr;
+        if (!keys)
+            return;
+        keyring.setAccepted(keys->accepted);
+        keyring.setSigning(keys->signing);
+    }
+
+    void drainQuestions()
+    {
+        questions.drain([this](ControlQuestion& question) {
+            Delta delta = replica.store().deltaSince(revisionIn(question.argument), maxDeltaBytes);
+            toControl.push({ .id = question.id, .body = toJson(delta) });
+        });
+    }
+
+    Ring<DataInput>& toData;
+    Ring<ControlAnswer>& toControl;
+    std::mt19937_64 random;
+    asio::io_context context { 1 };
+    asio::executor_work_guard<asio::io_context::executor_type> work { context.get_executor() };
+    Keyring keyring;
+    ConfigReplica replica;
+    Http2Client platform;
+    std::map<Endpoint, std::unique_ptr<Http2Client>> peers;
+    asio::steady_timer timer;
+    Ring<ConfigInput> input;
+    Ring<ControlQuestion> questions;
+    Http2CallId platformCall {}; ///< Pending read of the platform; zero when there is none.
+    std::uint64_t openPause {}; ///< Pause whose end was not reported; zero when there is none.
+    ServingChanged reported; ///< Standing that the data thread knows.
+    std::vector<VersionedDocument> unsent; ///< Accepted, but not yet taken by the data thread's ring.
+    LogLimiter limiter;
+    std::thread thread;
+};
+
+ConfigThread::ConfigThread(ConfigThreadOptions options, Ring<DataInput>& toData, Ring<ControlAnswer>& toControl)
+    : m_impl(std::make_unique<Impl>(std::move(options), toData, toControl))
+{
+    m_impl->thread = std::thread([this] { m_impl->run(); });
+}
+
+ConfigThread::~ConfigThread() { stop(); }
+
+void ConfigThread::stop()
+{
+    if (!m_impl->thread.joinable())
+        return;
+    asio::post(m_impl->context, [this] { m_impl->context.stop(); });
+    m_impl->thread.join();
+}
+
+Ring<ConfigInput>& ConfigThread::input() { return m_impl->input; }
+
+Ring<ControlQuestion>& ConfigThread::questions() { return m_impl->questions; }
+
+} // namespace hawthorncroft
--- a/src/config_type.h
+++ b/src/config_type.h
@@ -52,6 +52,7 @@
     std::uint32_t retryPercent { 10 }; ///< Retries allowed per 100 successes.
     std::uint32_t hopBudget { 3 }; ///< Relays of one Open.
     std::uint32_t coldStartPercent { 20 }; ///< Share of the slots at the beginning of a cold start; percent.
+    std::uint32_t coldStartSeconds { 10 }; ///< Shortest time until a cold target gets all its slots; seconds.
 };
 
 /** Presets, the one in force, and what is out of service. One document, so that its check needs no other. */
--- a/src/settings_func.cpp
+++ b/src/settings_func.cpp
@@ -229,6 +229,14 @@
     return parseSettings(program, file, text.str());
 }
 
+Keyring keyringOf(const ProcessSettings& settings)
+{
+    Keyring keyring;
+    for (const auto& key : settings.keys)
+        keyring.add(key.id, key.secret);
+    return keyring;
+}
+
 namespace {
 
     int readFile(Program program, StartOptions& options)
--- a/src/settings_func.h
+++ b/src/settings_func.h
@@ -32,6 +32,13 @@
  */
 boost::leaf::result<ProcessSettings> loadSettings(Program program, const std::string& file);
 
+/**
+ * Makes a keyring of the keys in the settings. Each thread that needs keys has a keyring of its own.
+ * @param settings The settings.
+ * @return The keyring; the first key signs until the configuration says otherwise.
+ */
+Keyring keyringOf(const ProcessSettings& settings);
+
 /** What the command line of a balancer or agent asks for. */
 struct StartOptions {
     ProcessSettings settings;
--- a/src/table/admission_gains.h
+++ b/src/table/admission_gains.h
@@ -16,6 +16,7 @@
 inline constexpr Duration jumpInterval = seconds(1); ///< Shortest time between a drop and a jump.
 inline constexpr double dropFactor = 0.7; ///< Limit after a failure, relative to the one before.
 inline constexpr Duration dropInterval = milliseconds(100); ///< Failures closer together count as one.
+inline constexpr int coldFailures = 2; ///< Failures among the last eight requests that mean a cold target.
 inline constexpr double warmShare = 0.9; ///< Share of the ceiling at which the cold start ends.
 inline constexpr Duration connectionStepInterval = seconds(1); ///< Time between steps of the connection limit.
 inline constexpr double connectionStep = 0.05; ///< Step of the connection limit, as a share of the offer.
--- a/src/table/config_fields.h
+++ b/src/table/config_fields.h
@@ -25,13 +25,14 @@
     { "connections", &TargetConfig::connections, { 1, 10000000 }, Need::Required },
 } };
 
-inline constexpr std::array<IntegerField<PresetConfig>, 6> presetFields { {
+inline constexpr std::array<IntegerField<PresetConfig>, 7> presetFields { {
     { "slotPercent", &PresetConfig::slotPercent, { 1, 100 } },
     { "connectionPercent", &PresetConfig::connectionPercent, { 1, 100 } },
     { "uploadPercent", &PresetConfig::uploadPercent, { 1, 100 } },
     { "retryPercent", &PresetConfig::retryPercent, { 0, 100 } },
     { "hopBudget", &PresetConfig::hopBudget, { 0, 4 } }, // At most maxHops of limits.h.
     { "coldStartPercent", &PresetConfig::coldStartPercent, { 1, 100 } },
+    { "coldStartSeconds", &PresetConfig::coldStartSeconds, { 0, 3600 } },
 } };
 
 inline constexpr std::array<IntegerField<Objectives>, 2> objectiveFields { {
--- a/src/table/limits.h
+++ b/src/table/limits.h
@@ -56,4 +56,7 @@
 inline constexpr std::size_t queueSlack = 32; ///< Entries of flows that left the queue, beyond its real length.
 inline constexpr std::size_t maxRelayRanks = 16; ///< Ranks searched for the next target of an Open.
 
+inline constexpr std::size_t maxDeltaBytes
+    = 1000000; ///< Texts in one answer to a peer; further ones follow on request.
+
 } // namespace hawthorncroft
--- a/src/udp_base.h
+++ b/src/udp_base.h
@@ -66,9 +66,9 @@
 };
 
 /** @return The endpoint in the library's form. */
-boost::asio::ip::udp::endpoint toAsio(Endpoint endpoint);
+boost::asio::ip::udp::endpoint toUdp(Endpoint endpoint);
 
 /** @return The library's endpoint as ours; no endpoint for IPv6. */
-Endpoint fromAsio(const boost::asio::ip::udp::endpoint& endpoint);
+Endpoint fromUdp(const boost::asio::ip::udp::endpoint& endpoint);
 
 } // namespace hawthorncroft
--- a/src/udp_func.cpp
+++ b/src/udp_func.cpp
@@ -14,9 +14,9 @@
 
 }
 
-udp::endpoint toAsio(Endpoint endpoint) { return { asio::ip::address_v4(endpoint.address), endpoint.port }; }
+udp::endpoint toUdp(Endpoint endpoint) { return { asio::ip::address_v4(endpoint.address), endpoint.port }; }
 
-Endpoint fromAsio(const udp::endpoint& endpoint)
+Endpoint fromUdp(const udp::endpoint& endpoint)
 {
     if (!endpoint.address().is_v4())
         return {};
@@ -33,7 +33,7 @@
     boost::system::error_code error;
     m_socket.open(udp::v4(), error);
     if (!error)
-        m_socket.bind(toAsio(local), error);
+        m_socket.bind(toUdp(local), error);
     if (!error)
         m_socket.non_blocking(true, error);
     if (error)
@@ -69,14 +69,14 @@
             return;
         // A connection refused error reports an earlier send; the next read may still have data.
         if (!error)
-            m_handler(fromAsio(from), std::span<const std::uint8_t>(m_buffer.data(), size));
+            m_handler(fromUdp(from), std::span<const std::uint8_t>(m_buffer.data(), size));
     }
 }
 
 void UdpSocket::send(Endpoint to, std::span<const std::uint8_t> bytes)
 {
     boost::system::error_code error;
-    m_socket.send_to(asio::buffer(bytes.data(), bytes.size()), toAsio(to), 0, error);
+    m_socket.send_to(asio::buffer(bytes.data(), bytes.size()), toUdp(to), 0, error);
     if (error)
         ++m_dropped;
 }
@@ -84,7 +84,7 @@
 Endpoint UdpSocket::local() const
 {
     boost::system::error_code error;
-    return fromAsio(m_socket.local_endpoint(error));
+    return fromUdp(m_socket.local_endpoint(error));
 }
 
 void UdpSocket::close()
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -6,9 +6,12 @@
 
 namespace {
 
-Admission admissionOf(std::uint32_t slots, std::uint32_t connections, PresetConfig preset = {})
+/** The time ramp is off unless a test sets it, so that growth by success shows alone. */
+Admission admissionOf(
+    std::uint32_t slots, std::uint32_t connections, PresetConfig preset = {}, std::uint32_t coldStartSeconds = 0)
 {
     Admission admission;
+    preset.coldStartSeconds = coldStartSeconds;
     admission.setCapacity({ .slots = slots, .connections = connections, .preset = preset });
     return admission;
 }
@@ -167,3 +170,39 @@
         }
     }
 }
+
+TEST_CASE("The time ramp of a cold start", "[admission]")
+{
+    Admission admission = admissionOf(10, 100, { .coldStartPercent = 20 }, 10);
+    TimePoint now { 1000000 };
+    admission.startCold(now);
+
+    SECTION("bounds the growth by success, which guards against a limit that a target still warming up cannot bear")
+    {
+        for (int i = 0; i < 100; ++i)
+            serve(admission, now, milliseconds(10));
+        CHECK(admission.limit() == 2);
+        for (int i = 0; i < 400; ++i)
+            serve(admission, now, milliseconds(10));
+        CHECK(admission.limit() == 6);
+        for (int i = 0; i < 600; ++i)
+            serve(admission, now, milliseconds(10));
+        CHECK(admission.limit() == 10);
+        CHECK_FALSE(admission.isCold());
+
+        SECTION("and begins again when several of the last requests failed, though the target reports that it is warm")
+        {
+            for (int i = 0; i < 2; ++i) {
+                REQUIRE(admission.reserve(FlowKind::Request) == Reason::None);
+                admission.queueHeld();
+                admission.start();
+            }
+            CHECK_FALSE(admission.finishWithFailure(now));
+            now = now + milliseconds(100);
+            CHECK_FALSE(admission.isCold());
+            CHECK(admission.finishWithFailure(now));
+            CHECK(admission.isCold());
+            CHECK(admission.limit() == 2);
+        }
+    }
+}
--- /dev/null
+++ b/tests/fake_fleet.h
@@ -0,0 +1,214 @@
+/**
+ * @file fake_fleet.h
+ * Balancer, agent and caller cores joined by a seeded fake network and fake targets on one simulated clock. Tests and
+ * benches cause failures in it and compare what callers were told with what targets did.
+ */
+#pragma once
+
+#include "agent_base.h"
+#include "balancer_base.h"
+#include "caller_base.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+
+namespace hawthorncroft::fake {
+
+/** Shape and faults of a fleet. */
+struct FleetOptions {
+    std::uint64_t seed { 1 };
+    std::uint32_t balancers { 3 };
+    std::uint32_t targets { 7 };
+    std::uint32_t domains { 3 };
+    std::uint32_t callers { 10 };
+    std::uint32_t slots { 5 };
+    std::uint32_t connections { 2000 };
+    Duration serviceTime { milliseconds(20) }; ///< Mean; drawn uniformly from half to one and a half.
+    Duration callerDelay { milliseconds(1) }; ///< One way, between callers and balancers.
+    Duration domainDelay { microseconds(1500) }; ///< One way, between balancers and agents.
+    Duration jitter { microseconds(200) }; ///< Added at random to every delay, so that packets overtake each other.
+    double loss {}; ///< Share of datagrams that are lost.
+    double duplicates {}; ///< Share of datagrams that are delivered twice, the second one later.
+    Duration configSpread { milliseconds(300) }; ///< Longest time until a process holds a published document.
+    double coldShare { 0.2 }; ///< Share of its slots that a target bears when cold.
+    Duration coldTime { seconds(5) }; ///< Time until a cold target bears all its slots.
+    Duration feedInterval {}; ///< Between events of a feed; none when zero.
+    bool isReadyAtStart { true }; ///< Targets are warm at the start.
+};
+
+/** What a target saw and bears. */
+struct FakeTarget {
+    Incarnation incarnation { 1 };
+    std::uint32_t running {};
+    std::uint32_t peak {}; ///< Most requests at a time.
+    std::uint64_t executed {};
+    std::uint64_t overloads {}; ///< Requests beyond what it bears; they fail.
+    std::uint64_t packetsWhileOut {}; ///< Work that arrived more than 3 s after its failure domain was taken out.
+    std::uint64_t newWorkWhileLeaving {}; ///< New flows that began more than 3 s after it began to drain.
+    std::set<FlowKey> feeds;
+    std::map<FlowKey, std::set<std::uint32_t>> chunks;
+    TimePoint coldSince; ///< Zero when warm.
+    std::uint32_t slowdown { 1 }; ///< Factor on the service time.
+    TargetState reported { TargetState::Warm };
+    TimePoint drainingSince;
+    TimePoint outSince; ///< Zero when in service.
+};
+
+/** What became of one flow, by what its caller was told. */
+struct FlowLog {
+    FlowKind kind { FlowKind::Request };
+    std::string name;
+    std::vector<std::uint8_t> payload;
+    TimePoint startedAt;
+    TimePoint endedAt; ///< Zero while open.
+    Outcome outcome;
+    bool isAnswerWrong {}; ///< The payload is not the answer to this request.
+    TargetId target; ///< Feeds: where it was opened.
+    std::uint32_t events {};
+    std::uint32_t eventGaps {}; ///< Events delivered out of order or twice.
+};
+
+/** Broken promises, counted over a whole run. All must be zero. */
+struct PromiseReport {
+    std::uint64_t doubled {}; ///< Requests that ran more than once.
+    std::uint64_t falseRefusals {}; ///< "Did not run" about a request that ran.
+    std::uint64_t falseDone {}; ///< "Done" about a request that did not run.
+    std::uint64_t wrongAnswers {};
+    std::uint64_t misrouted {}; ///< Flows that reached a target of another service.
+    std::uint64_t packetsWhileOut {};
+    std::uint64_t newWorkWhileLeaving {};
+    std::uint64_t unfinished {}; ///< Requests with no verdict well after their deadline.
+
+    bool isClean() const
+    {
+        return !(doubled + falseRefusals + falseDone + wrongAnswers + misrouted + packetsWhileOut + newWorkWhileLeaving
+            + unfinished);
+    }
+};
+
+/** Formats the counts that are not zero. */
+std::string toString(const PromiseReport& report);
+
+/** The fleet. */
+class Fleet {
+public:
+    explicit Fleet(FleetOptions options);
+    ~Fleet();
+
+    TimePoint now() const { return m_now; }
+    void run(Duration duration);
+
+    /**
+     * Calls a function later.
+     * @param delay Time from now.
+     * @param action The function.
+     */
+    void after(Duration delay, std::function<void()> action);
+
+    // Work.
+    FlowKey request(std::uint32_t caller, bool isIdempotent = false, Duration deadline = seconds(2));
+    FlowKey feed(std::uint32_t caller);
+    FlowKey upload(std::uint32_t caller, std::size_t bytes, Duration deadline = seconds(60));
+    FlowKey requestNamed(std::uint32_t caller, const std::string& name, Duration deadline = seconds(2));
+    /** Starts requests at a constant mean rate with exponential gaps. */
+    void requestsPerSecond(double rate, Duration duration, Duration deadline = seconds(2));
+
+    // Operators.
+    void publish(const std::string& key, Document document);
+    void setOut(std::vector<std::string> domains, std::vector<std::string> vms = {});
+    void setPreset(const std::string& name);
+    std::string domainOf(std::uint32_t target) const { return "domain-" + std::to_string(target % m_options.domains); }
+
+    // Failures.
+    void killBalancer(std::uint32_t index);
+    std::uint32_t addBalancer();
+    void pauseBalancer(std::uint32_t index, Duration duration);
+    void restartAgent(std::uint32_t target);
+    void restartTarget(std::uint32_t target);
+    void turnCold(std::uint32_t target, std::uint32_t slowdown = 1);
+    void drainTarget(std::uint32_t target);
+    void setConfigDelay(std::uint32_t node, Duration delay) { m_configDelays[node] = delay; }
+    void cutBalancerFromConfig(std::uint32_t index, bool isCut);
+
+    // Results.
+    const std::map<FlowKey, FlowLog>& flows() const { return m_flows; }
+    const FakeTarget& target(std::uint32_t index) const { return m_targets.at(index); }
+    BalancerCore& balancer(std::uint32_t index);
+    AgentCore& agent(std::uint32_t target);
+    std::uint32_t executions(const FlowKey& key) const;
+    std::uint64_t brokenFeeds() const { return m_brokenFeeds; }
+    std::size_t openFeeds() const;
+    /** Highest to mean number of executions over targets that are not out. */
+    double requestImbalance() const;
+    /** Highest to mean number of open feeds over targets. */
+    double feedImbalance() const;
+    PromiseReport check() const;
+    FleetOptions& options() { return m_options; }
+
+    static constexpr std::uint32_t firstService = 1;
+    static const std::string serviceName;
+
+private:
+    struct Balancer;
+    struct Agent {
+        std::unique_ptr<AgentCore> core;
+        AgentEffects effects;
+    };
+    struct Caller;
+    struct Event {
+        TimePoint at;
+        std::uint64_t order;
+        std::function<void()> action;
+        bool operator<(const Event& other) const { return std::tie(at, order) > std::tie(other.at, other.order); }
+    };
+
+    void schedule(TimePoint at, std::function<void()> action);
+    void deliver(Duration delay, std::function<void()> action);
+    double chance() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
+    FlowKey logStarted(std::uint32_t caller, FlowId flow, FlowLog log);
+    void startBalancer(std::uint32_t index);
+    void startAgent(std::uint32_t target);
+    void tickBalancer(std::uint32_t index);
+    void tickAgent(std::uint32_t target);
+    void tickCaller(std::uint32_t index);
+    void toBalancer(std::uint32_t index, Endpoint from, Packet packet, bool isFromCaller);
+    void carryOutBalancer(std::uint32_t index);
+    void carryOutAgent(std::uint32_t target);
+    void carryOutCaller(std::uint32_t index);
+    void sendToProcess(Endpoint from, Endpoint to, const Packet& packet);
+    void confirmLater(std::uint32_t index, std::uint64_t pause);
+    void giveDocuments(std::uint32_t index);
+    void distribute(const VersionedDocument& document);
+    void noteWork(std::uint32_t target, const FlowKey& key, bool isNew);
+    void runAtTarget(std::uint32_t target, const FlowKey& key, ReservationId request, std::vector<std::uint8_t> answer);
+    void openFeedAtTarget(std::uint32_t target, const FlowKey& key);
+    void sendFeedEvent(std::uint32_t target, const FlowKey& key, Incarnation incarnation);
+    std::uint32_t bearable(const FakeTarget& target) const;
+    void reportHealth(std::uint32_t target);
+
+    FleetOptions m_options;
+    std::mt19937_64 m_random;
+    TimePoint m_now { 1000000 };
+    std::uint64_t m_order {};
+    std::priority_queue<Event> m_events;
+    Keyring m_keyring;
+    std::vector<std::unique_ptr<Balancer>> m_balancers;
+    std::map<std::uint32_t, std::unique_ptr<Agent>> m_agents;
+    std::map<std::uint32_t, FakeTarget> m_targets;
+    std::vector<std::unique_ptr<Caller>> m_callers;
+    std::map<std::string, VersionedDocument> m_documents;
+    std::uint64_t m_revision {};
+    std::map<std::uint32_t, Duration> m_configDelays; ///< Balancer index to extra delay.
+    std::map<FlowKey, FlowLog> m_flows;
+    std::map<FlowKey, std::uint32_t> m_executions;
+    std::uint64_t m_brokenFeeds {};
+    std::uint64_t m_misrouted {};
+    std::uint64_t m_incarnations { 100 };
+    OperationsDocument m_operations;
+};
+
+} // namespace hawthorncroft::fake
--- /dev/null
+++ b/tests/fleet_test.cpp
@@ -0,0 +1,214 @@
+#include "fake_fleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hawthorncroft;
+using namespace hawthorncroft::fake;
+
+namespace {
+
+/** Checks every promise and shows the counts that are not zero. */
+void requireClean(const Fleet& fleet)
+{
+    PromiseReport report = fleet.check();
+    INFO(toString(report));
+    CHECK(report.isClean());
+}
+
+std::size_t countOf(const Fleet& fleet, Verdict verdict)
+{
+    std::size_t count = 0;
+    for (const auto& [key, log] : fleet.flows())
+        count += log.kind != FlowKind::Feed && log.outcome.verdict == verdict;
+    return count;
+}
+
+void openFeeds(Fleet& fleet, int count)
+{
+    for (int i = 0; i < count; ++i) {
+        fleet.feed(static_cast<std::uint32_t>(i) % fleet.options().callers);
+        fleet.run(milliseconds(2));
+    }
+    fleet.run(seconds(1));
+}
+
+}
+
+TEST_CASE("An ordinary day", "[fleet]")
+{
+    Fleet fleet({ .seed = 11, .feedInterval = milliseconds(500) });
+    openFeeds(fleet, 70);
+    fleet.requestsPerSecond(300, seconds(5));
+    FlowKey upload = fleet.upload(1, 100000);
+    fleet.run(seconds(6));
+
+    SECTION("carries feeds, confirmations and uploads, each confirmation once")
+    {
+        CHECK(fleet.openFeeds() == 70);
+        CHECK(fleet.brokenFeeds() == 0);
+        CHECK(countOf(fleet, Verdict::Done) > 1400);
+        CHECK(countOf(fleet, Verdict::MayHaveRun) == 0);
+        CHECK(fleet.flows().at(upload).outcome.verdict == Verdict::Done);
+        requireClean(fleet);
+    }
+    SECTION("also on a network that loses, duplicates and reorders")
+    {
+        fleet.options().loss = 0.03;
+        fleet.options().duplicates = 0.1;
+        fleet.options().jitter = milliseconds(5);
+        fleet.requestsPerSecond(200, seconds(5));
+        fleet.run(seconds(15));
+        CHECK(fleet.brokenFeeds() == 0);
+        CHECK(countOf(fleet, Verdict::Done) > 2200);
+        requireClean(fleet);
+    }
+}
+
+TEST_CASE("Balancers change while flows are open", "[fleet]")
+{
+    Fleet fleet({ .seed = 12, .balancers = 4, .feedInterval = milliseconds(300) });
+    openFeeds(fleet, 60);
+    fleet.requestsPerSecond(300, seconds(10));
+    FlowKey upload = fleet.upload(2, 400000);
+    fleet.run(seconds(1));
+
+    SECTION("one dies and one joins, which guards against state that only one balancer holds")
+    {
+        fleet.killBalancer(0);
+        fleet.run(seconds(2));
+        fleet.addBalancer();
+        fleet.run(seconds(17));
+        CHECK(fleet.brokenFeeds() == 0);
+        CHECK(fleet.flows().at(upload).outcome.verdict == Verdict::Done);
+        requireClean(fleet);
+    }
+    SECTION("one is paused for 10 s and wakes with a full socket while a failure domain was taken out")
+    {
+        fleet.pauseBalancer(1, seconds(10));
+        fleet.run(seconds(2));
+        fleet.setOut({ fleet.domainOf(1) });
+        fleet.run(seconds(18));
+        requireClean(fleet);
+    }
+    SECTION("one is cut off from every peer and the platform while a failure domain was taken out")
+    {
+        fleet.cutBalancerFromConfig(1, true);
+        fleet.setOut({ fleet.domainOf(2) });
+        fleet.run(seconds(6));
+        fleet.cutBalancerFromConfig(1, false);
+        fleet.run(seconds(12));
+        requireClean(fleet);
+    }
+}
+
+TEST_CASE("Targets and agents change while flows are open", "[fleet]")
+{
+    Fleet fleet({ .seed = 13, .feedInterval = milliseconds(300) });
+    openFeeds(fleet, 70);
+    fleet.requestsPerSecond(400, seconds(8));
+    fleet.run(seconds(1));
+
+    SECTION("a target drains: no new work within 3 s, and its feeds and uploads run to their end")
+    {
+        FlowKey upload = fleet.upload(3, 300000);
+        fleet.run(milliseconds(50));
+        for (std::uint32_t i = 1; i <= 2; ++i)
+            fleet.drainTarget(i);
+        fleet.run(seconds(15));
+        CHECK(fleet.brokenFeeds() == 0);
+        CHECK(fleet.flows().at(upload).outcome.verdict == Verdict::Done);
+        requireClean(fleet);
+    }
+    SECTION("an agent restarts: its feeds are adopted, and no request is doubled or falsely refused")
+    {
+        fleet.restartAgent(3);
+        fleet.run(seconds(2));
+        fleet.restartAgent(3);
+        fleet.run(seconds(15));
+        CHECK(fleet.brokenFeeds() == 0);
+        CHECK(fleet.openFeeds() == 70);
+        requireClean(fleet);
+    }
+    SECTION("a target restarts between open and execute and between execute and answer")
+    {
+        for (int i = 0; i < 5; ++i) {
+            fleet.restartTarget(4);
+            fleet.run(milliseconds(700));
+        }
+        fleet.run(seconds(15));
+        requireClean(fleet);
+    }
+    SECTION("a target turns cold with no notice and gets no more than it bears")
+    {
+        fleet.turnCold(5, 4);
+        std::uint64_t before = fleet.target(5).executed;
+        fleet.run(seconds(10));
+        CHECK(fleet.target(5).executed > before);
+        // What is running at that moment cannot be taken back.
+        CHECK(fleet.target(5).overloads <= fleet.options().slots * 2);
+        requireClean(fleet);
+    }
+}
+
+TEST_CASE("A failure domain is taken out and comes back", "[fleet]")
+{
+    Fleet fleet({ .seed = 14, .feedInterval = milliseconds(300) });
+    openFeeds(fleet, 70);
+    fleet.requestsPerSecond(700, seconds(14));
+    fleet.run(seconds(2));
+    std::size_t inDomain = 0;
+    for (const auto& [key, log] : fleet.flows())
+        inDomain += log.kind == FlowKind::Feed && fleet.domainOf(log.target.value) == "domain-1";
+    fleet.setOut({ "domain-1" });
+    fleet.run(seconds(5));
+
+    SECTION("only its own flows end, and it gets no packet after 3 s")
+    {
+        CHECK(fleet.brokenFeeds() <= inDomain);
+        requireClean(fleet);
+    }
+    SECTION("it returns cold and gets no more than it bears")
+    {
+        for (std::uint32_t i = 1; i <= fleet.options().targets; ++i) {
+            if (fleet.domainOf(i) == "domain-1")
+                fleet.restartTarget(i);
+        }
+        fleet.setOut({});
+        fleet.run(seconds(12));
+        for (std::uint32_t i = 1; i <= fleet.options().targets; ++i)
+            CHECK(fleet.target(i).overloads == 0);
+        requireClean(fleet);
+    }
+}
+
+TEST_CASE("Names during an uneven update", "[fleet]")
+{
+    Fleet fleet({ .seed = 15, .balancers = 4 });
+    fleet.run(seconds(1));
+    SECTION(
+        "a corrected spelling moves to another service, and no packet reaches the old one by way of a late balancer")
+    {
+        fleet.setConfigDelay(0, seconds(5));
+        fleet.setConfigDelay(1, seconds(5));
+        fleet.publish("services/a",
+            ServicesDocument { { { .id = ServiceId(1), .name = Fleet::serviceName },
+                { .id = ServiceId(2), .name = "receipt-intake", .spellings = { "curier-route" } } } });
+        fleet.run(seconds(1));
+        std::vector<FlowKey> keys;
+        for (int i = 0; i < 50; ++i) {
+            keys.push_back(fleet.requestNamed(static_cast<std::uint32_t>(i % 10), "curier-route"));
+            fleet.run(milliseconds(10));
+        }
+        fleet.run(seconds(5));
+        for (const auto& key : keys) {
+            CHECK(fleet.executions(key) == 0);
+            CHECK(fleet.flows().at(key).outcome.verdict == Verdict::DidNotRun);
+        }
+    }
+    SECTION("an unknown name is refused and did not run")
+    {
+        FlowKey key = fleet.requestNamed(1, "curier-rout");
+        fleet.run(seconds(1));
+        CHECK(fleet.flows().at(key).outcome == Outcome { Verdict::DidNotRun, Reason::UnknownName });
+    }
+}
