Add hawthorncroft-call and the fabric stand-in

hawthorncroft-call runs CallerCore over UDP. It prints the verdict with its reason and exits with 0 (done), 3 (did not run), 4 (may have run) or 2 (wrong command line).

standin-fabric gives each caller a socket of its own towards the balancers and sends every datagram to a random one, with seeded loss, repetition, reordering, delay for each path, and cuts. Its list changes by text datagrams at a control port.

The first repetition of an Open keeps its attempt number, because balancers count all later attempts against their retry budget and the usual cause is a lost packet.

clang-tidy stops at the GCC option -Wno-maybe-uninitialized; "make tidy" now passes -Wno-unknown-warning-option.

--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 	clang-format --dry-run --Werror $(SOURCES)
 
 tidy:
-	@git ls-files 'src/*.cpp' 'standin/*.cpp' | grep -v generated | xargs -P $(JOBS) -n 4 clang-tidy -p $(BUILD) --quiet 2>/dev/null
+	@git ls-files 'src/*.cpp' 'standin/*.cpp' | grep -v generated | xargs -P $(JOBS) -n 4 clang-tidy -p $(BUILD) --quiet --extra-arg=-Wno-unknown-warning-option 2>/dev/null
 
 generate:
 	flatc --cpp --cpp-std c++17 --gen-mutable --scoped-enums -o src/generated src/wire.fbs
--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -25,13 +25,31 @@
 )
 
 set(SHELL_SOURCES
+    src/caller_shell.cpp
     src/log_func.cpp
     src/settings_func.cpp
     src/udp_func.cpp
     src/version_func.cpp
 )
 
+set(STANDIN_SOURCES
+    standin/fabric_cmd.cpp
+    standin/fabric_control.cpp
+    standin/fabric_shell.cpp
+)
+
 set(PROGRAMS
+    hawthorncroft-call
+    standin-fabric
+)
+
+set(hawthorncroft-call_SOURCES
+    src/call_main.cpp
+    src/call_options.cpp
+)
+
+set(standin-fabric_SOURCES
+    standin/fabric_main.cpp
 )
 
 set(TEST_SOURCES
@@ -39,6 +57,7 @@
     tests/caller_test.cpp
     tests/codec_test.cpp
     tests/config_test.cpp
+    tests/fabric_test.cpp
     tests/main_test.cpp
     tests/placement_test.cpp
 )
--- a/src/caller_open.cpp
+++ b/src/caller_open.cpp
@@ -36,6 +36,7 @@
     if (flow.state != State::Opening || !m_budget.take())
         return;
     ++m_counters.hedged;
+    ++flow.attempt;
     sendOpen(now, flow, effects);
 }
 
@@ -163,6 +164,7 @@
     flow.hedgeAt = flow.keepAliveAt = flow.leaseEndsAt = never;
     flow.refusal.retryAfterMs = 0;
     ++flow.retries;
+    ++flow.attempt;
     ++m_counters.retried;
 }
 
--- a/src/caller_send.cpp
+++ b/src/caller_send.cpp
@@ -30,8 +30,12 @@
     packet.idempotent = flow.idempotent;
     if (flow.kind != FlowKind::Upload)
         packet.payload = flow.kind == FlowKind::Feed ? flow.payload : std::vector<std::uint8_t>();
-    // Every Open asks for another rank than the one before: a target that has not answered may be down.
-    packet.attempt = static_cast<std::uint8_t>(std::min<std::uint32_t>(flow.attempt++, UINT8_MAX));
+    // The first repetition makes up for a lost packet. The next one asks for another rank, since a target that has
+    // not answered may be down; balancers count every attempt after the first against their retry budget.
+    bool asksForOtherRank = flow.sends && flow.sends % 2 == 0;
+    if (asksForOtherRank)
+        ++flow.attempt;
+    packet.attempt = static_cast<std::uint8_t>(std::min<std::uint32_t>(flow.attempt, UINT8_MAX));
     constexpr std::size_t maxOpenNonces = 8;
     if (flow.openNonces.size() == maxOpenNonces)
         flow.openNonces.erase(flow.openNonces.begin());
--- /dev/null
+++ b/standin/fabric_shell.cpp
@@ -0,0 +1,99 @@
+#include "fabric_shell.h"
+
+#include <chrono>
+#include <iostream>
+
+namespace hawthorncroft {
+
+namespace {
+
+    TimePoint currentTime()
+    {
+        auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
+        return { std::chrono::duration_cast<std::chrono::microseconds>(sinceStart).count() };
+    }
+
+}
+
+FabricShell::FabricShell(boost::asio::io_context& context, FabricSettings settings)
+    : m_context(context)
+    , m_core(std::move(settings))
+    , m_front(context)
+    , m_control(context)
+    , m_timer(context)
+{
+}
+
+std::string FabricShell::open(Endpoint front, Endpoint control)
+{
+    std::string error = m_front.open(front);
+    if (error.empty())
+        error = m_control.open(control);
+    if (!error.empty())
+        return error;
+    m_front.start([this](Endpoint from, std::span<const std::uint8_t> bytes) {
+        m_core.onCallerDatagram(currentTime(), from, bytes, m_effects);
+        carryOut();
+    });
+    m_control.start([this](Endpoint from, std::span<const std::uint8_t> bytes) { onCommand(from, bytes); });
+    return {};
+}
+
+void FabricShell::onCommand(Endpoint from, std::span<const std::uint8_t> bytes)
+{
+    std::string reply = m_core.command({ bytes.begin(), bytes.end() });
+    m_control.send(from, { reinterpret_cast<const std::uint8_t*>(reply.data()), reply.size() });
+}
+
+void FabricShell::openSession(SessionId session)
+{
+    auto socket = std::make_unique<UdpSocket>(m_context);
+    constexpr std::uint32_t loopback = 0x7f000001;
+    std::string error = socket->open({ loopback, 0 });
+    if (!error.empty()) {
+        std::cerr << "fabric: no socket for a caller: " << error << '\n';
+        return;
+    }
+    socket->start([this, session](Endpoint from, std::span<const std::uint8_t> bytes) {
+        m_core.onBalancerDatagram(currentTime(), session, from, bytes);
+        schedule();
+    });
+    m_sessions[session] = std::move(socket);
+}
+
+void FabricShell::carryOut()
+{
+    for (const auto& effect : m_effects) {
+        if (const auto* opened = std::get_if<OpenSession>(&effect)) {
+            openSession(opened->session);
+        } else if (const auto* closed = std::get_if<CloseSession>(&effect)) {
+            m_sessions.erase(closed->session);
+        } else if (const auto* back = std::get_if<SendBack>(&effect)) {
+            m_front.send(back->to, back->bytes);
+        } else if (const auto* sent = std::get_if<SendToBalancer>(&effect)) {
+            auto session = m_sessions.find(sent->session);
+            if (session != m_sessions.end())
+                session->second->send(sent->to, sent->bytes);
+        }
+    }
+    m_effects.clear();
+    schedule();
+}
+
+void FabricShell::schedule()
+{
+    auto wake = m_core.nextWake();
+    if (!wake || (m_scheduled && *m_scheduled <= *wake))
+        return;
+    m_scheduled = wake;
+    m_timer.expires_at(std::chrono::steady_clock::time_point(std::chrono::microseconds(wake->us)));
+    m_timer.async_wait([this](boost::system::error_code error) {
+        if (error)
+            return;
+        m_scheduled.reset();
+        m_core.onTick(currentTime(), m_effects);
+        carryOut();
+    });
+}
+
+} // namespace hawthorncroft
