Merge branch 'main' into caller; renew an upload's binding before its commit

The agent core has landed.

- An agent that adopted an upload again refuses a Close under its predecessor's binding with "may have run".
The caller now renews the binding when all chunks are acknowledged, so a planned restart of the agent no longer costs the upload.

The union merge of cmake/sources.cmake had left tests/replica_test.cpp in a list of benchmarks and tests/codec_test.cpp in the tests twice; the lists are sorted again.

--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -1,6 +1,16 @@
 # Every source file, one a line and sorted, so that branches merge without conflicts.
 
 set(CORE_SOURCES
+    src/admission_cmd.cpp
+    src/admission_query.cpp
+    src/agent_core.cpp
+    src/agent_event_cmd.cpp
+    src/agent_open_cmd.cpp
+    src/agent_outcome_cmd.cpp
+    src/agent_query.cpp
+    src/agent_request_cmd.cpp
+    src/agent_stream_cmd.cpp
+    src/agent_timer_cmd.cpp
     src/balancer_cmd.cpp
     src/balancer_query.cpp
     src/binding_func.cpp
@@ -17,15 +27,25 @@
     src/config_view.cpp
     src/config_write.cpp
     src/core_func.cpp
+    src/dedup_cmd.cpp
     src/keyring_func.cpp
     src/packet_func.cpp
     src/placement_func.cpp
+    src/replica_func.cpp
+    src/replica_gossip.cpp
+    src/replica_peers.cpp
+    src/replica_reader.cpp
+    src/replica_standing.cpp
+    src/replica_store.cpp
     src/target_hint_func.cpp
     src/verdict_func.cpp
 )
 
 set(SHELL_SOURCES
     src/caller_shell.cpp
+    src/http2_client.cpp
+    src/http2_connection.cpp
+    src/http2_server.cpp
     src/log_func.cpp
     src/settings_func.cpp
     src/udp_func.cpp
@@ -53,14 +73,32 @@
 )
 
 set(TEST_SOURCES
+    bench/replica_fleet.cpp
+    tests/admission_test.cpp
+    tests/agent_test.cpp
     tests/balancer_test.cpp
     tests/caller_test.cpp
     tests/codec_test.cpp
     tests/config_test.cpp
+    tests/dedup_test.cpp
     tests/fabric_test.cpp
+    tests/http2_test.cpp
     tests/main_test.cpp
     tests/placement_test.cpp
+    tests/replica_test.cpp
+    tests/settings_test.cpp
 )
 
 set(BENCHES
+    core-bench
+    replica-bench
+)
+
+set(core-bench_SOURCES
+    bench/core_bench.cpp
+)
+
+set(replica-bench_SOURCES
+    bench/replica_bench.cpp
+    bench/replica_fleet.cpp
 )
--- a/src/caller_base.h
+++ b/src/caller_base.h
@@ -97,6 +97,7 @@
         Executing, ///< Execute sent.
         Feeding, ///< The feed is open.
         Uploading, ///< Chunks are sent.
+        Renewing, ///< All chunks are acknowledged; KeepAlive sent before the Close.
         Committing, ///< Close of an upload sent.
         Closing, ///< Close of a feed sent.
         Cancelling, ///< Cancel sent.
--- a/src/caller_send.cpp
+++ b/src/caller_send.cpp
@@ -58,8 +58,6 @@
     Packet packet = packetFor(flow, PacketKind::KeepAlive);
     // A re-adopting agent continues the numbers of the events after this one.
     packet.sequence = flow.delivered;
-    if (flow.kind == FlowKind::Feed)
-        packet.payload = flow.payload;
     send(std::move(packet), effects);
 }
 
