--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -1,8 +1,6 @@
 # Every source file, one a line and sorted, so that branches merge without conflicts.
 
 set(CORE_SOURCES
-    src/balancer_cmd.cpp
-    src/balancer_query.cpp
     src/admission_cmd.cpp
     src/admission_query.cpp
     src/agent_core.cpp
@@ -13,6 +11,8 @@
     src/agent_request_cmd.cpp
     src/agent_stream_cmd.cpp
     src/agent_timer_cmd.cpp
+    src/balancer_cmd.cpp
+    src/balancer_query.cpp
     src/binding_func.cpp
     src/caller_cmd.cpp
     src/caller_open.cpp
@@ -31,13 +31,13 @@
     src/keyring_func.cpp
     src/packet_func.cpp
     src/placement_func.cpp
-    src/target_hint_func.cpp
     src/replica_func.cpp
     src/replica_gossip.cpp
     src/replica_peers.cpp
     src/replica_reader.cpp
     src/replica_standing.cpp
     src/replica_store.cpp
+    src/target_hint_func.cpp
     src/verdict_func.cpp
 )
 
@@ -50,21 +50,40 @@
     src/log_func.cpp
     src/settings_func.cpp
     src/udp_func.cpp
+    src/caller_shell.cpp
     src/http2_client.cpp
     src/http2_connection.cpp
     src/http2_server.cpp
+    src/log_func.cpp
+    src/settings_func.cpp
+    src/udp_func.cpp
     src/version_func.cpp
 )
 
+set(STANDIN_SOURCES
+    standin/fabric_cmd.cpp
+    standin/fabric_control.cpp
+    standin/fabric_shell.cpp
+)
+
 set(PROGRAMS
     hawthorncroft-balancer
+    hawthorncroft-call
+    standin-fabric
+)
+
+set(hawthorncroft-call_SOURCES
+    src/call_main.cpp
+    src/call_options.cpp
+)
+
+set(standin-fabric_SOURCES
+    standin/fabric_main.cpp
 )
 
 set(hawthorncroft-balancer_SOURCES src/balancer_main.cpp)
 
 set(TEST_SOURCES
-    tests/balancer_test.cpp
-    tests/caller_test.cpp
     bench/replica_fleet.cpp
     tests/codec_test.cpp
     tests/config_test.cpp
@@ -74,24 +93,29 @@
     tests/http2_test.cpp
     tests/admission_test.cpp
     tests/agent_test.cpp
+    tests/balancer_test.cpp
+    tests/caller_test.cpp
     tests/codec_test.cpp
+    tests/config_test.cpp
     tests/dedup_test.cpp
+    tests/fabric_test.cpp
+    tests/http2_test.cpp
     tests/main_test.cpp
     tests/placement_test.cpp
+    tests/replica_test.cpp
     tests/settings_test.cpp
 )
 
 set(BENCHES
     core-bench
-    tests/replica_test.cpp
+    replica-bench
 )
 
-set(BENCHES
-    replica-bench
+set(core-bench_SOURCES
+    bench/core_bench.cpp
 )
 
 set(replica-bench_SOURCES
     bench/replica_bench.cpp
     bench/replica_fleet.cpp
 )
-set(core-bench_SOURCES bench/core_bench.cpp)
