Add the stand-ins for the platform and for a target

Tests and the demo need a configuration service that lags, refuses and dies on command, and a target whose ground truth shows doubled runs, wrong services and overload.

Add both as classes, so that a test can run them on its own loop, and as programs.

--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -18,14 +18,27 @@
     src/version_func.cpp
 )
 
+set(STANDIN_SOURCES
+    standin/standin_func.cpp
+    standin/standin_platform.cpp
+    standin/standin_target.cpp
+    standin/standin_target_type.cpp
+)
+
 set(PROGRAMS
+    standin-platform
+    standin-target
 )
 
+set(standin-platform_SOURCES standin/standin_platform_main.cpp)
+set(standin-target_SOURCES standin/standin_target_main.cpp)
+
 set(TEST_SOURCES
     tests/codec_test.cpp
     tests/http2_test.cpp
     tests/main_test.cpp
     tests/placement_test.cpp
+    tests/standin_test.cpp
 )
 
 set(BENCHES
