--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -82,6 +82,19 @@
 )
 
 set(hawthorncroft-balancer_SOURCES src/balancer_main.cpp)
+    standin/standin_func.cpp
+    standin/standin_platform.cpp
+    standin/standin_target.cpp
+    standin/standin_target_type.cpp
+)
+
+set(PROGRAMS
+    standin-platform
+    standin-target
+)
+
+set(standin-platform_SOURCES standin/standin_platform_main.cpp)
+set(standin-target_SOURCES standin/standin_target_main.cpp)
 
 set(TEST_SOURCES
     bench/replica_fleet.cpp
@@ -104,6 +117,7 @@
     tests/placement_test.cpp
     tests/replica_test.cpp
     tests/settings_test.cpp
+    tests/standin_test.cpp
 )
 
 set(BENCHES
