--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -1,7 +1,14 @@
 # Every source file, one a line and sorted, so that branches merge without conflicts.
 
 set(CORE_SOURCES
+    src/balancer_cmd.cpp
+    src/balancer_query.cpp
     src/binding_func.cpp
+    src/caller_cmd.cpp
+    src/caller_open.cpp
+    src/caller_packet.cpp
+    src/caller_send.cpp
+    src/caller_tick.cpp
     src/codec_func.cpp
     src/config_check.cpp
     src/config_distance.cpp
@@ -19,10 +26,14 @@
     src/replica_reader.cpp
     src/replica_standing.cpp
     src/replica_store.cpp
+    src/target_hint_func.cpp
     src/verdict_func.cpp
 )
 
 set(SHELL_SOURCES
+    src/log_func.cpp
+    src/settings_func.cpp
+    src/udp_func.cpp
     src/version_func.cpp
 )
 
@@ -31,17 +42,21 @@
 
 set(TEST_SOURCES
     bench/replica_fleet.cpp
+    tests/balancer_test.cpp
+    tests/caller_test.cpp
     tests/codec_test.cpp
     tests/config_test.cpp
     tests/main_test.cpp
     tests/placement_test.cpp
     tests/replica_test.cpp
+    tests/settings_test.cpp
 )
 
 set(BENCHES
+    core-bench
     replica-bench
 )
-
+set(core-bench_SOURCES bench/core_bench.cpp)
 set(replica-bench_SOURCES
     bench/replica_bench.cpp
     bench/replica_fleet.cpp
