Add hawthorncroftctl with check, diff and version

Operators need the fleet's own check before they publish, warnings about what is valid but dangerous, and the meaning of a change in words.

The check of one document cannot see an id that two documents use. The view used to keep the document that arrived last, so processes could differ. Now the document with the lower key holds a target's id in every process, and names of two services that share an id lead nowhere, because targets name their service by id and callers of one would reach the other.

The replica also takes contact from a datagram endpoint (noteDataContact) and a pause of another thread (requireConfirmation), as the balancer reports them.

--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -11,10 +11,12 @@
     src/caller_tick.cpp
     src/codec_func.cpp
     src/config_check.cpp
+    src/config_diff.cpp
     src/config_distance.cpp
     src/config_reader.cpp
     src/config_repeated.cpp
     src/config_view.cpp
+    src/config_warn.cpp
     src/config_write.cpp
     src/core_func.cpp
     src/keyring_func.cpp
@@ -31,6 +33,9 @@
 )
 
 set(SHELL_SOURCES
+    src/ctl_check.cpp
+    src/ctl_diff.cpp
+    src/ctl_func.cpp
     src/log_func.cpp
     src/settings_func.cpp
     src/udp_func.cpp
@@ -38,14 +43,18 @@
 )
 
 set(PROGRAMS
+    hawthorncroftctl
 )
 
+set(hawthorncroftctl_SOURCES src/ctl_main.cpp)
+
 set(TEST_SOURCES
     bench/replica_fleet.cpp
     tests/balancer_test.cpp
     tests/caller_test.cpp
     tests/codec_test.cpp
     tests/config_test.cpp
+    tests/ctl_test.cpp
     tests/main_test.cpp
     tests/placement_test.cpp
     tests/replica_test.cpp
--- a/src/config_base.h
+++ b/src/config_base.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include "config_index.h"
 #include "config_type.h"
 #include "placement_type.h"
 
@@ -40,16 +41,17 @@
     Revision completeThrough() const { return m_completeThrough; }
 
     /**
-     * Resolves a service name: exact name or corrected spelling, nothing else.
+     * Resolves a service name: exact name or corrected spelling, nothing else. A name that two services claim, or
+     * whose service shares its id with a service of another name, leads to none.
      * @param name The name as the caller spelled it.
      * @return The service, or zero.
      */
     Resolution resolve(std::string_view name) const;
 
-    /** @return The service, or null. */
+    /** @return The service, or null. When two documents use the id, the one with the lower key holds it. */
     const ServiceConfig* service(ServiceId id) const;
 
-    /** @return The target, or null. */
+    /** @return The target, or null. When two documents use the id, the one with the lower key holds it. */
     const TargetConfig* target(TargetId id) const;
 
     /** @return Rank table of a service; an empty one for an unknown service. */
@@ -96,24 +98,26 @@
         mutable std::optional<RankTable> ranks; ///< Built when first needed after a change.
     };
 
-    void add(const Document& document);
+    void add(const std::string& key, const Document& document);
     void remove(const Document& document);
-    void addService(const ServiceConfig& service);
+    void addService(const std::string& key, const ServiceConfig& service);
     void removeService(const ServiceConfig& service);
-    void addTarget(const TargetConfig& target);
+    void addTarget(const std::string& key, const TargetConfig& target);
     void removeTarget(const TargetConfig& target);
+    void moveTarget(TargetId id, const TargetConfig* before);
     void addMember(const MemberConfig& member);
     void removeMember(const MemberConfig& member);
     void addName(const std::string& name, ServiceId service);
     void removeName(const std::string& name, ServiceId service);
     void useOperations(const OperationsDocument* operations);
     bool isContested(const std::string& name) const;
+    bool isSharedId(ServiceId id) const;
 
     std::unordered_map<std::string, Applied> m_applied;
     std::unordered_map<std::string, ServiceId> m_names; ///< Names claimed by exactly one service.
     std::unordered_map<std::string, std::vector<ServiceId>> m_claims; ///< Every claim on a name.
-    std::unordered_map<ServiceId, const ServiceConfig*> m_services;
-    std::unordered_map<TargetId, const TargetConfig*> m_targets;
+    IdIndex<ServiceId, ServiceConfig> m_services;
+    IdIndex<TargetId, TargetConfig> m_targets;
     std::unordered_map<ServiceId, ServiceTargets> m_targetsByService;
     std::unordered_map<std::string, std::size_t> m_leavingVms; ///< Number of members of a VM that are about to leave.
     std::unordered_set<std::string> m_domainsOut;
--- a/src/config_view.cpp
+++ b/src/config_view.cpp
@@ -14,20 +14,20 @@
         remove(*applied.document);
     applied = { document.revision, document.document };
     if (applied.document)
-        add(*applied.document);
+        add(entry->first, *applied.document);
     return true;
 }
 
 void ConfigView::setCompleteThrough(Revision revision) { m_completeThrough = std::max(m_completeThrough, revision); }
 
-void ConfigView::add(const Document& document)
+void ConfigView::add(const std::string& key, const Document& document)
 {
     if (const auto* services = std::get_if<ServicesDocument>(&document)) {
         for (const auto& service : services->services)
-            addService(service);
+            addService(key, service);
     } else if (const auto* targets = std::get_if<TargetsDocument>(&document)) {
         for (const auto& target : targets->targets)
-            addTarget(target);
+            addTarget(key, target);
     } else if (const auto* members = std::get_if<MembersDocument>(&document)) {
         for (const auto& member : members->members)
             addMember(member);
@@ -52,9 +52,9 @@
     }
 }
 
-void ConfigView::addService(const ServiceConfig& service)
+void ConfigView::addService(const std::string& key, const ServiceConfig& service)
 {
-    m_services[service.id] = &service;
+    m_services.add(key, service);
     addName(service.name, service.id);
     for (const auto& name : service.names)
         addName(name, service.id);
@@ -64,9 +64,7 @@
 
 void ConfigView::removeService(const ServiceConfig& service)
 {
-    auto entry = m_services.find(service.id);
-    if (entry != m_services.end() && entry->second == &service)
-        m_services.erase(entry);
+    m_services.remove(service);
     removeName(service.name, service.id);
     for (const auto& name : service.names)
         removeName(name, service.id);
@@ -107,23 +105,33 @@
     return std::any_of(claims.begin(), claims.end(), [&](ServiceId id) { return id != claims.front(); });
 }
 
-void ConfigView::addTarget(const TargetConfig& target)
+void ConfigView::addTarget(const std::string& key, const TargetConfig& target)
 {
-    m_targets[target.id] = &target;
-    auto& ofService = m_targetsByService[target.service];
-    ofService.ids.insert(target.id);
-    ofService.ranks.reset();
+    const TargetConfig* before = m_targets.find(target.id);
+    m_targets.add(key, target);
+    moveTarget(target.id, before);
 }
 
 void ConfigView::removeTarget(const TargetConfig& target)
 {
-    auto entry = m_targets.find(target.id);
-    if (entry == m_targets.end() || entry->second != &target)
+    const TargetConfig* before = m_targets.find(target.id);
+    m_targets.remove(target);
+    moveTarget(target.id, before);
+}
+
+void ConfigView::moveTarget(TargetId id, const TargetConfig* before)
+{
+    const TargetConfig* after = m_targets.find(id);
+    if (before == after)
         return;
-    m_targets.erase(entry);
-    auto& ofService = m_targetsByService[target.service];
-    ofService.ids.erase(target.id);
-    ofService.ranks.reset();
+    if (before) {
+        m_targetsByService[before->service].ids.erase(id);
+        m_targetsByService[before->service].ranks.reset();
+    }
+    if (after) {
+        m_targetsByService[after->service].ids.insert(id);
+        m_targetsByService[after->service].ranks.reset();
+    }
 }
 
 void ConfigView::addMember(const MemberConfig& member)
@@ -155,21 +163,21 @@
 Resolution ConfigView::resolve(std::string_view name) const
 {
     auto entry = m_names.find(std::string(name));
-    ServiceId service = entry == m_names.end() ? ServiceId() : entry->second;
-    return { service, m_completeThrough };
+    if (entry == m_names.end() || isSharedId(entry->second))
+        return { ServiceId(), m_completeThrough };
+    return { entry->second, m_completeThrough };
 }
 
-const ServiceConfig* ConfigView::service(ServiceId id) const
+bool ConfigView::isSharedId(ServiceId id) const
 {
-    auto entry = m_services.find(id);
-    return entry == m_services.end() ? nullptr : entry->second;
+    // Targets name their service by id, so two services with one id cannot be told apart behind it.
+    auto haveSameName = [](const ServiceConfig& a, const ServiceConfig& b) { return a.name == b.name; };
+    return !m_services.allAgree(id, haveSameName);
 }
 
-const TargetConfig* ConfigView::target(TargetId id) const
-{
-    auto entry = m_targets.find(id);
-    return entry == m_targets.end() ? nullptr : entry->second;
-}
+const ServiceConfig* ConfigView::service(ServiceId id) const { return m_services.find(id); }
+
+const TargetConfig* ConfigView::target(TargetId id) const { return m_targets.find(id); }
 
 const RankTable& ConfigView::ranksOf(ServiceId id) const
 {
@@ -182,7 +190,7 @@
         std::vector<RankedTarget> ranked;
         ranked.reserve(ofService.ids.size());
         for (TargetId target : ofService.ids)
-            ranked.push_back({ target, m_targets.at(target)->slots });
+            ranked.push_back({ target, m_targets.find(target)->slots });
         ofService.ranks.emplace(std::move(ranked));
     }
     return *ofService.ranks;
@@ -224,22 +232,8 @@
     return all;
 }
 
-std::vector<const ServiceConfig*> ConfigView::services() const
-{
-    std::vector<const ServiceConfig*> all;
-    all.reserve(m_services.size());
-    for (const auto& [id, service] : m_services)
-        all.push_back(service);
-    return all;
-}
+std::vector<const ServiceConfig*> ConfigView::services() const { return m_services.holders(); }
 
-std::vector<const TargetConfig*> ConfigView::targets() const
-{
-    std::vector<const TargetConfig*> all;
-    all.reserve(m_targets.size());
-    for (const auto& [id, target] : m_targets)
-        all.push_back(target);
-    return all;
-}
+std::vector<const TargetConfig*> ConfigView::targets() const { return m_targets.holders(); }
 
 } // namespace hawthorncroft
--- a/src/replica_base.h
+++ b/src/replica_base.h
@@ -56,6 +56,22 @@
      */
     void noteContact(TimePoint now, Revision revision, Endpoint control, ReplicaEffects& effects);
 
+    /**
+     * Notes a sign of life on the data path from a process whose control port is not known. When it holds something
+     * newer it is sent a Stamp, whose reply names the port.
+     * @param now Monotonic time.
+     * @param from The sender's datagram endpoint.
+     * @param revision The sender's stamp.
+     * @param[out] effects Receives effects.
+     */
+    void noteDataContact(TimePoint now, Endpoint from, Revision revision, ReplicaEffects& effects);
+
+    /**
+     * Requires a new confirmation of the view, as after a pause. Called when another thread of the process paused.
+     * @param now Monotonic time; only replies to stamps sent from now on confirm the view.
+     */
+    void requireConfirmation(TimePoint now);
+
     /**
      * Takes a peer's delta.
      * @param now Monotonic time.
@@ -165,6 +181,7 @@
     Revision m_newestSeen;
     TimePoint m_nextStampAt;
     TimePoint m_nextAnnounceAt;
+    TimePoint m_nextProbeAt; ///< Next Stamp to a process met on the data path.
     bool m_hasNews {}; ///< Something newer was learned and not yet announced.
 
     // Standing.
--- a/src/replica_gossip.cpp
+++ b/src/replica_gossip.cpp
@@ -138,10 +138,19 @@
     m_lastContactAt = now;
     if (revision <= completeThrough())
         return;
-    noteNewer(now, revision, control, effects);
-    // Without a control port the holder of the newer revision is not known, so peers are asked.
+    // Without a control port the holder of the newer revision is not known, so peers are asked with the next tick.
     if (!control)
         m_nextStampAt = std::min(m_nextStampAt, now);
+    noteNewer(now, revision, control, effects);
+}
+
+void ConfigReplica::noteDataContact(TimePoint now, Endpoint from, Revision revision, ReplicaEffects& effects)
+{
+    noteContact(now, revision, {}, effects);
+    if (revision <= completeThrough() || now < m_nextProbeAt)
+        return;
+    m_nextProbeAt = now + m_options.tuning.urgentInterval;
+    sendStamp(now, from, true, effects);
 }
 
 void ConfigReplica::notePeer(Endpoint from)
--- a/src/replica_standing.cpp
+++ b/src/replica_standing.cpp
@@ -10,6 +10,11 @@
         return;
     ++m_counters.pauses;
     m_lastTickAt = now;
+    requireConfirmation(now);
+}
+
+void ConfigReplica::requireConfirmation(TimePoint now)
+{
     m_isConfirmed = false;
     m_wokeAt = now;
     m_confirmAt.reset();
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -103,6 +103,53 @@
     }
 }
 
+TEST_CASE("Two documents use the same id", "[config]")
+{
+    auto versioned = [](const std::string& key, std::uint64_t revision, const std::string& text) {
+        return VersionedDocument { key, Revision(revision), text, parseDocument(key, text).document };
+    };
+    auto first = versioned("services/a", 1, R"({"services":[{"id":1,"name":"a"}]})");
+    auto second = versioned("services/b", 2, R"({"services":[{"id":1,"name":"b"}]})");
+    ConfigView view;
+    view.apply(first);
+    CHECK(view.resolve("a").service == ServiceId(1));
+
+    SECTION("services of different names cannot be told apart, so neither name leads anywhere")
+    {
+        view.apply(second);
+        CHECK_FALSE(view.resolve("a").service);
+        CHECK_FALSE(view.resolve("b").service);
+        SECTION("until one of the documents is corrected")
+        {
+            view.apply(versioned("services/b", 3, R"({"services":[{"id":2,"name":"b"}]})"));
+            CHECK(view.resolve("a").service == ServiceId(1));
+            CHECK(view.resolve("b").service == ServiceId(2));
+        }
+    }
+    SECTION("a target belongs to the document with the lower key in any order of arrival")
+    {
+        auto text = [](const std::string& service) {
+            return R"({"targets":[{"id":7,"service":)" + service
+                + R"(,"vm":"v","failureDomain":"d","agent":"10.0.0.1:1","slots":5,"connections":9}]})";
+        };
+        auto low = versioned("targets/a", 3, text("1"));
+        auto high = versioned("targets/b", 4, text("2"));
+        ConfigView other;
+        view.apply(low);
+        view.apply(high);
+        other.apply(high);
+        other.apply(low);
+        for (ConfigView* each : { &view, &other }) {
+            CHECK(each->target(TargetId(7))->service == ServiceId(1));
+            CHECK(each->ranksOf(ServiceId(1)).size() == 1);
+            CHECK(each->ranksOf(ServiceId(2)).size() == 0);
+            each->apply(versioned("targets/a", 5, ""));
+            CHECK(each->target(TargetId(7))->service == ServiceId(2));
+            CHECK(each->ranksOf(ServiceId(2)).size() == 1);
+        }
+    }
+}
+
 TEST_CASE("The check reads any text without a crash, and every document with a fault is refused", "[config]")
 {
     REQUIRE(rc::check("mutated documents", [] {
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -257,6 +257,26 @@
         process.replica.noteContact(process.now, Revision(11), controlOf(3), process.effects);
         CHECK(allOf<FetchDelta>(process.effects).size() == 1);
     }
+    SECTION("asks a process on the data path that holds something newer for its control port")
+    {
+        process.effects.clear();
+        process.replica.noteDataContact(process.now, endpointOf(2), Revision(11), process.effects);
+        auto sent = allOf<SendToProcess>(process.effects);
+        REQUIRE(sent.size() == 1);
+        CHECK(sent[0].to == endpointOf(2));
+        process.replyFrom(2, sent[0].packet.nonce, 11);
+        CHECK(allOf<FetchDelta>(process.effects).size() == 1);
+    }
+    SECTION("confirms its view again when another of its threads paused")
+    {
+        std::uint64_t before = process.stampSent().nonce;
+        process.tick(milliseconds(1));
+        process.replica.requireConfirmation(process.now);
+        process.replyFrom(1, before, 9);
+        CHECK_FALSE(process.replica.isConfirmed(process.now));
+        process.replyFrom(1, process.stampSent().nonce, 9);
+        CHECK(process.replica.isConfirmed(process.now));
+    }
     SECTION("is isolated after 2 s without contact, and not after contact on the data path")
     {
         for (int i = 0; i < 21; ++i)
