--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -21,10 +21,12 @@
     src/caller_tick.cpp
     src/codec_func.cpp
     src/config_check.cpp
+    src/config_diff.cpp
     src/config_distance.cpp
     src/config_reader.cpp
     src/config_repeated.cpp
     src/config_view.cpp
+    src/config_warn.cpp
     src/config_write.cpp
     src/core_func.cpp
     src/dedup_cmd.cpp
@@ -54,6 +56,9 @@
     src/http2_client.cpp
     src/http2_connection.cpp
     src/http2_server.cpp
+    src/ctl_check.cpp
+    src/ctl_diff.cpp
+    src/ctl_func.cpp
     src/log_func.cpp
     src/settings_func.cpp
     src/udp_func.cpp
@@ -113,6 +118,19 @@
     tests/dedup_test.cpp
     tests/fabric_test.cpp
     tests/http2_test.cpp
+set(PROGRAMS
+    hawthorncroftctl
+)
+
+set(hawthorncroftctl_SOURCES src/ctl_main.cpp)
+
+set(TEST_SOURCES
+    bench/replica_fleet.cpp
+    tests/balancer_test.cpp
+    tests/caller_test.cpp
+    tests/codec_test.cpp
+    tests/config_test.cpp
+    tests/ctl_test.cpp
     tests/main_test.cpp
     tests/placement_test.cpp
     tests/replica_test.cpp
@@ -128,7 +146,7 @@
 set(core-bench_SOURCES
     bench/core_bench.cpp
 )
-
+set(core-bench_SOURCES bench/core_bench.cpp)
 set(replica-bench_SOURCES
     bench/replica_bench.cpp
     bench/replica_fleet.cpp
