--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -1,4 +1,4 @@
-# Every source file, one a line and sorted, so that branches merge without conflicts.
+# Every source file, one a line and sorted.
 
 set(CORE_SOURCES
     src/admission_cmd.cpp
@@ -46,19 +46,16 @@
 set(SHELL_SOURCES
     src/balancer_report.cpp
     src/balancer_thread.cpp
+    src/caller_shell.cpp
     src/clock_func.cpp
     src/config_thread.cpp
     src/control_thread.cpp
-    src/log_func.cpp
-    src/settings_func.cpp
-    src/udp_func.cpp
-    src/caller_shell.cpp
-    src/http2_client.cpp
-    src/http2_connection.cpp
-    src/http2_server.cpp
     src/ctl_check.cpp
     src/ctl_diff.cpp
     src/ctl_func.cpp
+    src/http2_client.cpp
+    src/http2_connection.cpp
+    src/http2_server.cpp
     src/log_func.cpp
     src/settings_func.cpp
     src/udp_func.cpp
@@ -69,12 +66,23 @@
     standin/fabric_cmd.cpp
     standin/fabric_control.cpp
     standin/fabric_shell.cpp
+    standin/standin_func.cpp
+    standin/standin_platform.cpp
+    standin/standin_target.cpp
+    standin/standin_target_type.cpp
 )
 
 set(PROGRAMS
     hawthorncroft-balancer
     hawthorncroft-call
+    hawthorncroftctl
     standin-fabric
+    standin-platform
+    standin-target
+)
+
+set(hawthorncroft-balancer_SOURCES
+    src/balancer_main.cpp
 )
 
 set(hawthorncroft-call_SOURCES
@@ -82,55 +90,37 @@
     src/call_options.cpp
 )
 
+set(hawthorncroftctl_SOURCES
+    src/ctl_main.cpp
+)
+
 set(standin-fabric_SOURCES
     standin/fabric_main.cpp
 )
 
-set(hawthorncroft-balancer_SOURCES src/balancer_main.cpp)
-    standin/standin_func.cpp
-    standin/standin_platform.cpp
-    standin/standin_target.cpp
-    standin/standin_target_type.cpp
+set(standin-platform_SOURCES
+    standin/standin_platform_main.cpp
 )
 
-set(PROGRAMS
-    standin-platform
-    standin-target
+set(standin-target_SOURCES
+    standin/standin_target_main.cpp
 )
 
-set(standin-platform_SOURCES standin/standin_platform_main.cpp)
-set(standin-target_SOURCES standin/standin_target_main.cpp)
-
 set(TEST_SOURCES
     bench/replica_fleet.cpp
-    tests/codec_test.cpp
-    tests/config_test.cpp
-    tests/fake_fleet.cpp
-    tests/fake_target.cpp
-    tests/fleet_test.cpp
-    tests/http2_test.cpp
     tests/admission_test.cpp
     tests/agent_test.cpp
     tests/balancer_test.cpp
     tests/caller_test.cpp
     tests/codec_test.cpp
     tests/config_test.cpp
+    tests/ctl_test.cpp
     tests/dedup_test.cpp
     tests/fabric_test.cpp
+    tests/fake_fleet.cpp
+    tests/fake_target.cpp
+    tests/fleet_test.cpp
     tests/http2_test.cpp
-set(PROGRAMS
-    hawthorncroftctl
-)
-
-set(hawthorncroftctl_SOURCES src/ctl_main.cpp)
-
-set(TEST_SOURCES
-    bench/replica_fleet.cpp
-    tests/balancer_test.cpp
-    tests/caller_test.cpp
-    tests/codec_test.cpp
-    tests/config_test.cpp
-    tests/ctl_test.cpp
     tests/main_test.cpp
     tests/placement_test.cpp
     tests/replica_test.cpp
@@ -146,7 +136,7 @@
 set(core-bench_SOURCES
     bench/core_bench.cpp
 )
-set(core-bench_SOURCES bench/core_bench.cpp)
+
 set(replica-bench_SOURCES
     bench/replica_bench.cpp
     bench/replica_fleet.cpp
