--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -118,6 +118,7 @@
     tests/dedup_test.cpp
     tests/fabric_test.cpp
     tests/fake_fleet.cpp
+    tests/fake_policy.cpp
     tests/fake_target.cpp
     tests/fleet_test.cpp
     tests/http2_test.cpp
@@ -130,6 +131,7 @@
 
 set(BENCHES
     core-bench
+    decisions-bench
     replica-bench
 )
 
@@ -137,6 +139,13 @@
     bench/core_bench.cpp
 )
 
+set(decisions-bench_SOURCES
+    bench/decisions_bench.cpp
+    tests/fake_fleet.cpp
+    tests/fake_policy.cpp
+    tests/fake_target.cpp
+)
+
 set(replica-bench_SOURCES
     bench/replica_bench.cpp
     bench/replica_fleet.cpp
--- a/tests/fake_fleet.cpp
+++ b/tests/fake_fleet.cpp
@@ -73,7 +73,8 @@
             .agent = endpointOf(agentAddress, i),
             .slots = options.slots,
             .connections = options.connections });
-    m_operations = { .presets = { { "ordinary", {} }, { "peak", { .retryPercent = 5 } } }, .inForce = "ordinary" };
+    m_operations
+        = { .presets = { { "ordinary", options.preset }, { "peak", { .retryPercent = 5 } } }, .inForce = "ordinary" };
     for (auto& [key, document] : std::map<std::string, Document> {
              { "services/a", services }, { "targets/a", targets }, { "operations", m_operations } }) {
         m_documents[key] = {
@@ -87,10 +88,13 @@
     }
     for (std::uint32_t i = 0; i < options.balancers; ++i)
         addBalancer();
+    refreshReports();
     for (std::uint32_t i = 0; i < options.callers; ++i) {
         m_callers.push_back(std::make_unique<Caller>());
-        m_callers[i]->core = std::make_unique<CallerCore>(
-            CallerSettings { .id = CallerId(mix64(options.seed, i + 1)), .seed = mix64(options.seed, 1000 + i) });
+        CallerSettings settings { .id = CallerId(mix64(options.seed, i + 1)), .seed = mix64(options.seed, 1000 + i) };
+        if (!options.hasRetryBudget)
+            settings.retryReserve = 1000000;
+        m_callers[i]->core = std::make_unique<CallerCore>(settings);
         tickCaller(i);
     }
 }
@@ -330,6 +334,7 @@
     m_balancers[index]->effects.clear();
     for (auto& effect : effects) {
         if (auto* process = std::get_if<SendToProcess>(&effect)) {
+            applyPolicy(index, *process);
             sendToProcess(endpointOf(balancerAddress, index), process->to, process->packet);
         } else if (auto* caller = std::get_if<SendToCaller>(&effect)) {
             deliver(m_options.callerDelay, [this, to = indexOf(caller->to), packet = caller->packet] {
--- a/tests/fake_fleet.h
+++ b/tests/fake_fleet.h
@@ -18,6 +18,18 @@
 
 namespace hawthorncroft::fake {
 
+/** How opens and bound packets find their target; all but the first are baselines for comparison. */
+enum class Policy : std::uint8_t {
+    Product, ///< Bindings and load-aware ranks, as the balancer core decides.
+    PlainRendezvous, ///< The first eligible rank for every packet, without bindings.
+    FlowCache, ///< As before, with a table of flows in each balancer.
+    RoundRobin, ///< Opens in turn per balancer; bindings for the rest.
+    LeastReported, ///< Opens to the lowest load that agents reported up to 1 s ago; bindings for the rest.
+    End,
+};
+
+std::string_view nameOf(Policy policy);
+
 /** Shape and faults of a fleet. */
 struct FleetOptions {
     std::uint64_t seed { 1 };
@@ -38,6 +50,9 @@
     Duration coldTime { seconds(5) }; ///< Time until a cold target bears all its slots.
     Duration feedInterval {}; ///< Between events of a feed; none when zero.
     bool isReadyAtStart { true }; ///< Targets are warm at the start.
+    Policy policy { Policy::Product };
+    PresetConfig preset; ///< Limits of the preset in force.
+    bool hasRetryBudget { true }; ///< Without it callers and balancers retry and hedge as often as they like.
 };
 
 /** What a target saw and bears. */
@@ -67,7 +82,7 @@
     TimePoint endedAt; ///< Zero while open.
     Outcome outcome;
     bool isAnswerWrong {}; ///< The payload is not the answer to this request.
-    TargetId target; ///< Feeds: where it was opened.
+    TargetId target; ///< Feeds: where it was opened. Requests: where it ran last.
     std::uint32_t events {};
     std::uint32_t eventGaps {}; ///< Events delivered out of order or twice.
 };
@@ -188,6 +203,9 @@
     void openFeedAtTarget(std::uint32_t target, const FlowKey& key);
     void sendFeedEvent(std::uint32_t target, const FlowKey& key, Incarnation incarnation);
     std::uint32_t bearable(const FakeTarget& target) const;
+    void applyPolicy(std::uint32_t balancer, SendToProcess& effect);
+    TargetId baselineTarget(std::uint32_t balancer, const Packet& packet);
+    void refreshReports();
     void reportHealth(std::uint32_t target);
 
     FleetOptions m_options;
@@ -208,6 +226,9 @@
     std::uint64_t m_brokenFeeds {};
     std::uint64_t m_misrouted {};
     std::uint64_t m_incarnations { 100 };
+    std::map<std::uint32_t, std::uint32_t> m_reports; ///< Baseline: load of each target at the last report.
+    std::map<std::uint32_t, std::uint64_t> m_turns; ///< Baseline: opens placed by each balancer.
+    std::map<std::pair<std::uint32_t, FlowKey>, TargetId> m_flowCache; ///< Baseline: flows that a balancer has seen.
     OperationsDocument m_operations;
 };
 
--- a/tests/fake_target.cpp
+++ b/tests/fake_target.cpp
@@ -104,6 +104,7 @@
 {
     FakeTarget& t = m_targets[target];
     ++m_executions[key];
+    m_flows[key].target = TargetId(target);
     ++t.executed;
     ++t.running;
     t.peak = std::max(t.peak, t.running);
