--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -236,7 +236,7 @@
     }
 }
 
-TEST_CASE("A feed", "[agent]")
+TEST_CASE("A feed at its agent", "[agent]")
 {
     AgentFixture f;
     Packet opened = f.openStream(flowOf(1), FlowKind::Feed);
@@ -348,7 +348,7 @@
     }
 }
 
-TEST_CASE("An upload", "[agent]")
+TEST_CASE("An upload at its agent", "[agent]")
 {
     AgentFixture f;
     Packet opened = f.openStream(flowOf(1), FlowKind::Upload);
