Fit the agent core to the caller and balancer cores

Load in replies is reported for the kind of the flow, as the balancer keeps it. An agent that relays an Open sends a hint to the balancer, which would otherwise keep choosing it. A Query without a binding finds its flow by the caller's random id. A refusal carries the binding of the packet that caused it, and other replies none, because the caller matches a refusal by admission and an answer by flow and target. A KeepAlive's payload reaches the target as the feed's subscription. A Query after the acknowledgement says "done" with the reason "no answer", so that it is not taken for an empty answer.

--- a/src/admission_base.h
+++ b/src/admission_base.h
@@ -99,8 +99,8 @@
     /** @return Whether the target is still in its cold start. */
     bool isCold() const;
 
-    /** @return Use of the limits in 1/1000, the higher of requests and connections. */
-    std::uint16_t load() const;
+    /** @return Use in 1/1000 of the limit that an open of this kind meets; above 1000 with a queue. */
+    std::uint16_t load(FlowKind kind) const;
 
     /** @return Milliseconds until a refused open of this kind has a chance, from service time and queue. */
     std::uint32_t retryAfterMs(FlowKind kind) const;
--- a/src/admission_query.cpp
+++ b/src/admission_query.cpp
@@ -48,14 +48,14 @@
     return m_isCold && !(m_connections && isWarmByStreams);
 }
 
-std::uint16_t Admission::load() const
+std::uint16_t Admission::load(FlowKind kind) const
 {
-    // A limit of zero is no capacity that could be compared; with neither kind offered the target counts as full.
-    std::uint64_t use = limit() || connectionLimit() ? 0 : 1000;
-    if (limit())
-        use = std::uint64_t { occupied() } * 1000 / limit();
-    if (connectionLimit())
-        use = std::max<std::uint64_t>(use, std::uint64_t { m_connections } * 1000 / connectionLimit());
+    // With nothing offered the target counts as full.
+    auto useOf = [](std::uint64_t used, std::uint64_t offered) { return offered ? used * 1000 / offered : 1000; };
+    std::uint64_t use
+        = kind == FlowKind::Request ? useOf(occupied(), limit()) : useOf(m_connections, connectionLimit());
+    if (kind == FlowKind::Upload)
+        use = std::max(use, useOf(m_uploads, uploadLimit()));
     return static_cast<std::uint16_t>(std::min<std::uint64_t>(use, std::numeric_limits<std::uint16_t>::max()));
 }
 
--- a/src/agent_base.h
+++ b/src/agent_base.h
@@ -156,7 +156,9 @@
     Reason openFault(const Packet& packet) const;
     Reason reserve(TimePoint now, Endpoint from, const Packet& packet);
     bool repeatOpen(TimePoint now, Endpoint from, const Packet& packet);
-    bool relay(const Packet& packet);
+    bool relay(TimePoint now, Endpoint from, const Packet& packet, Reason reason);
+    void sendHint(TimePoint now, Endpoint from, const Packet& packet, Reason reason);
+    std::uint32_t retryAfterMs(const Packet& packet, Reason reason) const;
     void refuseOutOfService(TimePoint now, Endpoint from, const Packet& packet);
     const TargetConfig* nextRank(const Packet& packet) const;
     void refuseOpen(TimePoint now, Endpoint from, const Packet& packet, Reason reason);
@@ -166,6 +168,7 @@
     Reason bindingFault(const Packet& packet) const;
     Reason startFault(TimePoint now, const FlowRecord& record, const Packet& packet) const;
     FlowRecord* boundRecord(TimePoint now, Endpoint from, const Packet& packet);
+    FlowRecord* queriedRecord(TimePoint now, Endpoint from, const Packet& packet);
     FlowRecord* acknowledgedRecord(TimePoint now, Endpoint from, const Packet& packet);
     bool isEarlierReservation(const FlowRecord& record, const Packet& packet) const;
     void refuseBound(TimePoint now, Endpoint from, const Packet& packet, Outcome outcome);
@@ -186,14 +189,15 @@
     void finish(TimePoint now, FlowRecord& record, Outcome outcome);
     void answer(TimePoint now, FlowRecord& record, Outcome outcome, std::vector<std::uint8_t> payload);
     void release(FlowRecord& record);
-    void repeatOutcome(TimePoint now, FlowRecord& record, Endpoint to);
+    void settle(FlowRecord& record);
+    void repeatOutcome(TimePoint now, FlowRecord& record, Endpoint to, const Packet* cause = nullptr);
     void sendAnswer(TimePoint now, FlowRecord& record, Endpoint to);
 
     // Feeds and uploads.
     FlowRecord* streamOf(TimePoint now, Endpoint from, const Packet& packet);
-    FlowRecord* adopt(TimePoint now, const Packet& packet);
+    FlowRecord* adopt(TimePoint now, Endpoint from, const Packet& packet);
     Reason adoptionFault(TimePoint now, const Packet& packet) const;
-    void activate(TimePoint now, FlowRecord& record, std::uint32_t after);
+    void activate(TimePoint now, FlowRecord& record, std::uint32_t after, const Packet& packet);
     void renew(TimePoint now, FlowRecord& record);
     void endStream(TimePoint now, FlowRecord& record, Reason reason);
     void closeAtTarget(const FlowRecord& record);
--- a/src/agent_core.cpp
+++ b/src/agent_core.cpp
@@ -101,7 +101,7 @@
 
 void AgentCore::notePause(TimePoint now)
 {
-    if (!m_lastTick.us || now - m_lastTick <= pauseGap)
+    if (!m_lastTick.us || now - m_lastTick <= agentPauseGap)
         return;
     m_lastTick = now;
     m_isConfirmed = false;
--- a/src/agent_open_cmd.cpp
+++ b/src/agent_open_cmd.cpp
@@ -38,7 +38,7 @@
         fault = reserve(now, from, packet);
     if (fault == Reason::None)
         return;
-    if (isRelayable(fault) && relay(packet))
+    if (isRelayable(fault) && relay(now, from, packet, fault))
         return;
     refuseOpen(now, from, packet, fault);
 }
@@ -111,7 +111,7 @@
     send(record.balancer, std::move(reply));
 }
 
-bool AgentCore::relay(const Packet& packet)
+bool AgentCore::relay(TimePoint now, Endpoint from, const Packet& packet, Reason reason)
 {
     std::uint32_t budget = std::min<std::uint32_t>(m_view.preset().hopBudget, maxHops);
     if (packet.hops >= budget)
@@ -125,19 +125,34 @@
     relayed.revision = m_view.completeThrough();
     count(AgentCounter::RelayedOpens);
     send(next->agent, std::move(relayed));
+    if (!packet.hops)
+        sendHint(now, from, packet, reason);
     return true;
 }
 
+void AgentCore::sendHint(TimePoint now, Endpoint from, const Packet& packet, Reason reason)
+{
+    // The reply to the Open comes from another agent, so the balancer would not learn why this one passed it on.
+    Packet hint = replyTo(now, packet, PacketKind::StampReply);
+    hint.nonce = 0;
+    hint.outcome = { Verdict::DidNotRun, reason, retryAfterMs(packet, reason) };
+    send(from, std::move(hint));
+}
+
+std::uint32_t AgentCore::retryAfterMs(const Packet& packet, Reason reason) const
+{
+    if (reason != Reason::Overloaded && reason != Reason::Cold)
+        return 0;
+    std::uint32_t wait = m_admission.retryAfterMs(packet.flowKind);
+    // Spread over a quarter, so that callers refused together do not come back together.
+    std::uint64_t jitter = mix64(m_seeds.seed, packet.key.flow.value) % (wait / 4 + 1);
+    return wait + static_cast<std::uint32_t>(jitter);
+}
+
 void AgentCore::refuseOpen(TimePoint now, Endpoint from, const Packet& packet, Reason reason)
 {
     Packet reply = replyTo(now, packet, PacketKind::Refused);
-    reply.outcome = { Verdict::DidNotRun, reason };
-    if (reason == Reason::Overloaded || reason == Reason::Cold) {
-        std::uint32_t wait = m_admission.retryAfterMs(packet.flowKind);
-        // Spread over a quarter, so that callers refused together do not come back together.
-        std::uint64_t jitter = mix64(m_seeds.seed, packet.key.flow.value) % (wait / 4 + 1);
-        reply.outcome.retryAfterMs = wait + static_cast<std::uint32_t>(jitter);
-    }
+    reply.outcome = { Verdict::DidNotRun, reason, retryAfterMs(packet, reason) };
     count(AgentCounter::RefusedOpens);
     send(packet.hops ? anotherBalancer(now, from) : from, std::move(reply));
 }
--- a/src/agent_outcome_cmd.cpp
+++ b/src/agent_outcome_cmd.cpp
@@ -44,6 +44,13 @@
     scheduleResend(now, record);
 }
 
+void AgentCore::settle(FlowRecord& record)
+{
+    m_records.releaseWork(record);
+    m_records.setState(record, FlowState::Finished);
+    m_records.wakeAt(record, record.retainUntil);
+}
+
 void AgentCore::release(FlowRecord& record)
 {
     if (record.holdsPlace)
@@ -56,7 +63,7 @@
     record.holdsConnection = false;
 }
 
-void AgentCore::repeatOutcome(TimePoint now, FlowRecord& record, Endpoint to)
+void AgentCore::repeatOutcome(TimePoint now, FlowRecord& record, Endpoint to, const Packet* cause)
 {
     if (record.state == FlowState::Answering) {
         sendAnswer(now, record, to);
@@ -68,9 +75,13 @@
     PacketKind kind = record.kind == FlowKind::Request ? PacketKind::Answer : PacketKind::Closed;
     Packet reply = replyTo(now, record, isRefusal ? PacketKind::Refused : kind);
     reply.outcome = record.outcome;
-    reply.binding = bindingOf(record);
-    // A count of zero says that the answer was acknowledged and is gone.
-    reply.count = reply.kind == PacketKind::Answer && record.outcome.verdict != Verdict::Done ? 1 : 0;
+    // A caller tells by the binding which of its Executes was refused. It matches the others by flow and target.
+    if (isRefusal)
+        reply.binding = cause && cause->hasBinding() ? cause->binding : bindingOf(record);
+    bool isAnswerGone = record.kind == FlowKind::Request && record.outcome.verdict == Verdict::Done;
+    if (isAnswerGone)
+        reply.outcome.reason = Reason::NoAnswer;
+    reply.count = reply.kind == PacketKind::Answer ? 1 : 0;
     send(to, std::move(reply));
 }
 
--- a/src/agent_query.cpp
+++ b/src/agent_query.cpp
@@ -184,7 +184,7 @@
     reply.service = record.service;
     reply.target = m_settings.target;
     reply.targetState = targetState();
-    reply.load = m_admission.load();
+    reply.load = m_admission.load(record.kind);
     reply.agentTime = now;
     return reply;
 }
@@ -200,7 +200,7 @@
     reply.service = packet.service;
     reply.target = m_settings.target;
     reply.targetState = targetState();
-    reply.load = m_admission.load();
+    reply.load = m_admission.load(packet.flowKind);
     reply.agentTime = now;
     reply.nonce = packet.nonce;
     reply.binding = packet.binding;
--- a/src/agent_request_cmd.cpp
+++ b/src/agent_request_cmd.cpp
@@ -65,7 +65,7 @@
         return;
     if (record->state != FlowState::Reserved) {
         count(AgentCounter::DuplicateExecutes);
-        repeatOutcome(now, *record, from);
+        repeatOutcome(now, *record, from, &packet);
         return;
     }
     Reason fault = startFault(now, *record, packet);
@@ -161,32 +161,40 @@
         record->isCancelled = true;
         break;
     default:
-        repeatOutcome(now, *record, from);
+        repeatOutcome(now, *record, from, &packet);
         break;
     }
 }
 
 void AgentCore::onQuery(TimePoint now, Endpoint from, Packet& packet)
 {
-    FlowRecord* record = boundRecord(now, from, packet);
+    FlowRecord* record = packet.hasBinding() ? boundRecord(now, from, packet) : queriedRecord(now, from, packet);
     if (!record)
         return;
     if (record->state == FlowState::Finished || record->state == FlowState::Answering) {
-        repeatOutcome(now, *record, from);
+        repeatOutcome(now, *record, from, &packet);
         return;
     }
     // No outcome yet. Nothing is promised, so the Execute may still run.
     send(from, replyTo(now, *record, PacketKind::Answer));
 }
 
+FlowRecord* AgentCore::queriedRecord(TimePoint now, Endpoint from, const Packet& packet)
+{
+    // A caller that lost its binding asks along the ranks. Its caller id is random, so nobody else can name the flow.
+    FlowRecord* record = m_records.find(packet.key);
+    if (record)
+        touch(now, *record, from, packet);
+    else
+        refuseBound(now, from, packet, { Verdict::MayHaveRun, Reason::Unknown });
+    return record;
+}
+
 void AgentCore::onAnswerAck(TimePoint now, Endpoint from, Packet& packet)
 {
     FlowRecord* record = acknowledgedRecord(now, from, packet);
-    if (!record || record->state != FlowState::Answering)
-        return;
-    m_records.releaseWork(*record);
-    m_records.setState(*record, FlowState::Finished);
-    m_records.wakeAt(*record, record->retainUntil);
+    if (record && record->state == FlowState::Answering)
+        settle(*record);
 }
 
 FlowRecord* AgentCore::reportedRecord(const FlowKey& key, ReservationId request)
--- a/src/agent_stream_cmd.cpp
+++ b/src/agent_stream_cmd.cpp
@@ -24,7 +24,7 @@
             refuseBound(now, from, packet, { Verdict::MayHaveRun, fault });
             return nullptr;
         }
-        record = adopt(now, packet);
+        record = adopt(now, from, packet);
     }
     if (record->kind == FlowKind::Request) {
         count(AgentCounter::DroppedOther);
@@ -37,16 +37,16 @@
             refuseFlow(now, *record, fault);
             return nullptr;
         }
-        activate(now, *record, 0);
+        activate(now, *record, 0, packet);
     }
     if (record->state == FlowState::Finished || record->state == FlowState::Answering) {
-        repeatOutcome(now, *record, from);
+        repeatOutcome(now, *record, from, &packet);
         return nullptr;
     }
     return record;
 }
 
-FlowRecord* AgentCore::adopt(TimePoint now, const Packet& packet)
+FlowRecord* AgentCore::adopt(TimePoint now, Endpoint from, const Packet& packet)
 {
     FlowRecord* record = m_records.add(packet.key);
     record->reservation = ReservationId(++m_lastReservation);
@@ -58,11 +58,12 @@
     m_admission.adoptConnection(record->kind);
     count(AgentCounter::Adopted);
     // A KeepAlive names the last event that the caller holds, where the numbers go on.
-    activate(now, *record, packet.kind == PacketKind::KeepAlive ? packet.sequence : 0);
+    touch(now, *record, from, packet);
+    activate(now, *record, packet.kind == PacketKind::KeepAlive ? packet.sequence : 0, packet);
     return record;
 }
 
-void AgentCore::activate(TimePoint now, FlowRecord& record, std::uint32_t after)
+void AgentCore::activate(TimePoint now, FlowRecord& record, std::uint32_t after, const Packet& packet)
 {
     m_records.setState(record, FlowState::Active);
     record.lastEvent = after;
@@ -72,7 +73,7 @@
     record.isEndedByTarget = false;
     renew(now, record);
     if (record.kind == FlowKind::Feed)
-        m_effects.emplace_back(OpenFeed { record.key, after });
+        m_effects.emplace_back(OpenFeed { record.key, after, packet.payload });
 }
 
 void AgentCore::renew(TimePoint now, FlowRecord& record)
@@ -146,7 +147,7 @@
         else if (feed->state == FlowState::Active || feed->state == FlowState::Reserved)
             endStream(now, *feed, Reason::None);
         else
-            repeatOutcome(now, *feed, from);
+            repeatOutcome(now, *feed, from, &packet);
         return;
     }
     FlowRecord* record = boundRecord(now, from, packet);
@@ -155,7 +156,7 @@
     bool isOpen = record->state == FlowState::Active || record->state == FlowState::Reserved;
     if (!isOpen || record->kind != FlowKind::Upload) {
         count(AgentCounter::DuplicateExecutes);
-        repeatOutcome(now, *record, from);
+        repeatOutcome(now, *record, from, &packet);
         return;
     }
     // A chunk still under way must not arrive after the commit; the caller repeats its Close.
--- a/src/agent_type.h
+++ b/src/agent_type.h
@@ -56,6 +56,7 @@
 struct OpenFeed {
     FlowKey key;
     std::uint32_t after {}; ///< Number of the last event that the caller holds; zero for a new feed.
+    std::vector<std::uint8_t> subscription; ///< From the caller's KeepAlive.
 };
 
 /** Close a feed at the target. */
