--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -1,8 +1,6 @@
-# Every source file, one a line and sorted, so that branches merge without conflicts.
+# Every source file, one a line and sorted.
 
 set(CORE_SOURCES
-    src/balancer_cmd.cpp
-    src/balancer_query.cpp
     src/admission_cmd.cpp
     src/admission_query.cpp
     src/agent_core.cpp
@@ -13,6 +11,8 @@
     src/agent_request_cmd.cpp
     src/agent_stream_cmd.cpp
     src/agent_timer_cmd.cpp
+    src/balancer_cmd.cpp
+    src/balancer_query.cpp
     src/binding_func.cpp
     src/caller_cmd.cpp
     src/caller_open.cpp
@@ -21,66 +21,123 @@
     src/caller_tick.cpp
     src/codec_func.cpp
     src/config_check.cpp
+    src/config_diff.cpp
     src/config_distance.cpp
     src/config_reader.cpp
     src/config_repeated.cpp
     src/config_view.cpp
+    src/config_warn.cpp
     src/config_write.cpp
     src/core_func.cpp
     src/dedup_cmd.cpp
     src/keyring_func.cpp
     src/packet_func.cpp
     src/placement_func.cpp
-    src/target_hint_func.cpp
     src/replica_func.cpp
     src/replica_gossip.cpp
     src/replica_peers.cpp
     src/replica_reader.cpp
     src/replica_standing.cpp
     src/replica_store.cpp
+    src/target_hint_func.cpp
     src/verdict_func.cpp
 )
 
 set(SHELL_SOURCES
-    src/log_func.cpp
-    src/settings_func.cpp
-    src/udp_func.cpp
+    src/balancer_report.cpp
+    src/balancer_thread.cpp
+    src/caller_shell.cpp
+    src/clock_func.cpp
+    src/config_thread.cpp
+    src/control_thread.cpp
+    src/ctl_check.cpp
+    src/ctl_diff.cpp
+    src/ctl_func.cpp
     src/http2_client.cpp
     src/http2_connection.cpp
     src/http2_server.cpp
+    src/log_func.cpp
+    src/settings_func.cpp
+    src/udp_func.cpp
     src/version_func.cpp
 )
 
+set(STANDIN_SOURCES
+    standin/fabric_cmd.cpp
+    standin/fabric_control.cpp
+    standin/fabric_shell.cpp
+    standin/standin_func.cpp
+    standin/standin_platform.cpp
+    standin/standin_target.cpp
+    standin/standin_target_type.cpp
+)
+
 set(PROGRAMS
+    hawthorncroft-balancer
+    hawthorncroft-call
+    hawthorncroftctl
+    standin-fabric
+    standin-platform
+    standin-target
+)
+
+set(hawthorncroft-balancer_SOURCES
+    src/balancer_main.cpp
+)
+
+set(hawthorncroft-call_SOURCES
+    src/call_main.cpp
+    src/call_options.cpp
+)
+
+set(hawthorncroftctl_SOURCES
+    src/ctl_main.cpp
+)
+
+set(standin-fabric_SOURCES
+    standin/fabric_main.cpp
+)
+
+set(standin-platform_SOURCES
+    standin/standin_platform_main.cpp
+)
+
+set(standin-target_SOURCES
+    standin/standin_target_main.cpp
 )
 
 set(TEST_SOURCES
-    tests/balancer_test.cpp
-    tests/caller_test.cpp
     bench/replica_fleet.cpp
-    tests/codec_test.cpp
-    tests/config_test.cpp
-    tests/http2_test.cpp
     tests/admission_test.cpp
     tests/agent_test.cpp
+    tests/balancer_test.cpp
+    tests/caller_test.cpp
     tests/codec_test.cpp
+    tests/config_test.cpp
+    tests/ctl_test.cpp
     tests/dedup_test.cpp
+    tests/fabric_test.cpp
+    tests/fake_fleet.cpp
+    tests/fake_target.cpp
+    tests/fleet_test.cpp
+    tests/http2_test.cpp
     tests/main_test.cpp
     tests/placement_test.cpp
+    tests/replica_test.cpp
     tests/settings_test.cpp
+    tests/standin_test.cpp
 )
 
 set(BENCHES
     core-bench
-    tests/replica_test.cpp
+    replica-bench
 )
 
-set(BENCHES
-    replica-bench
+set(core-bench_SOURCES
+    bench/core_bench.cpp
 )
 
 set(replica-bench_SOURCES
     bench/replica_bench.cpp
     bench/replica_fleet.cpp
 )
-set(core-bench_SOURCES bench/core_bench.cpp)
--- a/src/caller_packet.cpp
+++ b/src/caller_packet.cpp
@@ -46,7 +46,8 @@
     auto finished = m_finished.find(packet.key.flow);
     if (finished != m_finished.end() && packet.kind == PacketKind::Opened)
         return release(finished->second, packet, effects);
-    if (finished == m_finished.end() || packet.kind != PacketKind::Answer) {
+    bool isAnswer = packet.kind == PacketKind::Answer || packet.kind == PacketKind::Closed;
+    if (finished == m_finished.end() || !isAnswer) {
         ++m_counters.strays;
         return;
     }
@@ -88,6 +89,9 @@
     std::vector<std::uint8_t> payload;
     for (const auto& fragment : flow.answer.fragments)
         payload.insert(payload.end(), fragment->begin(), fragment->end());
+    bool isAnswerGone = packet.count == 0 && outcome.verdict == Verdict::Done;
+    if (isAnswerGone)
+        outcome.reason = Reason::Expired;
     send(packetFor(flow, PacketKind::AnswerAck), effects);
     if (outcome.verdict == Verdict::DidNotRun)
         return didNotRun(now, flow, outcome, effects);
@@ -173,6 +177,10 @@
     flow.leaseEndsAt = now + m_settings.lease;
     if (flow.kind == FlowKind::Upload)
         flow.keepAliveAt = now + withJitter(m_settings.keepAlive);
+    if (flow.state == State::Renewing) {
+        enter(flow, State::Committing);
+        return resend(now, flow, effects);
+    }
     if (flow.state != State::Feeding)
         return;
     reportOpened(flow, effects);
@@ -189,8 +197,10 @@
         return;
     ++flow.acknowledged;
     effects.emplace_back(UploadProgress { .flow = flow.id, .acknowledged = flow.acknowledged, .total = flow.chunks });
+    // An agent that adopted the upload again refuses a Close under the binding of its predecessor, whose record of a
+    // commit it lacks; so the binding is renewed first.
     if (flow.acknowledged == flow.chunks)
-        enter(flow, State::Committing);
+        enter(flow, State::Renewing);
     resend(now, flow, effects);
 }
 
@@ -199,6 +209,7 @@
     if (!flow.isBound() || flow.kind == FlowKind::Request || !isFromTarget(flow, packet))
         return onStray(now, flow, packet, effects);
     Outcome outcome = packet.outcome;
+    send(packetFor(flow, PacketKind::AnswerAck), effects);
     if (flow.state == State::Closing || (flow.kind == FlowKind::Feed && outcome.verdict == Verdict::Done)) {
         outcome.verdict = Verdict::Done;
         return finish(flow, outcome, effects);
@@ -207,7 +218,7 @@
         return breakFeed(now, flow, outcome, effects);
     if (outcome.verdict == Verdict::DidNotRun)
         return didNotRun(now, flow, outcome, effects);
-    finish(flow, outcome, effects);
+    finish(flow, outcome, effects, packet.payload);
 }
 
 } // namespace hawthorncroft
--- a/src/caller_tick.cpp
+++ b/src/caller_tick.cpp
@@ -11,6 +11,7 @@
     &CallerCore::sendExecute, // Executing
     &CallerCore::sendKeepAlive, // Feeding
     &CallerCore::sendChunks, // Uploading
+    &CallerCore::sendKeepAlive, // Renewing
     &CallerCore::sendClose, // Committing
     &CallerCore::sendClose, // Closing
     &CallerCore::sendCancel, // Cancelling
--- a/src/table/limits.h
+++ b/src/table/limits.h
@@ -18,7 +18,7 @@
 inline constexpr std::size_t maxAnswerFragments = 64; ///< Fragments of one answer.
 inline constexpr std::uint8_t maxHops = 4; ///< Relays of one Open.
 inline constexpr std::size_t maxDocumentBytes = 1000000; ///< The platform's limit for one value.
-inline constexpr Duration leaseOfFlow = seconds(10); ///< A feed or upload without a Renewed for this long is lost.
+inline constexpr Duration leaseOfFlow = seconds(15); ///< A feed or upload without a Renewed for this long is lost.
 inline constexpr Duration keepAliveInterval = seconds(3); ///< Time between two KeepAlive packets of a flow.
 inline constexpr std::size_t maxCallerFlows = 65536; ///< Open flows of one caller.
 inline constexpr std::size_t maxFinishedFlows = 8192; ///< Finished flows for which a caller acknowledges late answers.
@@ -56,4 +56,7 @@
 inline constexpr std::size_t queueSlack = 32; ///< Entries of flows that left the queue, beyond its real length.
 inline constexpr std::size_t maxRelayRanks = 16; ///< Ranks searched for the next target of an Open.
 
+inline constexpr std::size_t maxDeltaBytes
+    = 1000000; ///< Texts in one answer to a peer; further ones follow on request.
+
 } // namespace hawthorncroft
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -247,7 +247,7 @@
     }
 }
 
-TEST_CASE("A feed at its agent", "[agent]")
+TEST_CASE("A feed at the agent", "[agent]")
 {
     AgentFixture f;
     Packet opened = f.openStream(flowOf(1), FlowKind::Feed);
@@ -364,7 +364,7 @@
     }
 }
 
-TEST_CASE("An upload at its agent", "[agent]")
+TEST_CASE("An upload at the agent", "[agent]")
 {
     AgentFixture f;
     Packet opened = f.openStream(flowOf(1), FlowKind::Upload);
