--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -56,11 +56,17 @@
     standin/fabric_cmd.cpp
     standin/fabric_control.cpp
     standin/fabric_shell.cpp
+    standin/standin_func.cpp
+    standin/standin_platform.cpp
+    standin/standin_target.cpp
+    standin/standin_target_type.cpp
 )
 
 set(PROGRAMS
     hawthorncroft-call
     standin-fabric
+    standin-platform
+    standin-target
 )
 
 set(hawthorncroft-call_SOURCES
@@ -72,6 +78,9 @@
     standin/fabric_main.cpp
 )
 
+set(standin-platform_SOURCES standin/standin_platform_main.cpp)
+set(standin-target_SOURCES standin/standin_target_main.cpp)
+
 set(TEST_SOURCES
     bench/replica_fleet.cpp
     tests/admission_test.cpp
@@ -87,6 +96,7 @@
     tests/placement_test.cpp
     tests/replica_test.cpp
     tests/settings_test.cpp
+    tests/standin_test.cpp
 )
 
 set(BENCHES
