--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -42,6 +42,14 @@
 )
 
 set(SHELL_SOURCES
+    src/balancer_report.cpp
+    src/balancer_thread.cpp
+    src/clock_func.cpp
+    src/config_thread.cpp
+    src/control_thread.cpp
+    src/log_func.cpp
+    src/settings_func.cpp
+    src/udp_func.cpp
     src/caller_shell.cpp
     src/http2_client.cpp
     src/http2_connection.cpp
@@ -63,6 +71,7 @@
 )
 
 set(PROGRAMS
+    hawthorncroft-balancer
     hawthorncroft-call
     standin-fabric
     standin-platform
@@ -80,9 +89,16 @@
 
 set(standin-platform_SOURCES standin/standin_platform_main.cpp)
 set(standin-target_SOURCES standin/standin_target_main.cpp)
+set(hawthorncroft-balancer_SOURCES src/balancer_main.cpp)
 
 set(TEST_SOURCES
     bench/replica_fleet.cpp
+    tests/codec_test.cpp
+    tests/config_test.cpp
+    tests/fake_fleet.cpp
+    tests/fake_target.cpp
+    tests/fleet_test.cpp
+    tests/http2_test.cpp
     tests/admission_test.cpp
     tests/agent_test.cpp
     tests/balancer_test.cpp
