--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -44,13 +44,10 @@
 set(SHELL_SOURCES
     src/balancer_report.cpp
     src/balancer_thread.cpp
+    src/caller_shell.cpp
     src/clock_func.cpp
     src/config_thread.cpp
     src/control_thread.cpp
-    src/log_func.cpp
-    src/settings_func.cpp
-    src/udp_func.cpp
-    src/caller_shell.cpp
     src/http2_client.cpp
     src/http2_connection.cpp
     src/http2_server.cpp
@@ -93,12 +90,6 @@
 
 set(TEST_SOURCES
     bench/replica_fleet.cpp
-    tests/codec_test.cpp
-    tests/config_test.cpp
-    tests/fake_fleet.cpp
-    tests/fake_target.cpp
-    tests/fleet_test.cpp
-    tests/http2_test.cpp
     tests/admission_test.cpp
     tests/agent_test.cpp
     tests/balancer_test.cpp
@@ -107,6 +98,9 @@
     tests/config_test.cpp
     tests/dedup_test.cpp
     tests/fabric_test.cpp
+    tests/fake_fleet.cpp
+    tests/fake_target.cpp
+    tests/fleet_test.cpp
     tests/http2_test.cpp
     tests/main_test.cpp
     tests/placement_test.cpp
--- a/src/http2_client.cpp
+++ b/src/http2_client.cpp
@@ -86,7 +86,7 @@
                 self->close(Http2Counter::ConnectFailures);
         });
         m_socket.async_connect(
-            toAsio(m_endpoint), [self](boost::system::error_code error) { self->onConnected(error); });
+            toTcp(m_endpoint), [self](boost::system::error_code error) { self->onConnected(error); });
     }
 
     void ClientConnection::onConnected(boost::system::error_code error)
--- a/src/http2_connection.cpp
+++ b/src/http2_connection.cpp
@@ -372,7 +372,7 @@
     return { static_cast<std::uint32_t>(endpoint.address().to_v4().to_uint()), endpoint.port() };
 }
 
-asio::ip::tcp::endpoint toAsio(Endpoint endpoint) { return { asio::ip::address_v4(endpoint.address), endpoint.port }; }
+asio::ip::tcp::endpoint toTcp(Endpoint endpoint) { return { asio::ip::address_v4(endpoint.address), endpoint.port }; }
 
 std::string_view findHeader(const Http2Headers& headers, std::string_view name)
 {
--- a/src/http2_connection.h
+++ b/src/http2_connection.h
@@ -124,6 +124,6 @@
 std::vector<nghttp2_nv> toNameValues(const Http2Headers& headers);
 
 Endpoint toEndpoint(const boost::asio::ip::tcp::endpoint& endpoint);
-boost::asio::ip::tcp::endpoint toAsio(Endpoint endpoint);
+boost::asio::ip::tcp::endpoint toTcp(Endpoint endpoint);
 
 } // namespace hawthorncroft
--- a/src/http2_server.cpp
+++ b/src/http2_server.cpp
@@ -468,7 +468,7 @@
     if (!code)
         acceptor.set_option(asio::socket_base::reuse_address(true), code);
     if (!code)
-        acceptor.bind(toAsio(endpoint), code);
+        acceptor.bind(toTcp(endpoint), code);
     if (!code)
         acceptor.listen(asio::socket_base::max_listen_connections, code);
     if (code) {
