--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -1,4 +1,4 @@
-# Every source file, one a line and sorted, so that branches merge without conflicts.
+# Every source file, one a line and sorted.
 
 set(CORE_SOURCES
     src/admission_cmd.cpp
@@ -21,10 +21,12 @@
     src/caller_tick.cpp
     src/codec_func.cpp
     src/config_check.cpp
+    src/config_diff.cpp
     src/config_distance.cpp
     src/config_reader.cpp
     src/config_repeated.cpp
     src/config_view.cpp
+    src/config_warn.cpp
     src/config_write.cpp
     src/core_func.cpp
     src/dedup_cmd.cpp
@@ -48,6 +50,9 @@
     src/clock_func.cpp
     src/config_thread.cpp
     src/control_thread.cpp
+    src/ctl_check.cpp
+    src/ctl_diff.cpp
+    src/ctl_func.cpp
     src/http2_client.cpp
     src/http2_connection.cpp
     src/http2_server.cpp
@@ -73,6 +78,14 @@
     standin-fabric
     standin-platform
     standin-target
+    hawthorncroftctl
+    standin-fabric
+    standin-platform
+    standin-target
+)
+
+set(hawthorncroft-balancer_SOURCES
+    src/balancer_main.cpp
 )
 
 set(hawthorncroft-call_SOURCES
@@ -80,6 +93,10 @@
     src/call_options.cpp
 )
 
+set(hawthorncroftctl_SOURCES
+    src/ctl_main.cpp
+)
+
 set(standin-fabric_SOURCES
     standin/fabric_main.cpp
 )
@@ -87,6 +104,13 @@
 set(standin-platform_SOURCES standin/standin_platform_main.cpp)
 set(standin-target_SOURCES standin/standin_target_main.cpp)
 set(hawthorncroft-balancer_SOURCES src/balancer_main.cpp)
+set(standin-platform_SOURCES
+    standin/standin_platform_main.cpp
+)
+
+set(standin-target_SOURCES
+    standin/standin_target_main.cpp
+)
 
 set(TEST_SOURCES
     bench/replica_fleet.cpp
@@ -96,6 +120,7 @@
     tests/caller_test.cpp
     tests/codec_test.cpp
     tests/config_test.cpp
+    tests/ctl_test.cpp
     tests/dedup_test.cpp
     tests/fabric_test.cpp
     tests/fake_fleet.cpp
