--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -75,9 +75,6 @@
 set(PROGRAMS
     hawthorncroft-balancer
     hawthorncroft-call
-    standin-fabric
-    standin-platform
-    standin-target
     hawthorncroftctl
     standin-fabric
     standin-platform
@@ -101,9 +98,6 @@
     standin/fabric_main.cpp
 )
 
-set(standin-platform_SOURCES standin/standin_platform_main.cpp)
-set(standin-target_SOURCES standin/standin_target_main.cpp)
-set(hawthorncroft-balancer_SOURCES src/balancer_main.cpp)
 set(standin-platform_SOURCES
     standin/standin_platform_main.cpp
 )
--- a/src/caller_shell.cpp
+++ b/src/caller_shell.cpp
@@ -1,5 +1,6 @@
 #include "caller_shell.h"
 
+#include "clock_func.h"
 #include "codec_func.h"
 
 #include <chrono>
@@ -13,8 +14,8 @@
 
     CallerSettings withId(CallerSettings settings)
     {
-        while (!settings.id)
-            settings.id = CallerId(CallerShell::randomNumber());
+        if (!settings.id)
+            settings.id = CallerId(randomNumber());
         settings.seed = mix64(settings.seed, settings.id.value);
         return settings;
     }
@@ -33,19 +34,6 @@
 {
 }
 
-TimePoint CallerShell::now()
-{
-    auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
-    return { std::chrono::duration_cast<std::chrono::microseconds>(sinceStart).count() };
-}
-
-std::uint64_t CallerShell::randomNumber()
-{
-    std::random_device device;
-    constexpr unsigned halfBits = 32;
-    return (static_cast<std::uint64_t>(device()) << halfBits) | device();
-}
-
 std::string CallerShell::open(Endpoint local)
 {
     std::string error = m_socket.open(local);
@@ -56,42 +44,42 @@
 
 Started CallerShell::startRequest(RequestOptions options)
 {
-    Started started = m_core.startRequest(now(), std::move(options), m_effects);
+    Started started = m_core.startRequest(monotonicNow(), std::move(options), m_effects);
     carryOut();
     return started;
 }
 
 Started CallerShell::openFeed(FeedOptions options)
 {
-    Started started = m_core.openFeed(now(), std::move(options), m_effects);
+    Started started = m_core.openFeed(monotonicNow(), std::move(options), m_effects);
     carryOut();
     return started;
 }
 
 Started CallerShell::startUpload(UploadOptions options)
 {
-    Started started = m_core.startUpload(now(), std::move(options), m_effects);
+    Started started = m_core.startUpload(monotonicNow(), std::move(options), m_effects);
     carryOut();
     return started;
 }
 
 Started CallerShell::startQuery(const QueryOptions& options)
 {
-    Started started = m_core.startQuery(now(), options, m_effects);
+    Started started = m_core.startQuery(monotonicNow(), options, m_effects);
     carryOut();
     return started;
 }
 
 bool CallerShell::cancel(FlowId flow)
 {
-    bool isOpen = m_core.cancel(now(), flow, m_effects);
+    bool isOpen = m_core.cancel(monotonicNow(), flow, m_effects);
     carryOut();
     return isOpen;
 }
 
 bool CallerShell::closeFlow(FlowId flow)
 {
-    bool isOpen = m_core.closeFlow(now(), flow, m_effects);
+    bool isOpen = m_core.closeFlow(monotonicNow(), flow, m_effects);
     carryOut();
     return isOpen;
 }
@@ -100,7 +88,7 @@
 {
     if (decode(bytes, m_received) != DecodeError::None)
         return;
-    m_core.onPacket(now(), m_received, m_effects);
+    m_core.onPacket(monotonicNow(), m_received, m_effects);
     carryOut();
 }
 
@@ -130,11 +118,12 @@
         m_timer.cancel();
         return;
     }
-    m_timer.expires_at(std::chrono::steady_clock::time_point(std::chrono::microseconds(wake->us)));
+    // Relative, because the core's clock and the timer's may count from different moments.
+    m_timer.expires_after(std::chrono::microseconds((*wake - monotonicNow()).us));
     m_timer.async_wait([this](boost::system::error_code error) {
         if (error)
             return;
-        m_core.onTick(now(), m_effects);
+        m_core.onTick(monotonicNow(), m_effects);
         carryOut();
     });
 }
--- a/src/caller_shell.h
+++ b/src/caller_shell.h
@@ -49,12 +49,6 @@
     /** @return The caller's id, drawn or given. */
     CallerId id() const { return m_id; }
 
-    /** @return Time on the clock that the core is given. */
-    static TimePoint now();
-
-    /** @return 64 bits from the system's random source. */
-    static std::uint64_t randomNumber();
-
 private:
     void receive(std::span<const std::uint8_t> bytes);
     void carryOut();
--- a/standin/fabric_shell.cpp
+++ b/standin/fabric_shell.cpp
@@ -1,20 +1,12 @@
 #include "fabric_shell.h"
 
+#include "clock_func.h"
+
 #include <chrono>
 #include <iostream>
 
 namespace hawthorncroft {
 
-namespace {
-
-    TimePoint currentTime()
-    {
-        auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
-        return { std::chrono::duration_cast<std::chrono::microseconds>(sinceStart).count() };
-    }
-
-}
-
 FabricShell::FabricShell(boost::asio::io_context& context, FabricSettings settings)
     : m_context(context)
     , m_core(std::move(settings))
@@ -32,7 +24,7 @@
     if (!error.empty())
         return error;
     m_front.start([this](Endpoint from, std::span<const std::uint8_t> bytes) {
-        m_core.onCallerDatagram(currentTime(), from, bytes, m_effects);
+        m_core.onCallerDatagram(monotonicNow(), from, bytes, m_effects);
         carryOut();
     });
     m_control.start([this](Endpoint from, std::span<const std::uint8_t> bytes) { onCommand(from, bytes); });
@@ -55,7 +47,7 @@
         return;
     }
     socket->start([this, session](Endpoint from, std::span<const std::uint8_t> bytes) {
-        m_core.onBalancerDatagram(currentTime(), session, from, bytes);
+        m_core.onBalancerDatagram(monotonicNow(), session, from, bytes);
         schedule();
     });
     m_sessions[session] = std::move(socket);
@@ -86,12 +78,13 @@
     if (!wake || (m_scheduled && *m_scheduled <= *wake))
         return;
     m_scheduled = wake;
-    m_timer.expires_at(std::chrono::steady_clock::time_point(std::chrono::microseconds(wake->us)));
+    // Relative, because the core's clock and the timer's may count from different moments.
+    m_timer.expires_after(std::chrono::microseconds((*wake - monotonicNow()).us));
     m_timer.async_wait([this](boost::system::error_code error) {
         if (error)
             return;
         m_scheduled.reset();
-        m_core.onTick(currentTime(), m_effects);
+        m_core.onTick(monotonicNow(), m_effects);
         carryOut();
     });
 }
