--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -1,6 +1,16 @@
 # Every source file, one a line and sorted, so that branches merge without conflicts.
 
 set(CORE_SOURCES
+    src/admission_cmd.cpp
+    src/admission_query.cpp
+    src/agent_core.cpp
+    src/agent_event_cmd.cpp
+    src/agent_open_cmd.cpp
+    src/agent_outcome_cmd.cpp
+    src/agent_query.cpp
+    src/agent_request_cmd.cpp
+    src/agent_stream_cmd.cpp
+    src/agent_timer_cmd.cpp
     src/balancer_cmd.cpp
     src/balancer_query.cpp
     src/binding_func.cpp
@@ -19,6 +29,7 @@
     src/config_warn.cpp
     src/config_write.cpp
     src/core_func.cpp
+    src/dedup_cmd.cpp
     src/keyring_func.cpp
     src/packet_func.cpp
     src/placement_func.cpp
@@ -33,28 +44,65 @@
 )
 
 set(SHELL_SOURCES
+    src/balancer_report.cpp
+    src/balancer_thread.cpp
+    src/caller_shell.cpp
+    src/clock_func.cpp
+    src/config_thread.cpp
+    src/control_thread.cpp
     src/ctl_check.cpp
     src/ctl_diff.cpp
     src/ctl_func.cpp
+    src/http2_client.cpp
+    src/http2_connection.cpp
+    src/http2_server.cpp
     src/log_func.cpp
     src/settings_func.cpp
     src/udp_func.cpp
     src/version_func.cpp
 )
 
+set(STANDIN_SOURCES
+    standin/fabric_cmd.cpp
+    standin/fabric_control.cpp
+    standin/fabric_shell.cpp
+)
+
 set(PROGRAMS
+    hawthorncroft-balancer
+    hawthorncroft-call
     hawthorncroftctl
+    standin-fabric
+)
+
+set(hawthorncroft-call_SOURCES
+    src/call_main.cpp
+    src/call_options.cpp
+)
+
+set(standin-fabric_SOURCES
+    standin/fabric_main.cpp
 )
 
 set(hawthorncroftctl_SOURCES src/ctl_main.cpp)
 
+set(hawthorncroft-balancer_SOURCES src/balancer_main.cpp)
+
 set(TEST_SOURCES
     bench/replica_fleet.cpp
+    tests/admission_test.cpp
+    tests/agent_test.cpp
     tests/balancer_test.cpp
     tests/caller_test.cpp
     tests/codec_test.cpp
     tests/config_test.cpp
     tests/ctl_test.cpp
+    tests/dedup_test.cpp
+    tests/fabric_test.cpp
+    tests/fake_fleet.cpp
+    tests/fake_target.cpp
+    tests/fleet_test.cpp
+    tests/http2_test.cpp
     tests/main_test.cpp
     tests/placement_test.cpp
     tests/replica_test.cpp
@@ -65,7 +113,11 @@
     core-bench
     replica-bench
 )
-set(core-bench_SOURCES bench/core_bench.cpp)
+
+set(core-bench_SOURCES
+    bench/core_bench.cpp
+)
+
 set(replica-bench_SOURCES
     bench/replica_bench.cpp
     bench/replica_fleet.cpp
--- a/src/caller_open.cpp
+++ b/src/caller_open.cpp
@@ -10,7 +10,7 @@
     constexpr std::array finalReasons { Reason::UnknownName, Reason::TooLarge, Reason::Cancelled,
         Reason::DeadlinePassed };
 
-    /** Refusals of a KeepAlive, Data or Close that pass by themselves; the flow stays at its agent. */
+    /** Refusals of a KeepAlive or Data that pass by themselves; the flow stays at its agent. */
     constexpr std::array passingReasons { Reason::NotReady, Reason::Isolated, Reason::Overloaded, Reason::Cold,
         Reason::Draining, Reason::RetryBudget };
 
@@ -36,6 +36,7 @@
     if (flow.state != State::Opening || !m_budget.take())
         return;
     ++m_counters.hedged;
+    ++flow.attempt;
     sendOpen(now, flow, effects);
 }
 
@@ -76,7 +77,7 @@
     flow.nextChunk = 1;
     flow.acknowledged = 0;
     flow.inFlight.clear();
-    enter(flow, flow.chunks ? State::Uploading : State::Committing);
+    enter(flow, flow.chunks ? State::Uploading : State::Renewing);
     resend(now, flow, effects);
 }
 
@@ -101,7 +102,7 @@
         return onStray(now, flow, packet, effects);
     if (packet.outcome.verdict == Verdict::None)
         return;
-    bool isLongLived = flow.state == State::Feeding || flow.state == State::Uploading;
+    bool isLongLived = flow.state == State::Feeding || flow.state == State::Uploading || flow.state == State::Renewing;
     if (isLongLived && contains(passingReasons, packet.outcome.reason))
         return;
     if (flow.state == State::Feeding)
@@ -163,6 +164,7 @@
     flow.hedgeAt = flow.keepAliveAt = flow.leaseEndsAt = never;
     flow.refusal.retryAfterMs = 0;
     ++flow.retries;
+    ++flow.attempt;
     ++m_counters.retried;
 }
 
--- a/src/caller_type.h
+++ b/src/caller_type.h
@@ -71,7 +71,7 @@
 struct Finished {
     FlowId flow;
     Outcome outcome;
-    std::vector<std::uint8_t> payload; ///< The whole answer; empty unless the verdict is Done.
+    std::vector<std::uint8_t> payload; ///< The whole answer. With "done: expired" the agent keeps it no longer.
 };
 
 /** Effect: a feed is open at a target. */
--- a/src/table/limits.h
+++ b/src/table/limits.h
@@ -18,7 +18,7 @@
 inline constexpr std::size_t maxAnswerFragments = 64; ///< Fragments of one answer.
 inline constexpr std::uint8_t maxHops = 4; ///< Relays of one Open.
 inline constexpr std::size_t maxDocumentBytes = 1000000; ///< The platform's limit for one value.
-inline constexpr Duration leaseOfFlow = seconds(10); ///< A feed or upload without a Renewed for this long is lost.
+inline constexpr Duration leaseOfFlow = seconds(15); ///< A feed or upload without a Renewed for this long is lost.
 inline constexpr Duration keepAliveInterval = seconds(3); ///< Time between two KeepAlive packets of a flow.
 inline constexpr std::size_t maxCallerFlows = 65536; ///< Open flows of one caller.
 inline constexpr std::size_t maxFinishedFlows = 8192; ///< Finished flows for which a caller acknowledges late answers.
@@ -26,4 +26,37 @@
 inline constexpr std::size_t uploadWindow = 8; ///< Chunks of one upload that are sent and not acknowledged.
 inline constexpr std::size_t maxUploadChunks = 65536; ///< Chunks of one upload.
 
+inline constexpr std::size_t maxHttp2HeaderBytes = 16 * 1024; ///< Headers of one HTTP/2 message.
+inline constexpr std::size_t maxHttp2BodyBytes = 4 * 1024 * 1024; ///< Body of one message; holds a document of 1 MB.
+inline constexpr std::size_t maxHttp2Streams = 256; ///< Concurrent streams of one connection.
+inline constexpr std::size_t maxHttp2Waiting = 1024; ///< Requests of one client that wait for a stream.
+inline constexpr std::size_t maxHttp2Connections = 512; ///< Connections of one server.
+inline constexpr std::size_t maxHttp2InputBytes = 8 * 1024 * 1024; ///< Incomplete requests of one connection.
+inline constexpr std::size_t maxHttp2OutputBytes = 8 * 1024 * 1024; ///< Bodies waiting to be sent on one connection.
+inline constexpr std::size_t maxHttp2TotalBytes = 64 * 1024 * 1024; ///< Both of the above over one server.
+inline constexpr std::size_t maxHttp2WriteBytes = 64 * 1024; ///< One write to a socket.
+inline constexpr std::size_t maxHttp2QueuedFrames = 1024; ///< Frames to send; beyond it nothing is read from the peer.
+inline constexpr std::size_t maxHttp2ResetsPerSecond = 200; ///< Stream resets by one peer; beyond it, closed.
+inline constexpr std::size_t maxHttp2ControlFramesPerSecond = 2000; ///< Frames of one peer that carry no message.
+inline constexpr Duration http2IdleTimeout = seconds(30); ///< Without a whole frame from the peer.
+inline constexpr Duration http2StallTimeout = seconds(10); ///< For one write, and for connecting.
+inline constexpr Duration http2RequestTimeout = seconds(10); ///< For a request to arrive completely.
+
+// Agent.
+inline constexpr std::size_t maxFlowRecords = 65536; ///< Flows of one agent; beyond it an Open is relayed or refused.
+inline constexpr std::size_t maxAnswerBytes = maxAnswerFragments * maxPayloadBytes; ///< Payload of one answer.
+inline constexpr std::size_t maxKeptAnswerBytes
+    = 64 * 1024 * 1024; ///< Answers not acknowledged yet; beyond it requests are refused.
+inline constexpr std::size_t maxHeardBalancers
+    = 64; ///< Balancers remembered for retransmissions; the oldest makes room.
+inline constexpr std::size_t eventWindow = 32; ///< Unacknowledged events of a feed at which reading it is paused.
+inline constexpr std::size_t maxEventsHeld = 64; ///< Window and events that were under way when reading was paused.
+inline constexpr std::size_t maxChunksInFlight
+    = 32; ///< Chunks of a flow on their way to the target; others are dropped.
+inline constexpr std::size_t queueSlack = 32; ///< Entries of flows that left the queue, beyond its real length.
+inline constexpr std::size_t maxRelayRanks = 16; ///< Ranks searched for the next target of an Open.
+
+inline constexpr std::size_t maxDeltaBytes
+    = 1000000; ///< Texts in one answer to a peer; further ones follow on request.
+
 } // namespace hawthorncroft
