Charge the retry budget only while opens fail

A dead balancer that stays in the fabric's list swallows a fifth of all datagrams, more than the budget of 10 %, while the targets themselves accept every open that reaches them.

Ruled out: a larger budget, because it would multiply load in an overload as well; waiting instead of refusing, for the same reason.

Change: balancers and callers charge hedges to the budget only while less than 70 % of recent opens are accepted. The caller uses the balancer's budget class instead of a second one.

--- a/src/balancer_base.h
+++ b/src/balancer_base.h
@@ -9,8 +9,8 @@
 #include "balancer_type.h"
 #include "config_base.h"
 #include "keyring_type.h"
+#include "retry_budget_type.h"
 #include "target_hint_type.h"
-#include "token_bucket_type.h"
 
 namespace hawthorncroft {
 
@@ -136,6 +136,7 @@
     ServingState m_serving;
     TargetHints m_hints;
     RetryBudget m_retryBudget;
+    OpenHealth m_openHealth;
     std::unordered_map<std::string, TimePoint> m_outSince; ///< When a failure domain or VM was seen as taken out.
     TimePoint m_lastEvent;
     TimePoint m_lastContactEffect;
--- a/src/balancer_cmd.cpp
+++ b/src/balancer_cmd.cpp
@@ -150,7 +150,7 @@
             effects);
         return false;
     }
-    if (packet.attempt && !m_retryBudget.take(now)) {
+    if (packet.attempt && m_openHealth.needsBudget() && !m_retryBudget.take(now)) {
         count(BalancerCounter::RetriesRefused);
         refuse(from, packet, didNotRun(Reason::RetryBudget, noTargetRetryMs), effects);
         return false;
@@ -170,6 +170,7 @@
         return;
     }
     m_hints[choice.target->id].noteOpenSent(now, packet.flowKind);
+    m_openHealth.noteOpen(now);
     packet.service = resolution.service;
     packet.resolvedAt = resolution.revision;
     packet.target = choice.target->id;
@@ -231,8 +232,10 @@
 void BalancerCore::handleReply(TimePoint now, Endpoint, Packet& packet, BalancerEffects& effects)
 {
     m_hints[packet.target].noteReply(now, packet);
-    if (packet.kind == Kind::Opened)
+    if (packet.kind == Kind::Opened) {
         m_retryBudget.noteSuccess(m_view.preset().retryPercent);
+        m_openHealth.noteSuccess();
+    }
     count(BalancerCounter::RepliesForwarded);
     Endpoint caller = packet.callerEndpoint;
     effects.push_back(SendToCaller { caller, std::move(packet) });
--- a/src/caller_base.h
+++ b/src/caller_base.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "caller_type.h"
+#include "retry_budget_type.h"
 
 #include <array>
 #include <deque>
@@ -16,27 +17,6 @@
 
 namespace hawthorncroft {
 
-/** Limits retries and hedges to a share of successes plus a small reserve, so that retries cannot multiply overload. */
-class CallerRetryBudget {
-public:
-    /**
-     * @param percent Retries per 100 successes.
-     * @param reserve Retries at start; at the same time the most that can be saved up, with a minimum of 10.
-     */
-    CallerRetryBudget(std::uint32_t percent, std::uint32_t reserve);
-
-    /** Counts one success. */
-    void addSuccess();
-
-    /** @return Whether one retry was allowed; it is then spent. */
-    bool take();
-
-private:
-    std::uint64_t m_percent;
-    std::uint64_t m_limit; ///< In 1/100 retries.
-    std::uint64_t m_tokens; ///< In 1/100 retries.
-};
-
 /** All flows of one caller. Not safe for use by several threads at a time. */
 class CallerCore {
 public:
@@ -225,7 +205,8 @@
     static bool isFromBinding(const Flow& flow, const Packet& packet);
 
     CallerSettings m_settings;
-    CallerRetryBudget m_budget;
+    RetryBudget m_budget;
+    OpenHealth m_openHealth;
     CallerCounters m_counters;
     std::unordered_map<FlowId, Flow> m_flows;
     std::set<std::pair<TimePoint, FlowId>> m_wakes; ///< One entry per open flow.
--- a/src/caller_cmd.cpp
+++ b/src/caller_cmd.cpp
@@ -6,31 +6,15 @@
 
 namespace {
 
-    constexpr std::uint64_t tokensPerRetry = 100;
-    constexpr std::uint64_t minSavedRetries = 10;
+    constexpr double minSavedRetries = 10; ///< Retries that can be saved up at least.
 
 }
 
-CallerRetryBudget::CallerRetryBudget(std::uint32_t percent, std::uint32_t reserve)
-    : m_percent(percent)
-    , m_limit(std::max<std::uint64_t>(reserve, minSavedRetries) * tokensPerRetry)
-    , m_tokens(reserve * tokensPerRetry)
-{
-}
-
-void CallerRetryBudget::addSuccess() { m_tokens = std::min(m_limit, m_tokens + m_percent); }
-
-bool CallerRetryBudget::take()
-{
-    if (m_tokens < tokensPerRetry)
-        return false;
-    m_tokens -= tokensPerRetry;
-    return true;
-}
-
 CallerCore::CallerCore(const CallerSettings& settings)
     : m_settings(settings)
-    , m_budget(settings.retryPercent, settings.retryReserve)
+    , m_budget({ .atStart = static_cast<double>(settings.retryReserve),
+          .reserve = std::max<double>(settings.retryReserve, minSavedRetries),
+          .refillPerSecond = 0 })
     , m_nextFlow(settings.firstFlow)
     , m_nonce(mix64(settings.seed, settings.id.value))
     , m_random(mix64(settings.id.value, settings.seed))
@@ -149,7 +133,7 @@
 void CallerCore::finish(Flow& flow, Outcome outcome, CallerEffects& effects, std::vector<std::uint8_t> payload)
 {
     if (outcome.verdict == Verdict::Done)
-        m_budget.addSuccess();
+        m_budget.noteSuccess(m_settings.retryPercent);
     effects.emplace_back(Finished { .flow = flow.id, .outcome = outcome, .payload = std::move(payload) });
     remember(flow);
     erase(flow);
--- a/src/caller_open.cpp
+++ b/src/caller_open.cpp
@@ -33,7 +33,7 @@
 void CallerCore::hedge(TimePoint now, Flow& flow, CallerEffects& effects)
 {
     flow.hedgeAt = never;
-    if (flow.state != State::Opening || !m_budget.take())
+    if (flow.state != State::Opening || (m_openHealth.needsBudget() && !m_budget.take(now)))
         return;
     ++m_counters.hedged;
     ++flow.attempt;
@@ -44,6 +44,7 @@
 {
     if (!packet.hasBinding() || packet.flowKind != flow.kind)
         return onStray(now, flow, packet, effects);
+    m_openHealth.noteSuccess();
     if (flow.isBound())
         return release(packetFor(flow, PacketKind::Cancel), packet, effects);
     if (now >= flow.deadline)
@@ -143,7 +144,7 @@
     bool isTooLate = now + wait >= flow.deadline;
     if (isTooLate)
         return endRefused(now, flow, outcome, effects);
-    if (!m_budget.take()) {
+    if (!m_budget.take(now)) {
         if (flow.kind == FlowKind::Request) {
             outcome.reason = Reason::RetryBudget;
             return endRefused(now, flow, outcome, effects);
--- a/src/caller_send.cpp
+++ b/src/caller_send.cpp
@@ -22,8 +22,9 @@
     effects.emplace_back(SendToFabric { std::move(packet) });
 }
 
-void CallerCore::sendOpen(TimePoint, Flow& flow, CallerEffects& effects)
+void CallerCore::sendOpen(TimePoint now, Flow& flow, CallerEffects& effects)
 {
+    m_openHealth.noteOpen(now);
     Packet packet = packetFor(flow, PacketKind::Open);
     packet.binding = {};
     packet.nonce = ++m_nonce;
--- a/src/token_bucket_type.h
+++ b/src/retry_budget_type.h
@@ -1,5 +1,5 @@
 /**
- * @file token_bucket_type.h
+ * @file retry_budget_type.h
  * Retry budget: retries are allowed as a share of successes, so that an outage does not multiply load.
  */
 #pragma once
@@ -16,7 +16,8 @@
 public:
     /** How much the budget allows. */
     struct Options {
-        double reserve { 10 }; ///< Tokens at start and at most, in retries.
+        double atStart { 10 }; ///< Tokens at start, in retries.
+        double reserve { 10 }; ///< Tokens at most, in retries.
         double refillPerSecond { 1 }; ///< Retries a second that are allowed with no success at all.
     };
 
@@ -27,7 +28,7 @@
 
     explicit RetryBudget(Options options)
         : m_options(options)
-        , m_tokens(options.reserve)
+        , m_tokens(options.atStart)
     {
     }
 
@@ -69,4 +70,39 @@
     TimePoint m_refilledAt;
 };
 
+/**
+ * Share of recent opens that were accepted. While most are, a retry replaces a datagram that the network lost and adds
+ * no load, so it needs no budget.
+ */
+class OpenHealth {
+public:
+    /**
+     * Counts an open. Each second halves the weight of earlier ones.
+     * @param now Current time.
+     */
+    void noteOpen(TimePoint now)
+    {
+        if (now - m_halvedAt >= seconds(1)) {
+            m_halvedAt = now;
+            m_opens /= 2;
+            m_successes /= 2;
+        }
+        m_opens += 1;
+    }
+
+    /** Counts an accepted open. */
+    void noteSuccess() { m_successes += 1; }
+
+    /** @return Whether so many opens fail that retries must be limited. */
+    bool needsBudget() const { return m_opens >= fewOpens && m_successes < healthyShare * m_opens; }
+
+private:
+    static constexpr double fewOpens = 1; ///< Fewer opens say nothing about the targets.
+    static constexpr double healthyShare = 0.7; ///< Accepted opens, as a share of all, above which targets are healthy.
+
+    double m_opens {};
+    double m_successes {};
+    TimePoint m_halvedAt;
+};
+
 } // namespace hawthorncroft
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -199,6 +199,16 @@
         }
         CHECK(placed <= 11);
     }
+    SECTION("but not while most opens are accepted, which guards against refusals because of a lossy network")
+    {
+        for (std::uint64_t flow = 1; flow <= 100; ++flow) {
+            Packet retry = Bench::open(flow);
+            retry.attempt = flow % 4 == 0;
+            auto effect = bench.send(retry);
+            REQUIRE(std::holds_alternative<SendToProcess>(effect));
+            bench.reply(std::get<SendToProcess>(effect).packet.target, TargetState::Warm, 100);
+        }
+    }
 }
 
 TEST_CASE("A balancer routes bound packets", "[balancer]")
