--- a/src/http2_server.cpp
+++ b/src/http2_server.cpp
@@ -104,6 +104,7 @@
         void releaseOutput(std::size_t bytes);
         bool hasOutputRoom(std::size_t bytes) const;
         void dispatch(std::int32_t id, ServerStream& stream);
+        void callHandler(const Http2Request& request, const Http2Responder& responder);
         void refuseBody(std::int32_t id, ServerStream& stream);
         void endStream(ServerStream stream);
 
@@ -241,13 +242,24 @@
         exchange->connection = std::static_pointer_cast<ServerConnection>(shared_from_this());
         exchange->stream = id;
         stream.exchange = exchange;
-        auto server = m_server;
-        if (server->handler)
-            server->handler(request, Http2Responder(std::move(exchange)));
+        callHandler(request, Http2Responder(std::move(exchange)));
         if (ServerStream* still = find(id))
             releaseInput(*still);
     }
 
+    void ServerConnection::callHandler(const Http2Request& request, const Http2Responder& responder)
+    {
+        auto server = m_server;
+        // An exception must not unwind through the frames of the C library, and a peer must not end the process.
+        try {
+            if (server->handler)
+                server->handler(request, responder);
+        } catch (const std::exception&) {
+            count(Http2Counter::HandlerFailures);
+            responder.reset();
+        }
+    }
+
     bool ServerConnection::respond(std::int32_t id, int status, const Http2Headers& headers, Http2Output output)
     {
         ServerStream* stream = find(id);
--- a/src/http2_type.h
+++ b/src/http2_type.h
@@ -97,6 +97,7 @@
     RequestsTooSlow, ///< Streams reset because the request was not complete in time.
     StreamsReset, ///< Streams reset by the peer.
     Unanswered, ///< Requests whose responder was dropped without an answer.
+    HandlerFailures, ///< Requests whose handler threw; their streams are reset.
     End,
 };
 
--- a/src/table/http2_names.h
+++ b/src/table/http2_names.h
@@ -40,6 +40,7 @@
     "requests_too_slow",
     "streams_reset",
     "unanswered",
+    "handler_failures",
 };
 
 } // namespace hawthorncroft
--- a/tests/http2_test.cpp
+++ b/tests/http2_test.cpp
@@ -49,7 +49,9 @@
             later.emplace_back(request.path, std::move(responder));
         } else if (request.path == "/large")
             responder.respond(200, std::string(2000000, 'x'));
-        else if (request.path != "/drop")
+        else if (request.path == "/throws")
+            throw std::runtime_error("handler");
+        else
             responder.respond(200, request.method + " " + request.body, { { "echo", request.path } });
     }
 
@@ -163,6 +165,15 @@
         }
     }
 
+    SECTION("and a handler that throws costs only its own request")
+    {
+        client.send(get("/throws"), done);
+        client.send(get("/echo"), done);
+        REQUIRE(arrived(2));
+        CHECK(results[0].succeeded() != results[1].succeeded());
+        CHECK(test.server.counters()[Http2Counter::HandlerFailures] == 1);
+    }
+
     SECTION("and one that is not answered in time ends with a timeout that says it may have run")
     {
         client.send(get("/later", milliseconds(50)), done);
@@ -240,6 +251,58 @@
     }
 }
 
+TEST_CASE("An HTTP/2 client knows what did not run", "[http2]")
+{
+    boost::asio::io_context context;
+    RawServer server(context);
+    Http2Bounds bounds = shortTimes();
+    Http2Client client(context, server.endpoint(), bounds);
+    std::vector<Http2Result> results;
+    for (int i = 0; i < 2; ++i)
+        client.send(get("/", seconds(3)), [&results](Http2Result result) { results.push_back(std::move(result)); });
+    REQUIRE(server.accept([&] { return runUntil(context, [&] { return server.hasInput(); }); }));
+    server.send(RawPeer::frame(4, 0, 0, ""));
+
+    SECTION("when the server refuses the stream, and that the others may have run when the connection is lost")
+    {
+        server.send(RawPeer::frame(3, 0, 1, RawPeer::number(7)));
+        REQUIRE(runUntil(context, [&] { return results.size() == 1; }));
+        CHECK(results[0].error == Http2Error::Refused);
+        CHECK_FALSE(results[0].mayHaveRun);
+        server.close();
+        REQUIRE(runUntil(context, [&] { return results.size() == 2; }));
+        CHECK(results[1].error == Http2Error::ConnectionLost);
+        CHECK(results[1].mayHaveRun);
+    }
+
+    SECTION("when the server goes away without having processed the stream, which guards against a lost request")
+    {
+        server.send(RawPeer::frame(7, 0, 0, RawPeer::number(1) + RawPeer::number(0)));
+        REQUIRE(runUntil(context, [&] { return results.size() == 1; }));
+        CHECK(results[0].error == Http2Error::GoAway);
+        CHECK_FALSE(results[0].mayHaveRun);
+        server.send(RawPeer::frame(1, 5, 1, "\x88"));
+        REQUIRE(runUntil(context, [&] { return results.size() == 2; }));
+        CHECK(results[1].status == 200);
+    }
+
+    SECTION("but not when the server resets the stream for another reason")
+    {
+        server.send(RawPeer::frame(3, 0, 1, RawPeer::number(2)));
+        REQUIRE(runUntil(context, [&] { return results.size() == 1; }));
+        CHECK(results[0].error == Http2Error::Reset);
+        CHECK(results[0].mayHaveRun);
+    }
+
+    SECTION("and gives up a server that falls silent before the timeout of the request")
+    {
+        REQUIRE(runUntil(
+            context, [&] { return results.size() == 2; }, 2s));
+        CHECK(results[0].error == Http2Error::ConnectionLost);
+        CHECK(client.counters()[Http2Counter::SilentClosed] == 1);
+    }
+}
+
 TEST_CASE("An HTTP/2 server outlives a peer", "[http2]")
 {
     boost::asio::io_context context;
--- a/tests/loop_util.h
+++ b/tests/loop_util.h
@@ -111,4 +111,33 @@
     boost::asio::ip::tcp::socket m_socket;
 };
 
+/** A TCP server for one connection that sends bytes as it likes. */
+class RawServer {
+public:
+    explicit RawServer(boost::asio::io_context& context)
+        : m_acceptor(context, { boost::asio::ip::address_v4::loopback(), 0 })
+        , m_socket(context)
+    {
+    }
+
+    Endpoint endpoint() const { return { anyLoopback.address, m_acceptor.local_endpoint().port() }; }
+
+    /** Accepts the connection and waits. @return Whether the wait succeeded. */
+    template <typename Wait> bool accept(Wait wait)
+    {
+        m_acceptor.async_accept(m_socket, [](boost::system::error_code) {});
+        return wait();
+    }
+
+    /** @return Whether the client has sent something. */
+    bool hasInput() { return m_socket.is_open() && m_socket.available() > 0; }
+
+    void send(const std::string& bytes) { boost::asio::write(m_socket, boost::asio::buffer(bytes)); }
+    void close() { m_socket.close(); }
+
+private:
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::ip::tcp::socket m_socket;
+};
+
 } // namespace hawthorncroft
