Add authenticated control streams

Processes exchange configuration deltas and status over HTTP/2, and a stranger on the network must neither read them nor send old ones again.

Add a control server with a table of paths and a control client. The request's MAC covers method, path and nonce; the reply's covers nonce, status and body, with a prefix that keeps the two apart. The status is covered too, because a 404 that was turned into a 200 would otherwise pass. A nonce that was seen before, a wrong key or MAC and requests beyond the peer's rate are refused and counted.

--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -4,6 +4,7 @@
     src/binding_func.cpp
     src/codec_func.cpp
     src/config_view.cpp
+    src/control_func.cpp
     src/core_func.cpp
     src/keyring_func.cpp
     src/packet_func.cpp
@@ -12,6 +13,8 @@
 )
 
 set(SHELL_SOURCES
+    src/control_client.cpp
+    src/control_server.cpp
     src/http2_client.cpp
     src/http2_connection.cpp
     src/http2_server.cpp
@@ -35,6 +38,7 @@
 
 set(TEST_SOURCES
     tests/codec_test.cpp
+    tests/control_test.cpp
     tests/http2_test.cpp
     tests/main_test.cpp
     tests/placement_test.cpp
--- /dev/null
+++ b/src/control_server.cpp
@@ -0,0 +1,87 @@
+#include "control_base.h"
+
+#include <charconv>
+#include <chrono>
+
+namespace hawthorncroft {
+
+namespace {
+
+    TimePoint steadyNow()
+    {
+        auto time = std::chrono::steady_clock::now().time_since_epoch();
+        return { std::chrono::duration_cast<std::chrono::microseconds>(time).count() };
+    }
+
+    KeyId keyIdOf(const Http2Request& request)
+    {
+        std::string_view text = findHeader(request.headers, controlKeyHeader);
+        KeyId id;
+        std::from_chars(text.data(), text.data() + text.size(), id.value);
+        return id;
+    }
+
+}
+
+Http2Bounds controlHttp2Bounds()
+{
+    Http2Bounds bounds;
+    bounds.bodyBytes = maxControlReplyBytes;
+    bounds.outputBytes = maxControlReplyBytes;
+    bounds.totalBytes = maxControlTotalBytes;
+    return bounds;
+}
+
+ControlServer::ControlServer(
+    boost::asio::io_context& context, const Keyring& keyring, ControlBounds bounds, const Http2Bounds& http2)
+    : m_keyring(keyring)
+    , m_rate(bounds.requestsPerSecond, bounds.peers)
+    , m_nonces(bounds.nonces)
+    , m_server(
+          context, [this](const Http2Request& request, const Http2Responder& r) { handle(request, r); }, http2)
+{
+}
+
+void ControlServer::add(std::string path, ControlHandler handler) { m_handlers[std::move(path)] = std::move(handler); }
+
+void ControlServer::handle(const Http2Request& request, const Http2Responder& responder)
+{
+    // The rate is checked before the MAC, so a flood costs little.
+    if (!m_rate.take(request.peer.address, steadyNow()))
+        return refuse(responder, 429, ControlCounter::RateLimited);
+    if (request.method != "GET" || !request.body.empty())
+        return refuse(responder, 400, ControlCounter::BadRequest);
+    const Mac* mac = m_keyring.find(keyIdOf(request));
+    auto nonce = fromHex(findHeader(request.headers, controlNonceHeader));
+    auto tag = fromHex(findHeader(request.headers, controlMacHeader));
+    if (!mac || !nonce || !tag || controlRequestMac(*mac, request.method, request.path, *nonce) != *tag)
+        return refuse(responder, 401, ControlCounter::Unauthorized);
+    // Only nonces of authentic requests are remembered, so others cannot displace them.
+    if (!m_nonces.add(*nonce))
+        return refuse(responder, 409, ControlCounter::Replayed);
+    ControlReply reply = answer(request);
+    std::string replyTag = toHex(controlReplyMac(*mac, *nonce, reply.status, reply.body));
+    responder.respond(reply.status, std::move(reply.body), { { std::string(controlMacHeader), replyTag } });
+}
+
+void ControlServer::refuse(const Http2Responder& responder, int status, ControlCounter counter)
+{
+    m_counters.add(counter);
+    responder.respond(status);
+}
+
+ControlReply ControlServer::answer(const Http2Request& request)
+{
+    ControlRequest query;
+    query.peer = request.peer;
+    splitControlPath(request.path, query);
+    auto handler = m_handlers.find(query.path);
+    if (handler == m_handlers.end()) {
+        m_counters.add(ControlCounter::NotFound);
+        return { .status = 404, .body = {} };
+    }
+    m_counters.add(ControlCounter::Served);
+    return handler->second(query);
+}
+
+} // namespace hawthorncroft
