Add metrics

Each thread needs counters and histograms that it can update without locks and that operators can add up over processes.

--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -18,6 +18,7 @@
     src/http2_client.cpp
     src/http2_connection.cpp
     src/http2_server.cpp
+    src/metrics_base.cpp
     src/version_func.cpp
 )
 
@@ -41,6 +42,7 @@
     tests/control_test.cpp
     tests/http2_test.cpp
     tests/main_test.cpp
+    tests/metrics_test.cpp
     tests/placement_test.cpp
     tests/standin_test.cpp
 )
