--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -49,6 +49,9 @@
     src/caller_shell.cpp
     src/clock_func.cpp
     src/config_thread.cpp
+    src/control_client.cpp
+    src/control_func.cpp
+    src/control_server.cpp
     src/control_thread.cpp
     src/ctl_check.cpp
     src/ctl_diff.cpp
@@ -57,6 +60,7 @@
     src/http2_connection.cpp
     src/http2_server.cpp
     src/log_func.cpp
+    src/metrics_base.cpp
     src/settings_func.cpp
     src/udp_func.cpp
     src/version_func.cpp
@@ -114,6 +118,7 @@
     tests/caller_test.cpp
     tests/codec_test.cpp
     tests/config_test.cpp
+    tests/control_test.cpp
     tests/ctl_test.cpp
     tests/dedup_test.cpp
     tests/fabric_test.cpp
@@ -123,6 +128,7 @@
     tests/fleet_test.cpp
     tests/http2_test.cpp
     tests/main_test.cpp
+    tests/metrics_test.cpp
     tests/placement_test.cpp
     tests/replica_test.cpp
     tests/settings_test.cpp
