Add names, status, explain and wait-in-force to hawthorncroftctl

NameSketch counts unknown names in bounded memory (Space-Saving: each count is at most total / capacity too high, and every name above that is kept), and closestNames offers known names by edit distance. report_type.h defines the JSON of /status, /names and /explain with both directions, for the processes to serve and the tool to read.

Requests to control ports carry no key id, nonce and MAC yet, because the control thread does not check them yet.

--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -31,6 +31,7 @@
     src/core_func.cpp
     src/dedup_cmd.cpp
     src/keyring_func.cpp
+    src/name_sketch_func.cpp
     src/packet_func.cpp
     src/placement_func.cpp
     src/replica_func.cpp
@@ -39,6 +40,7 @@
     src/replica_reader.cpp
     src/replica_standing.cpp
     src/replica_store.cpp
+    src/report_func.cpp
     src/target_hint_func.cpp
     src/verdict_func.cpp
 )
@@ -52,7 +54,11 @@
     src/control_thread.cpp
     src/ctl_check.cpp
     src/ctl_diff.cpp
+    src/ctl_explain.cpp
+    src/ctl_fetch.cpp
     src/ctl_func.cpp
+    src/ctl_names.cpp
+    src/ctl_status.cpp
     src/http2_client.cpp
     src/http2_connection.cpp
     src/http2_server.cpp
@@ -96,6 +102,7 @@
     tests/caller_test.cpp
     tests/codec_test.cpp
     tests/config_test.cpp
+    tests/ctl_fetch_test.cpp
     tests/ctl_test.cpp
     tests/dedup_test.cpp
     tests/fabric_test.cpp
--- /dev/null
+++ b/src/ctl_fetch.h
@@ -0,0 +1,67 @@
+/**
+ * @file ctl_fetch.h
+ * Asks several processes on their control ports at the same time.
+ */
+#pragma once
+
+#include "core_type.h"
+#include "ctl_func.h"
+
+namespace hawthorncroft {
+
+/** Answer of one process. */
+struct Fetched {
+    Endpoint from;
+    std::string error; ///< Empty when an answer with status 200 arrived.
+    std::string body;
+};
+
+/**
+ * Sends a GET request to every process.
+ * @param processes Control ports.
+ * @param path Path and query.
+ * @param timeout For each answer.
+ * @return One entry for each process, in the same order.
+ */
+std::vector<Fetched> fetchAll(const std::vector<Endpoint>& processes, const std::string& path, Duration timeout);
+
+/** Adds the options of commands that ask processes: --at and --timeout. */
+void addFetchOptions(boost::program_options::options_description& known, double defaultSeconds);
+
+/** Whom to ask, from the command line. */
+struct FetchOptions {
+    std::vector<Endpoint> processes;
+    Duration timeout;
+};
+
+/**
+ * Reads the options that addFetchOptions added. Prints what is wrong with them.
+ * @param values Parsed arguments.
+ * @param err Where to print.
+ * @param[out] options Set on success.
+ * @return Whether the options are valid.
+ */
+bool readFetchOptions(const boost::program_options::variables_map& values, std::ostream& err, FetchOptions& options);
+
+/**
+ * Asks every process and reads the reports. Prints the processes that do not answer.
+ * @return The reports with the processes they are from.
+ */
+template <typename Report>
+std::vector<std::pair<Endpoint, Report>> fetchReports(const FetchOptions& options, const std::string& path,
+    std::ostream& err, std::string (*parse)(std::string_view, Report&))
+{
+    std::vector<std::pair<Endpoint, Report>> reports;
+    for (auto& fetched : fetchAll(options.processes, path, options.timeout)) {
+        Report report;
+        if (fetched.error.empty())
+            fetched.error = parse(fetched.body, report);
+        if (fetched.error.empty())
+            reports.emplace_back(fetched.from, std::move(report));
+        else
+            err << "hawthorncroftctl: no answer from " << toString(fetched.from) << ": " << fetched.error << '\n';
+    }
+    return reports;
+}
+
+} // namespace hawthorncroft
--- a/src/ctl_func.cpp
+++ b/src/ctl_func.cpp
@@ -65,9 +65,13 @@
         int (*run)(const CtlArguments& arguments, CtlStreams streams);
     };
 
-    constexpr std::array<Command, 3> commands { {
+    constexpr std::array<Command, 7> commands { {
         { "check", "check documents as the fleet does, and warn of what is dangerous", runCheck },
         { "diff", "say what a new version of a document changes for callers", runDiff },
+        { "explain", "say where a name leads and where a flow would go", runExplain },
+        { "names", "list unknown names with the closest known ones", runNames },
+        { "status", "say of each process whether it serves, and its configuration", runStatus },
+        { "wait-in-force", "wait until every process has a revision in force", runWaitInForce },
         { "version", "print the version", runVersion },
     } };
 
--- a/src/ctl_func.h
+++ b/src/ctl_func.h
@@ -60,6 +60,10 @@
 
 int runCheck(const CtlArguments& arguments, CtlStreams streams);
 int runDiff(const CtlArguments& arguments, CtlStreams streams);
+int runExplain(const CtlArguments& arguments, CtlStreams streams);
+int runNames(const CtlArguments& arguments, CtlStreams streams);
+int runStatus(const CtlArguments& arguments, CtlStreams streams);
+int runWaitInForce(const CtlArguments& arguments, CtlStreams streams);
 int runVersion(const CtlArguments& arguments, CtlStreams streams);
 
 /**
--- /dev/null
+++ b/src/report_func.cpp
@@ -0,0 +1,127 @@
+#include "report_type.h"
+
+#include "report_fields.h"
+
+#include <charconv>
+
+namespace hawthorncroft {
+
+template <> struct FieldsOf<TargetReport> {
+    static constexpr std::tuple fields { Field { "id", &TargetReport::id }, Field { "service", &TargetReport::service },
+        Field { "state", &TargetReport::state }, Field { "limit", &TargetReport::limit },
+        Field { "running", &TargetReport::running }, Field { "streams", &TargetReport::streams } };
+};
+
+template <> struct FieldsOf<StatusReport> {
+    static constexpr std::tuple fields { Field { "role", &StatusReport::role },
+        Field { "version", &StatusReport::version }, Field { "vm", &StatusReport::vm },
+        Field { "failureDomain", &StatusReport::failureDomain }, Field { "startedAt", &StatusReport::startedAt },
+        Field { "serving", &StatusReport::serving }, Field { "reason", &StatusReport::reason },
+        Field { "revision", &StatusReport::revision }, Field { "since", &StatusReport::since },
+        Field { "newestSeen", &StatusReport::newestSeen }, Field { "preset", &StatusReport::preset },
+        Field { "domainsOut", &StatusReport::domainsOut }, Field { "vmsOut", &StatusReport::vmsOut },
+        Field { "readsPlatform", &StatusReport::readsPlatform },
+        Field { "platformAgeMs", &StatusReport::platformAgeMs }, Field { "peers", &StatusReport::peers },
+        Field { "refused", &StatusReport::refused }, Field { "target", &StatusReport::target },
+        Field { "counters", &StatusReport::counters } };
+};
+
+template <> struct FieldsOf<SimilarNameReport> {
+    static constexpr std::tuple fields { Field { "name", &SimilarNameReport::name },
+        Field { "service", &SimilarNameReport::service }, Field { "serviceName", &SimilarNameReport::serviceName },
+        Field { "distance", &SimilarNameReport::distance } };
+};
+
+template <> struct FieldsOf<UnknownNameReport> {
+    static constexpr std::tuple fields { Field { "name", &UnknownNameReport::name },
+        Field { "count", &UnknownNameReport::count }, Field { "error", &UnknownNameReport::error },
+        Field { "lastSeen", &UnknownNameReport::lastSeen }, Field { "similar", &UnknownNameReport::similar } };
+};
+
+template <> struct FieldsOf<NamesReport> {
+    static constexpr std::tuple fields { Field { "since", &NamesReport::since }, Field { "total", &NamesReport::total },
+        Field { "errorBound", &NamesReport::errorBound }, Field { "names", &NamesReport::names } };
+};
+
+template <> struct FieldsOf<RankReport> {
+    static constexpr std::tuple fields { Field { "target", &RankReport::target }, Field { "vm", &RankReport::vm },
+        Field { "failureDomain", &RankReport::failureDomain }, Field { "agent", &RankReport::agent },
+        Field { "eligibility", &RankReport::eligibility }, Field { "load", &RankReport::load },
+        Field { "loadAgeMs", &RankReport::loadAgeMs }, Field { "chosen", &RankReport::chosen } };
+};
+
+template <> struct FieldsOf<ExplainReport> {
+    static constexpr std::tuple fields { Field { "name", &ExplainReport::name },
+        Field { "revision", &ExplainReport::revision }, Field { "service", &ExplainReport::service },
+        Field { "serviceName", &ExplainReport::serviceName }, Field { "match", &ExplainReport::match },
+        Field { "similar", &ExplainReport::similar }, Field { "serving", &ExplainReport::serving },
+        Field { "ranks", &ExplainReport::ranks } };
+};
+
+std::string toJson(const StatusReport& report) { return boost::json::serialize(writeValue(report)); }
+
+std::string toJson(const NamesReport& report) { return boost::json::serialize(writeValue(report)); }
+
+std::string toJson(const ExplainReport& report) { return boost::json::serialize(writeValue(report)); }
+
+std::string parseReport(std::string_view text, StatusReport& report) { return readText(text, report); }
+
+std::string parseReport(std::string_view text, NamesReport& report) { return readText(text, report); }
+
+std::string parseReport(std::string_view text, ExplainReport& report) { return readText(text, report); }
+
+namespace {
+
+    bool isPlain(char c)
+    {
+        bool isLetter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+        return isLetter || (c >= '0' && c <= '9') || c == '-' || c == '.' || c == '_' || c == '~';
+    }
+
+    std::optional<std::string> decoded(std::string_view value)
+    {
+        std::string text;
+        for (std::size_t i = 0; i < value.size(); ++i) {
+            if (value[i] != '%') {
+                text += value[i];
+                continue;
+            }
+            unsigned byte = 0;
+            const char* end = value.data() + i + 3;
+            if (i + 2 >= value.size() || std::from_chars(value.data() + i + 1, end, byte, 16).ptr != end)
+                return std::nullopt;
+            text += static_cast<char>(byte);
+            i += 2;
+        }
+        return text;
+    }
+
+}
+
+std::string encodeQueryValue(std::string_view value)
+{
+    static constexpr std::string_view digits = "0123456789ABCDEF";
+    std::string text;
+    for (char c : value) {
+        auto byte = static_cast<unsigned char>(c);
+        if (isPlain(c))
+            text += c;
+        else
+            text.append({ '%', digits[byte >> 4], digits[byte & 15] });
+    }
+    return text;
+}
+
+std::optional<std::string> queryValue(std::string_view query, std::string_view name)
+{
+    while (!query.empty()) {
+        std::string_view part = query.substr(0, query.find('&'));
+        query.remove_prefix(std::min(query.size(), part.size() + 1));
+        std::size_t equals = part.find('=');
+        if (equals != std::string_view::npos && part.substr(0, equals) == name)
+            return decoded(part.substr(equals + 1));
+    }
+    return std::nullopt;
+}
+
+} // namespace hawthorncroft
--- /dev/null
+++ b/tests/ctl_fetch_test.cpp
@@ -0,0 +1,193 @@
+#include "config_func.h"
+#include "ctl_func.h"
+#include "http2_base.h"
+#include "name_sketch_type.h"
+#include "report_type.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <atomic>
+#include <sstream>
+#include <thread>
+
+using namespace hawthorncroft;
+
+namespace {
+
+/** A process that answers on its control port what the test tells it to. */
+class Answering {
+public:
+    explicit Answering(std::function<std::string(const std::string&)> answer)
+        : m_server(m_context, [answer = std::move(answer)](const Http2Request& request, Http2Responder responder) {
+            std::string body = answer(request.path);
+            responder.respond(body.empty() ? 404 : 200, body);
+        })
+    {
+        std::string error;
+        REQUIRE(m_server.listen({ 0x7f000001, 0 }, error));
+        m_endpoint = toString(m_server.endpoint());
+        m_thread = std::thread([this] { m_context.run(); });
+    }
+    ~Answering()
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+    Answering(const Answering&) = delete;
+    Answering& operator=(const Answering&) = delete;
+
+    const std::string& endpoint() const { return m_endpoint; }
+
+private:
+    boost::asio::io_context m_context { 1 };
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work { m_context.get_executor() };
+    Http2Server m_server;
+    std::string m_endpoint;
+    std::thread m_thread;
+};
+
+struct Run {
+    explicit Run(const CtlArguments& arguments)
+        : status(runCtl(arguments, { out, err }))
+    {
+    }
+
+    bool says(const std::string& text) const { return out.str().find(text) != std::string::npos; }
+
+    std::ostringstream out;
+    std::ostringstream err;
+    int status;
+};
+
+}
+
+TEST_CASE("Unknown names are counted in bounded memory", "[names]")
+{
+    SECTION("every count is at most the stated error too high, and frequent names are never lost")
+    {
+        REQUIRE(rc::check("bounds of the sketch", [] {
+            auto names = *rc::gen::container<std::vector<std::string>>(
+                rc::gen::container<std::string>(1, rc::gen::inRange('a', 'p')));
+            NameSketch sketch(5);
+            std::map<std::string, std::uint64_t> truth;
+            for (const auto& name : names) {
+                sketch.add(name, 1);
+                ++truth[name];
+            }
+            RC_ASSERT(sketch.size() <= 5U);
+            std::map<std::string, CountedName> kept;
+            for (const auto& entry : sketch.top(5))
+                kept[entry.name] = entry;
+            for (const auto& [name, entry] : kept) {
+                RC_ASSERT(entry.count >= truth[name]);
+                RC_ASSERT(entry.count - entry.error <= truth[name]);
+                RC_ASSERT(entry.error <= sketch.errorBound());
+            }
+            for (const auto& [name, count] : truth)
+                RC_ASSERT(count <= sketch.errorBound() || kept.count(name));
+        }));
+    }
+    SECTION("the most frequent come first, and a corrected one is forgotten")
+    {
+        NameSketch sketch(3);
+        for (const char* name : { "a", "b", "b", "c", "c" })
+            sketch.add(name, 7);
+        auto top = sketch.top(2);
+        REQUIRE(top.size() == 2);
+        CHECK(top[0].name == "b");
+        CHECK(top[1].name == "c");
+        sketch.remove("b");
+        CHECK(sketch.top(1).at(0).name == "c");
+    }
+    SECTION("the closest known names are offered, closest first, and none that is far away")
+    {
+        std::unordered_map<std::string, ServiceId> known { { "courier-route", ServiceId(1) },
+            { "courier-routes", ServiceId(2) }, { "intake", ServiceId(3) } };
+        auto similar = closestNames("curier-route", known, 3, 5);
+        REQUIRE(similar.size() == 2);
+        CHECK(similar[0] == SimilarName { "courier-route", ServiceId(1), 1 });
+        CHECK(similar[1] == SimilarName { "courier-routes", ServiceId(2), 2 });
+    }
+}
+
+TEST_CASE("An operator asks running processes", "[ctl]")
+{
+    std::atomic<std::uint64_t> revision { 4 };
+    NamesReport names { .total = 9,
+        .names = { { .name = "curier", .count = 5, .similar = { { "courier", 1, "courier", 1 } } },
+            { .name = "cat", .count = 4, .similar = { { "car", 1, "car", 1 }, { "bat", 2, "bat", 1 } } } } };
+    ExplainReport explain { .name = "a b",
+        .revision = 4,
+        .service = 7,
+        .serviceName = "ab",
+        .match = "corrected spelling",
+        .serving = true,
+        .ranks = { { .target = 3, .vm = "v", .eligibility = "eligible", .load = 500, .chosen = true } } };
+    Answering process([&](const std::string& path) -> std::string {
+        if (path == "/status")
+            return toJson(StatusReport { .role = "balancer", .serving = true, .revision = revision });
+        if (path == "/names")
+            return toJson(names);
+        return path == "/explain?name=a%20b&flow=9" ? toJson(explain) : "";
+    });
+    const std::string at = process.endpoint();
+
+    SECTION("status says who serves, and ends with 1 when a process does not answer")
+    {
+        CHECK(Run({ "status", "--at", at }).says("serving, revision 4"));
+        Run unreachable({ "status", "--at", at, "127.0.0.1:1" });
+        CHECK(unreachable.status == ctlWarnings);
+        CHECK(unreachable.says("serving, revision 4"));
+        CHECK(Run({ "status" }).status == ctlRefused);
+        CHECK(Run({ "status", "--at", "nowhere" }).status == ctlRefused);
+    }
+    SECTION("names adds up processes and emits only spellings with one clear meaning")
+    {
+        CHECK(Run({ "names", "--at", at, at }).says("10  curier"));
+        Run emitted({ "names", "--at", at, "--emit" });
+        CHECK(emitted.says(R"({"id":1,"name":"courier","spellings":["curier"]})"));
+        CHECK(emitted.says(R"("undecided":["cat"])"));
+    }
+    SECTION("explain shows the ranks of a flow")
+    {
+        Run run({ "explain", "a b", "--flow", "9", "--at", at });
+        CHECK(run.status == ctlOk);
+        CHECK(run.says("leads to service 7 ab by its corrected spelling"));
+        CHECK(run.says("load 50 percent"));
+    }
+    SECTION("wait-in-force waits for the last process, and says who is late")
+    {
+        Run late({ "wait-in-force", "5", "--at", at, "--timeout", "0.3" });
+        CHECK(late.status == ctlWarnings);
+        CHECK(late.says("has revision 4"));
+        std::thread change([&] {
+            std::this_thread::sleep_for(std::chrono::milliseconds(200));
+            revision = 5;
+        });
+        CHECK(Run({ "wait-in-force", "5", "--at", at, "--timeout", "5" }).status == ctlOk);
+        change.join();
+    }
+}
+
+TEST_CASE("Reports survive the way to JSON and back", "[ctl]")
+{
+    StatusReport status { .role = "agent",
+        .platformAgeMs = 12,
+        .target = TargetReport { .id = 3, .state = "warm" },
+        .counters = { { "opens", 5 } } };
+    StatusReport read;
+    REQUIRE(parseReport(toJson(status), read).empty());
+    CHECK(read.platformAgeMs == 12);
+    CHECK(read.target->state == "warm");
+    CHECK(read.counters.at("opens") == 5);
+    CHECK_FALSE(parseReport("{\"serving\":1}", read).empty());
+    CHECK_FALSE(parseReport("{", read).empty());
+    CHECK(queryValue("name=" + encodeQueryValue("a&b=ö") + "&flow=7", "name") == "a&b=ö");
+    CHECK(queryValue("name=a&flow=7", "flow") == "7");
+    CHECK_FALSE(queryValue("name=%4", "name"));
+    CHECK_FALSE(queryValue("name=a", "flow"));
+}
