--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -31,6 +31,7 @@
     src/core_func.cpp
     src/dedup_cmd.cpp
     src/keyring_func.cpp
+    src/name_sketch_func.cpp
     src/packet_func.cpp
     src/placement_func.cpp
     src/replica_func.cpp
@@ -55,12 +56,17 @@
     src/control_thread.cpp
     src/ctl_check.cpp
     src/ctl_diff.cpp
+    src/ctl_explain.cpp
+    src/ctl_fetch.cpp
     src/ctl_func.cpp
+    src/ctl_names.cpp
+    src/ctl_status.cpp
     src/http2_client.cpp
     src/http2_connection.cpp
     src/http2_server.cpp
     src/log_func.cpp
     src/metrics_base.cpp
+    src/report_func.cpp
     src/settings_func.cpp
     src/udp_func.cpp
     src/version_func.cpp
@@ -119,6 +125,7 @@
     tests/codec_test.cpp
     tests/config_test.cpp
     tests/control_test.cpp
+    tests/ctl_fetch_test.cpp
     tests/ctl_test.cpp
     tests/dedup_test.cpp
     tests/fabric_test.cpp
