Add hawthorncroft-agent: data thread and target thread around the agent core

The agent core had no program. Rings between them are bounded; commands and reports that must not be lost wait in a backlog whose size the open flows bound. The target thread checks the deadline again before it sends. SIGTERM ends the process when running requests have their answers acknowledged; feeds and uploads are left for the next agent process to adopt.

--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -44,6 +44,8 @@
 )
 
 set(SHELL_SOURCES
+    src/agent_report.cpp
+    src/agent_thread.cpp
     src/balancer_report.cpp
     src/balancer_thread.cpp
     src/caller_shell.cpp
@@ -58,6 +60,8 @@
     src/http2_server.cpp
     src/log_func.cpp
     src/settings_func.cpp
+    src/target_feeds.cpp
+    src/target_thread.cpp
     src/udp_func.cpp
     src/version_func.cpp
 )
@@ -73,6 +77,7 @@
 )
 
 set(PROGRAMS
+    hawthorncroft-agent
     hawthorncroft-balancer
     hawthorncroft-call
     hawthorncroftctl
@@ -81,6 +86,10 @@
     standin-target
 )
 
+set(hawthorncroft-agent_SOURCES
+    src/agent_main.cpp
+)
+
 set(hawthorncroft-balancer_SOURCES
     src/balancer_main.cpp
 )
--- a/src/agent_request_cmd.cpp
+++ b/src/agent_request_cmd.cpp
@@ -120,10 +120,15 @@
     record.unlink();
     count(AgentCounter::Started);
     if (record.kind == FlowKind::Upload) {
-        m_effects.emplace_back(CommitUpload { record.key, record.reservation, record.chunkCount, record.deadline });
+        m_effects.emplace_back(CommitUpload { .key = record.key,
+            .request = record.reservation,
+            .service = record.service,
+            .chunks = record.chunkCount,
+            .deadline = record.deadline });
         return;
     }
-    RunRequest run { .key = record.key, .request = record.reservation, .deadline = record.deadline };
+    RunRequest run { .key = record.key, .request = record.reservation, .service = record.service };
+    run.deadline = record.deadline;
     run.idempotent = record.isIdempotent;
     if (record.work)
         run.payload = std::move(record.work->payload);
--- a/src/agent_stream_cmd.cpp
+++ b/src/agent_stream_cmd.cpp
@@ -73,7 +73,7 @@
     record.isEndedByTarget = false;
     renew(now, record);
     if (record.kind == FlowKind::Feed)
-        m_effects.emplace_back(OpenFeed { record.key, after, packet.payload });
+        m_effects.emplace_back(OpenFeed { record.key, record.service, after, packet.payload });
 }
 
 void AgentCore::renew(TimePoint now, FlowRecord& record)
@@ -116,7 +116,8 @@
         return;
     }
     chunks.push_back(packet.sequence);
-    m_effects.emplace_back(StoreChunk { record->key, record->kind, packet.sequence, std::move(packet.payload) });
+    m_effects.emplace_back(
+        StoreChunk { record->key, record->service, record->kind, packet.sequence, std::move(packet.payload) });
 }
 
 void AgentCore::onChunkStored(TimePoint now, const FlowKey& key, std::uint32_t sequence, bool isStored)
--- a/src/agent_type.h
+++ b/src/agent_type.h
@@ -32,6 +32,7 @@
     NotSent, ///< No byte of it reached the target, for example because the connection was refused.
     TooLate, ///< The deadline passed before it was sent.
     Shed, ///< The target refused it and says that it did not run.
+    Refused, ///< The target refused it for what it is, such as an incomplete upload, and says that it did not run.
     Cancelled, ///< The target stopped it on request.
     Failed, ///< Anything else: it may have run.
     End,
@@ -41,6 +42,7 @@
 struct RunRequest {
     FlowKey key;
     ReservationId request; ///< Request id at the target; unique for each admission.
+    ServiceId service; ///< For the target's own check.
     std::vector<std::uint8_t> payload;
     TimePoint deadline; ///< Zero when there is none.
     bool idempotent {};
@@ -55,6 +57,7 @@
 /** Open a feed at the target. */
 struct OpenFeed {
     FlowKey key;
+    ServiceId service; ///< For the target's own check.
     std::uint32_t after {}; ///< Number of the last event that the caller holds; zero for a new feed.
     std::vector<std::uint8_t> subscription; ///< From the caller's KeepAlive.
 };
@@ -77,6 +80,7 @@
 /** Store a chunk of an upload, or deliver a caller's message on a feed. May be repeated with the same number. */
 struct StoreChunk {
     FlowKey key;
+    ServiceId service; ///< For the target's own check.
     FlowKind kind { FlowKind::Upload };
     std::uint32_t sequence {}; ///< From 1.
     std::vector<std::uint8_t> payload;
@@ -86,6 +90,7 @@
 struct CommitUpload {
     FlowKey key;
     ReservationId request;
+    ServiceId service; ///< For the target's own check.
     std::uint32_t chunks {}; ///< Number of chunks that the upload must have.
     TimePoint deadline; ///< Zero when there is none.
 };
--- a/src/table/agent_failures.h
+++ b/src/table/agent_failures.h
@@ -20,6 +20,7 @@
     { { Verdict::DidNotRun, Reason::TargetFailed }, true }, // NotSent
     { { Verdict::DidNotRun, Reason::DeadlinePassed }, false }, // TooLate
     { { Verdict::DidNotRun, Reason::Overloaded }, true }, // Shed
+    { { Verdict::DidNotRun, Reason::TargetFailed }, false }, // Refused
     { { Verdict::MayHaveRun, Reason::Cancelled }, false }, // Cancelled
     { { Verdict::MayHaveRun, Reason::TargetFailed }, true }, // Failed
 } };
--- /dev/null
+++ b/src/target_feeds.h
@@ -0,0 +1,59 @@
+/**
+ * @file target_feeds.h
+ * Open feeds at the target: one HTTP/2 stream each, spread over connections, cut into one event per line.
+ */
+#pragma once
+
+#include "http2_base.h"
+#include "target_type.h"
+
+#include <functional>
+#include <unordered_map>
+
+namespace hawthorncroft {
+
+/** The feeds of one agent. Used by the thread of the io_context. */
+class TargetFeeds {
+public:
+    using Report = std::function<void(TargetReport)>;
+
+    /**
+     * @param context Runs the connections.
+     * @param target HTTP/2 endpoint of the target.
+     * @param report Called for each event and change.
+     */
+    TargetFeeds(boost::asio::io_context& context, Endpoint target, Report report);
+
+    void open(const OpenFeed& feed);
+    void close(const FlowKey& key);
+    void pause(const FlowKey& key);
+    void resume(const FlowKey& key);
+
+    /** @return Number of open feeds. */
+    std::size_t size() const { return m_feeds.size(); }
+
+private:
+    struct Feed {
+        Http2Client* client {};
+        Http2CallId call {};
+        std::uint64_t number {}; ///< Tells a feed from an earlier one of the same flow.
+        std::string line; ///< Begin of the next event.
+    };
+
+    Http2Client& clientWithRoom();
+    Feed* find(const FlowKey& key, std::uint64_t number);
+    void onData(const FlowKey& key, std::uint64_t number, std::string_view data);
+    void onEnd(const FlowKey& key, std::uint64_t number, const Http2Result& result);
+
+    boost::asio::io_context& m_context;
+    Endpoint m_target;
+    Report m_report;
+    std::vector<std::unique_ptr<Http2Client>> m_clients;
+    std::unordered_map<FlowKey, Feed> m_feeds;
+    std::uint64_t m_lastNumber {};
+};
+
+/** @return Headers and path prefix values that name a flow to the target. */
+Http2Headers headersOf(const FlowKey& key, ServiceId service);
+
+} // namespace hawthorncroft
