--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SOURCES = $(shell git ls-files 'src/*.h' 'src/*.cpp' 'tests/*.h' 'tests/*.cpp' 'standin/*.h' 'standin/*.cpp' \
 	'bench/*.h' 'bench/*.cpp' | grep -v generated)
 
-.PHONY: help install build check test format format-check tidy generate
+.PHONY: help install build check test format format-check tidy generate model
 
 help:
 	@echo "install       install the Debian packages that the build needs (as root)"
@@ -16,6 +16,7 @@
 	@echo "check         install, build, test"
 	@echo "format        format all sources; format-check only checks"
 	@echo "tidy          run clang-tidy on all sources"
+	@echo "model         check the specification in spec/ and its mutants with Spin"
 	@echo "generate      regenerate the committed FlatBuffers code"
 
 install:
@@ -41,3 +42,6 @@
 
 generate:
 	flatc --cpp --cpp-std c++17 --gen-mutable --scoped-enums -o src/generated src/wire.fbs
+
+model:
+	JOBS=$(JOBS) spec/run.sh
