Serve status, names and explanations on authenticated control streams

Cause: the control port of balancers and agents answered anybody, and the delta from a peer was not authenticated; hawthorncroftctl had no process to ask.

Change: the control thread uses ControlServer with handlers that reply later, the configuration thread fetches deltas with ControlClient, and both processes report their status in the format of report_type.h. Key rotation reaches the control thread.

--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -68,6 +68,7 @@
     src/http2_server.cpp
     src/log_func.cpp
     src/metrics_base.cpp
+    src/process_report.cpp
     src/report_func.cpp
     src/settings_func.cpp
     src/target_feeds.cpp
--- a/src/agent_base.h
+++ b/src/agent_base.h
@@ -114,6 +114,9 @@
     /** @return The target's state as reported in replies. */
     TargetState targetState() const;
 
+    /** @return The target beside which the agent stands. */
+    TargetId target() const { return m_settings.target; }
+
     /** @return The service that the target serves. */
     ServiceId service() const;
 
--- a/src/agent_report.cpp
+++ b/src/agent_report.cpp
@@ -1,39 +1,52 @@
 #include "agent_report.h"
 
-#include <boost/json.hpp>
-
 namespace hawthorncroft {
 
-namespace json = boost::json;
+namespace {
+
+    TargetStatus targetStatusOf(const AgentCore& core, std::uint32_t id)
+    {
+        const Admission& admission = core.admission();
+        return { .id = id,
+            .service = core.service().value,
+            .state = std::string(nameOf(core.targetState())),
+            .limit = admission.limit(),
+            .running = admission.running(),
+            .streams = admission.connections() };
+    }
+
+    std::map<std::string, std::uint64_t> countersOf(const AgentCore& core)
+    {
+        const Admission& admission = core.admission();
+        std::map<std::string, std::uint64_t> counters {
+            { "reported-load", core.reportedLoad() },
+            { "ceiling", admission.ceiling() },
+            { "held", admission.held() },
+            { "queued", admission.queued() },
+            { "connection-limit", admission.connectionLimit() },
+            { "uploads", admission.uploads() },
+            { "records", core.records().size() },
+            { "kept-answer-bytes", core.records().keptAnswerBytes() },
+        };
+        for (std::size_t i = 0; i < static_cast<std::size_t>(AgentCounter::End); ++i) {
+            auto counter = static_cast<AgentCounter>(i);
+            counters[std::string(nameOf(counter))] = core.counter(counter);
+        }
+        return counters;
+    }
+
+}
 
-ControlAnswer answerQuestion(const ControlQuestion& question, const AgentCore& core, std::uint64_t inForceSince)
+ControlAnswer answerQuestion(const ControlQuestion& question, const AgentCore& core, const ProcessReport& process)
 {
     if (question.path != "/status")
-        return { .id = question.id, .status = 404, .body = "{}" };
-    const Admission& admission = core.admission();
-    json::object body {
-        { "role", "agent" },
-        { "serving", core.isConfirmed() },
-        { "revision", core.view().completeThrough().value },
-        { "since", inForceSince },
-        { "target-state", nameOf(core.targetState()) },
-        { "reported-load", core.reportedLoad() },
-        { "limit", admission.limit() },
-        { "ceiling", admission.ceiling() },
-        { "held", admission.held() },
-        { "queued", admission.queued() },
-        { "running", admission.running() },
-        { "connection-limit", admission.connectionLimit() },
-        { "connections", admission.connections() },
-        { "uploads", admission.uploads() },
-        { "records", core.records().size() },
-        { "kept-answer-bytes", core.records().keptAnswerBytes() },
-    };
-    for (std::size_t i = 0; i < static_cast<std::size_t>(AgentCounter::End); ++i) {
-        auto counter = static_cast<AgentCounter>(i);
-        body[nameOf(counter)] = core.counter(counter);
-    }
-    return { .id = question.id, .body = json::serialize(body) };
+        return { .id = question.id, .status = 404, .body = {} };
+    StatusReport report = process.status(core.view());
+    report.serving = core.isConfirmed();
+    report.reason = core.isConfirmed() ? "" : nameOf(Reason::NotReady);
+    report.target = targetStatusOf(core, core.target().value);
+    report.counters = countersOf(core);
+    return { .id = question.id, .body = toJson(report) };
 }
 
 } // namespace hawthorncroft
--- a/src/agent_report.h
+++ b/src/agent_report.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "agent_base.h"
-#include "process_type.h"
+#include "process_report.h"
 
 namespace hawthorncroft {
 
@@ -13,9 +13,9 @@
  * Answers a question.
  * @param question The question; an unknown path gives status 404.
  * @param core The agent.
- * @param inForceSince Wall clock in seconds at which the revision in force was taken.
- * @return The answer, as JSON.
+ * @param process Identity and standing of the process.
+ * @return The answer, as JSON of report_type.h.
  */
-ControlAnswer answerQuestion(const ControlQuestion& question, const AgentCore& core, std::uint64_t inForceSince);
+ControlAnswer answerQuestion(const ControlQuestion& question, const AgentCore& core, const ProcessReport& process);
 
 } // namespace hawthorncroft
--- a/src/agent_thread.cpp
+++ b/src/agent_thread.cpp
@@ -42,6 +42,7 @@
         : settings(processSettings)
         , keyring(keyringOf(processSettings))
         , core(agentSettingsOf(processSettings), { Incarnation(randomNumber()), randomNumber() }, keyring, effects)
+        , process("agent", processSettings, wallClockSeconds())
         , target(processSettings.target)
         , data(context)
         , timer(context)
@@ -131,7 +132,7 @@
     void handle(DocumentsAccepted& accepted)
     {
         core.onConfiguration(monotonicNow(), accepted.documents, accepted.completeThrough);
-        inForceSince = wallClockSeconds();
+        process.noteInForce(accepted.completeThrough, wallClockSeconds());
     }
 
     void handle(ServingChanged& serving)
@@ -148,6 +149,8 @@
 
     void handle(SendToProcess& message) { carryOutOne(message); }
 
+    void handle(StandingReport& standing) { process.noteStanding(std::move(standing)); }
+
     void confirmIfAllowed()
     {
         // A confirmation asked for before the latest pause may have waited in a queue through that pause.
@@ -172,7 +175,7 @@
     void drainQuestions()
     {
         questions.drain(
-            [this](ControlQuestion& question) { toControl->push(answerQuestion(question, core, inForceSince)); });
+            [this](ControlQuestion& question) { toControl->push(answerQuestion(question, core, process)); });
     }
 
     void checkShutdown()
@@ -193,6 +196,7 @@
     Keyring keyring;
     AgentEffects effects;
     AgentCore core;
+    ProcessReport process;
     TargetThread target;
     UdpSocket data;
     asio::steady_timer timer;
@@ -201,14 +205,13 @@
     Ring<TargetReport> reports;
     Backlog<TargetCommand> commands; ///< Bounded by the flows of the core; none may be lost.
     Ring<ConfigInput>* toConfig {};
-    Ring<ControlAnswer>* toControl {};
+    Ring<ControlInput>* toControl {};
     Packet packet; ///< Reused for each datagram.
     Bytes buffer; ///< Reused for each datagram.
     TimePoint lastContact;
     bool isReady {};
     std::uint64_t reportedPause {};
     std::uint64_t endedPause {}; ///< Latest pause after which the view was confirmed.
-    std::uint64_t inForceSince {}; ///< Wall clock in seconds.
     std::function<void()> onShutDown;
     TimePoint shutdownEnd;
     LogLimiter limiter;
@@ -241,7 +244,7 @@
     return {};
 }
 
-void AgentThread::start(Ring<ConfigInput>& toConfig, Ring<ControlAnswer>& toControl)
+void AgentThread::start(Ring<ConfigInput>& toConfig, Ring<ControlInput>& toControl)
 {
     m_impl->toConfig = &toConfig;
     m_impl->toControl = &toControl;
--- a/src/balancer_base.h
+++ b/src/balancer_base.h
@@ -79,6 +79,27 @@
     /** @return Whether packets are forwarded. */
     bool isServing() const { return m_serving.isReady && !m_serving.isIsolated && m_confirmedPause == m_pause; }
 
+    /** @return Whether there is no contact to any peer, agent or the platform. */
+    bool isIsolated() const { return m_serving.isIsolated; }
+
+    /**
+     * Tells where the next open of a flow would go.
+     * @param now Current time.
+     * @param service The service.
+     * @param key The flow.
+     * @return The target, or zero when none is eligible.
+     */
+    TargetId preferredTarget(TimePoint now, ServiceId service, const FlowKey& key) const;
+
+    /**
+     * Estimates the use of a target's limit.
+     * @param now Current time.
+     * @param id The target.
+     * @param kind Kind of the flow.
+     * @return Use in 1/1000, or nothing without a fresh report.
+     */
+    std::optional<std::uint32_t> loadOf(TimePoint now, TargetId id, FlowKind kind) const;
+
     const ConfigView& view() const { return m_view; }
     const BalancerCounters& counters() const { return m_counters; }
 
--- a/src/balancer_query.cpp
+++ b/src/balancer_query.cpp
@@ -64,19 +64,33 @@
 const TargetConfig* BalancerCore::lessLoaded(
     TimePoint now, const TargetConfig* first, const TargetConfig* second, FlowKind kind) const
 {
-    auto loadOf = [&](const TargetConfig& target) -> std::optional<std::uint32_t> {
-        auto hint = m_hints.find(target.id);
-        std::uint32_t weight = kind == FlowKind::Request ? target.slots : target.connections;
-        return hint == m_hints.end() ? std::nullopt : hint->second.estimatedLoad(now, kind, weight);
-    };
-    auto firstLoad = loadOf(*first);
-    auto secondLoad = loadOf(*second);
+    auto firstLoad = loadOf(now, first->id, kind);
+    auto secondLoad = loadOf(now, second->id, kind);
     // A target without a fresh report must get its turn by rank, or it would never be heard of again.
     if (!firstLoad || !secondLoad)
         return first;
     return *secondLoad < *firstLoad ? second : first;
 }
 
+std::optional<std::uint32_t> BalancerCore::loadOf(TimePoint now, TargetId id, FlowKind kind) const
+{
+    auto hint = m_hints.find(id);
+    const TargetConfig* target = m_view.target(id);
+    if (hint == m_hints.end() || !target)
+        return std::nullopt;
+    std::uint32_t weight = kind == FlowKind::Request ? target->slots : target->connections;
+    return hint->second.estimatedLoad(now, kind, weight);
+}
+
+TargetId BalancerCore::preferredTarget(TimePoint now, ServiceId service, const FlowKey& key) const
+{
+    Packet open;
+    open.kind = PacketKind::Open;
+    open.key = key;
+    Choice choice = choose(now, service, open);
+    return choice.target ? choice.target->id : TargetId();
+}
+
 bool BalancerCore::isPastGrace(TimePoint now, const TargetConfig& target) const
 {
     auto isLongOut = [&](const std::string& name) {
--- a/src/balancer_report.h
+++ b/src/balancer_report.h
@@ -1,48 +1,60 @@
 /**
  * @file balancer_report.h
- * Answers to questions about a balancer on its control port.
+ * Answers to questions about a balancer on its control port. Owned by the data thread.
  */
 #pragma once
 
 #include "balancer_base.h"
-#include "process_type.h"
-
-#include <map>
+#include "name_sketch_type.h"
+#include "process_report.h"
 
 namespace hawthorncroft {
 
-/** What a balancer remembers for operators. Owned by the data thread. */
+/** What a balancer reports to operators. */
 class BalancerReport {
 public:
     /**
-     * Counts a name that leads to no service.
-     * @param name The name as the caller spelled it.
-     * @param second Wall clock in seconds.
+     * @param settings Settings of the process.
+     * @param second Wall clock in seconds at the start.
      */
-    void noteUnknownName(const std::string& name, std::uint64_t second);
+    BalancerReport(const ProcessSettings& settings, std::uint64_t second);
 
     /**
-     * Notes the revision in force.
-     * @param view The view.
+     * Counts a name that leads to no service.
+     * @param name The name as the caller spelled it.
      * @param second Wall clock in seconds.
      */
-    void noteInForce(const ConfigView& view, std::uint64_t second);
+    void noteUnknownName(const std::string& name, std::uint64_t second) { m_names.add(name, second); }
 
     /**
      * Answers a question.
      * @param question The question; an unknown path gives status 404.
      * @param core The balancer.
      * @param now Monotonic time.
-     * @param second Wall clock in seconds.
-     * @return The answer, as JSON.
+     * @return The answer, as JSON of report_type.h.
      */
-    ControlAnswer answer(
-        const ControlQuestion& question, const BalancerCore& core, TimePoint now, std::uint64_t second) const;
+    ControlAnswer answer(const ControlQuestion& question, const BalancerCore& core, TimePoint now) const;
+
+    ProcessReport& process() { return m_process; }
 
 private:
-    Revision m_inForce;
-    std::uint64_t m_inForceSince {}; ///< Wall clock in seconds.
-    std::map<std::string, std::uint64_t> m_names;
+    using Answer = std::string (BalancerReport::*)(const std::string&, const BalancerCore&, TimePoint) const;
+
+    struct Route {
+        std::string_view path;
+        Answer answer;
+    };
+
+    static const std::array<Route, 3> routes;
+
+    std::string status(const std::string& query, const BalancerCore& core, TimePoint now) const;
+    std::string names(const std::string& query, const BalancerCore& core, TimePoint now) const;
+    std::string explain(const std::string& query, const BalancerCore& core, TimePoint now) const;
+    std::vector<RankReport> ranksOf(
+        const BalancerCore& core, ServiceId service, const FlowKey& key, TimePoint now) const;
+
+    ProcessReport m_process;
+    NameSketch m_names;
 };
 
 } // namespace hawthorncroft
--- a/src/balancer_thread.cpp
+++ b/src/balancer_thread.cpp
@@ -32,6 +32,7 @@
         : settings(processSettings)
         , keyring(keyringOf(processSettings))
         , core({ .node = node, .data = processSettings.data }, keyring)
+        , reports(processSettings, wallClockSeconds())
         , front(context)
         , data(context)
         , timer(context)
@@ -135,7 +136,7 @@
             keyring.setAccepted(keys->accepted);
             keyring.setSigning(keys->signing);
         }
-        reports.noteInForce(core.view(), wallClockSeconds());
+        reports.process().noteInForce(accepted.completeThrough, wallClockSeconds());
     }
 
     void handle(ServingChanged& serving)
@@ -147,11 +148,12 @@
 
     void handle(SendToProcess& message) { carryOutOne(message); }
 
+    void handle(StandingReport& standing) { reports.process().noteStanding(std::move(standing)); }
+
     void drainQuestions()
     {
-        questions.drain([this](ControlQuestion& question) {
-            toControl->push(reports.answer(question, core, monotonicNow(), wallClockSeconds()));
-        });
+        questions.drain(
+            [this](ControlQuestion& question) { toControl->push(reports.answer(question, core, monotonicNow())); });
     }
 
     ProcessSettings settings;
@@ -167,7 +169,7 @@
     Ring<DataInput> input;
     Ring<ControlQuestion> questions;
     Ring<ConfigInput>* toConfig {};
-    Ring<ControlAnswer>* toControl {};
+    Ring<ControlInput>* toControl {};
     Packet packet; ///< Reused for each datagram.
     Bytes buffer; ///< Reused for each datagram.
     BalancerEffects effects;
@@ -206,7 +208,7 @@
     return {};
 }
 
-void BalancerThread::start(Ring<ConfigInput>& toConfig, Ring<ControlAnswer>& toControl)
+void BalancerThread::start(Ring<ConfigInput>& toConfig, Ring<ControlInput>& toControl)
 {
     m_impl->toConfig = &toConfig;
     m_impl->toControl = &toControl;
--- a/src/balancer_thread.h
+++ b/src/balancer_thread.h
@@ -41,7 +41,7 @@
      * @param toConfig Ring to the configuration thread; this thread is its only producer.
      * @param toControl Ring to the control thread for answers; this thread is its only producer.
      */
-    void start(Ring<ConfigInput>& toConfig, Ring<ControlAnswer>& toControl);
+    void start(Ring<ConfigInput>& toConfig, Ring<ControlInput>& toControl);
 
     /**
      * Begins a graceful shutdown: opens are refused, everything else is forwarded until the grace time ends.
--- a/src/config_thread.cpp
+++ b/src/config_thread.cpp
@@ -1,6 +1,7 @@
 #include "config_thread.h"
 
 #include "clock_func.h"
+#include "control_base.h"
 #include "http2_base.h"
 #include "log_func.h"
 #include "replica_base.h"
@@ -14,7 +15,6 @@
 
 #include <charconv>
 #include <chrono>
-#include <map>
 #include <random>
 #include <thread>
 
@@ -25,8 +25,8 @@
 namespace {
 
     constexpr Duration tickInterval = milliseconds(100);
+    constexpr Duration reportInterval = seconds(1); ///< Between reports for the status page.
     constexpr Duration platformTimeout = seconds(25); ///< The platform answers a watch within 20 s.
-    constexpr std::size_t maxPeerConnections = 8; ///< Connections to peers that are kept open.
     constexpr Duration peerTimeout = milliseconds(900); ///< Below the replica's own limit for one fetch.
 
     Revision revisionIn(const std::string& argument)
@@ -41,7 +41,7 @@
 }
 
 struct ConfigThread::Impl {
-    Impl(ConfigThreadOptions options, Ring<DataInput>& toDataRing, Ring<ControlAnswer>& toControlRing)
+    Impl(ConfigThreadOptions options, Ring<DataInput>& toDataRing, Ring<ControlInput>& toControlRing)
         : toData(toDataRing)
         , toControl(toControlRing)
         , random(options.randomSeed)
@@ -52,6 +52,7 @@
               .seeds = options.settings.peers,
               .randomSeed = options.randomSeed })
         , platform(context, options.settings.platform)
+        , peers(context, keyring, [this] { return random(); })
         , timer(context)
         , input(ringCapacity, [this] { asio::post(context, [this] { drainInput(); }); })
         , questions(ringCapacity, [this] { asio::post(context, [this] { drainQuestions(); }); })
@@ -84,6 +85,24 @@
             replica.onPlatformAlive(now);
         carryOut(effects);
         reportStanding(now);
+        if (now - lastReport >= reportInterval) {
+            lastReport = now;
+            toData.push(standingReport(now));
+        }
+    }
+
+    StandingReport standingReport(TimePoint now) const
+    {
+        StandingReport report {
+            .newestSeen = replica.newestSeen(), .readsPlatform = replica.isReading(), .peers = replica.peerCount()
+        };
+        if (auto age = replica.platformAge(now))
+            report.platformAgeMs = static_cast<std::uint64_t>(age->us / 1000);
+        for (const auto& [key, faults] : replica.store().faults()) {
+            for (const auto& fault : faults)
+                report.refused.push_back(toString(fault));
+        }
+        return report;
     }
 
     void drainInput()
@@ -143,13 +162,10 @@
     void carryOutOne(FetchDelta& effect)
     {
         std::string path = "/config?since=" + std::to_string(effect.since.value);
-        Http2Call call;
-        call.request.path = path;
-        call.timeout = peerTimeout;
-        clientOf(effect.control).send(std::move(call), [this, effect](const Http2Result& result) {
+        peers.get(effect.control, path, peerTimeout, [this, effect](const ControlResult& result) {
             ReplicaEffects further;
             Delta delta;
-            bool isRead = result.succeeded() && parseDelta(result.body, effect.since, delta).empty();
+            bool isRead = result.error == ControlError::None && parseDelta(result.body, effect.since, delta).empty();
             if (isRead)
                 publish(replica.applyDelta(monotonicNow(), effect.control, delta, further));
             else
@@ -158,16 +174,6 @@
         });
     }
 
-    Http2Client& clientOf(Endpoint control)
-    {
-        auto entry = peers.find(control);
-        if (entry != peers.end())
-            return *entry->second;
-        if (peers.size() >= maxPeerConnections)
-            peers.erase(peers.begin());
-        return *peers.emplace(control, std::make_unique<Http2Client>(context, control)).first->second;
-    }
-
     void carryOutOne(ReadPlatform& effect)
     {
         if (platformCall)
@@ -221,37 +227,39 @@
             return;
         keyring.setAccepted(keys->accepted);
         keyring.setSigning(keys->signing);
+        toControl.push(KeysChanged { keys->signing, keys->accepted });
     }
 
     void drainQuestions()
     {
         questions.drain([this](ControlQuestion& question) {
             Delta delta = replica.store().deltaSince(revisionIn(question.argument), maxDeltaBytes);
-            toControl.push({ .id = question.id, .body = toJson(delta) });
+            toControl.push(ControlAnswer { .id = question.id, .body = toJson(delta) });
         });
     }
 
     Ring<DataInput>& toData;
-    Ring<ControlAnswer>& toControl;
+    Ring<ControlInput>& toControl;
     std::mt19937_64 random;
     asio::io_context context { 1 };
     asio::executor_work_guard<asio::io_context::executor_type> work { context.get_executor() };
     Keyring keyring;
     ConfigReplica replica;
     Http2Client platform;
-    std::map<Endpoint, std::unique_ptr<Http2Client>> peers;
+    ControlClient peers;
     asio::steady_timer timer;
     Ring<ConfigInput> input;
     Ring<ControlQuestion> questions;
     Http2CallId platformCall {}; ///< Pending read of the platform; zero when there is none.
     std::uint64_t openPause {}; ///< Pause whose end was not reported; zero when there is none.
+    TimePoint lastReport; ///< When the last StandingReport was sent.
     ServingChanged reported; ///< Standing that the data thread knows.
     std::vector<VersionedDocument> unsent; ///< Accepted, but not yet taken by the data thread's ring.
     LogLimiter limiter;
     std::thread thread;
 };
 
-ConfigThread::ConfigThread(ConfigThreadOptions options, Ring<DataInput>& toData, Ring<ControlAnswer>& toControl)
+ConfigThread::ConfigThread(ConfigThreadOptions options, Ring<DataInput>& toData, Ring<ControlInput>& toControl)
     : m_impl(std::make_unique<Impl>(std::move(options), toData, toControl))
 {
     m_impl->thread = std::thread([this] { m_impl->run(); });
--- a/src/control_base.h
+++ b/src/control_base.h
@@ -32,6 +32,13 @@
      */
     void add(std::string path, ControlHandler handler);
 
+    /**
+     * Adds a path whose handler replies later, or replaces its handler.
+     * @param path Such as "/config".
+     * @param handler Called for each authentic request.
+     */
+    void addDeferred(std::string path, DeferredControlHandler handler);
+
     /** See Http2Server::listen. */
     bool listen(Endpoint endpoint, std::string& error) { return m_server.listen(endpoint, error); }
 
@@ -43,10 +50,11 @@
 private:
     void handle(const Http2Request& request, const Http2Responder& responder);
     void refuse(const Http2Responder& responder, int status, ControlCounter counter);
-    ControlReply answer(const Http2Request& request);
+    ControlReplier replierOf(KeyId key, std::uint64_t nonce, const Http2Responder& responder) const;
+    void answer(const Http2Request& request, const ControlReplier& reply);
 
     const Keyring& m_keyring;
-    std::map<std::string, ControlHandler> m_handlers;
+    std::map<std::string, DeferredControlHandler> m_handlers;
     PeerRate m_rate;
     NonceMemory m_nonces;
     ControlCounters m_counters;
--- a/src/control_func.cpp
+++ b/src/control_func.cpp
@@ -53,6 +53,7 @@
     std::size_t mark = std::min(text.find('?'), text.size());
     request.path = text.substr(0, mark);
     text.remove_prefix(std::min(mark + 1, text.size()));
+    request.queryText = text;
     while (!text.empty()) {
         std::string_view field = text.substr(0, text.find('&'));
         std::size_t equals = std::min(field.find('='), field.size());
--- a/src/control_server.cpp
+++ b/src/control_server.cpp
@@ -42,7 +42,18 @@
 {
 }
 
-void ControlServer::add(std::string path, ControlHandler handler) { m_handlers[std::move(path)] = std::move(handler); }
+void ControlServer::add(std::string path, ControlHandler handler)
+{
+    addDeferred(
+        std::move(path), [handler = std::move(handler)](const ControlRequest& request, const ControlReplier& reply) {
+            reply(handler(request));
+        });
+}
+
+void ControlServer::addDeferred(std::string path, DeferredControlHandler handler)
+{
+    m_handlers[std::move(path)] = std::move(handler);
+}
 
 void ControlServer::handle(const Http2Request& request, const Http2Responder& responder)
 {
@@ -59,9 +70,21 @@
     // Only nonces of authentic requests are remembered, so others cannot displace them.
     if (!m_nonces.add(*nonce))
         return refuse(responder, 409, ControlCounter::Replayed);
-    ControlReply reply = answer(request);
-    std::string replyTag = toHex(controlReplyMac(*mac, *nonce, reply.status, reply.body));
-    responder.respond(reply.status, std::move(reply.body), { { std::string(controlMacHeader), replyTag } });
+    answer(request, replierOf(keyIdOf(request), *nonce, responder));
+}
+
+ControlReplier ControlServer::replierOf(KeyId key, std::uint64_t nonce, const Http2Responder& responder) const
+{
+    return [this, key, nonce, responder](ControlReply reply) {
+        const Mac* mac = m_keyring.find(key);
+        // The key was withdrawn while the handler worked, so no reply could be checked.
+        if (!mac) {
+            responder.respond(401);
+            return;
+        }
+        std::string tag = toHex(controlReplyMac(*mac, nonce, reply.status, reply.body));
+        responder.respond(reply.status, std::move(reply.body), { { std::string(controlMacHeader), tag } });
+    };
 }
 
 void ControlServer::refuse(const Http2Responder& responder, int status, ControlCounter counter)
@@ -70,7 +93,7 @@
     responder.respond(status);
 }
 
-ControlReply ControlServer::answer(const Http2Request& request)
+void ControlServer::answer(const Http2Request& request, const ControlReplier& reply)
 {
     ControlRequest query;
     query.peer = request.peer;
@@ -78,10 +101,11 @@
     auto handler = m_handlers.find(query.path);
     if (handler == m_handlers.end()) {
         m_counters.add(ControlCounter::NotFound);
-        return { .status = 404, .body = {} };
+        reply({ .status = 404, .body = {} });
+        return;
     }
     m_counters.add(ControlCounter::Served);
-    return handler->second(query);
+    handler->second(query, reply);
 }
 
 } // namespace hawthorncroft
--- a/src/control_thread.cpp
+++ b/src/control_thread.cpp
@@ -1,6 +1,7 @@
 #include "control_thread.h"
 
-#include "http2_base.h"
+#include "control_base.h"
+#include "settings_func.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -22,53 +23,61 @@
 struct ControlThread::Impl {
     explicit Impl(const ProcessSettings& processSettings)
         : settings(processSettings)
-        , server(context,
-              [this](
-                  const Http2Request& request, Http2Responder responder) { onRequest(request, std::move(responder)); })
+        , keyring(keyringOf(processSettings))
+        , server(context, keyring)
         , fromConfig(ringCapacity, [this] { asio::post(context, [this] { drain(fromConfig); }); })
         , fromData(ringCapacity, [this] { asio::post(context, [this] { drain(fromData); }); })
     {
     }
 
-    void onRequest(const Http2Request& request, Http2Responder responder)
+    void serve(const std::string& path, Ring<ControlQuestion>& owner)
     {
-        auto mark = request.path.find('?');
-        std::string path = request.path.substr(0, mark);
-        std::string argument = mark == std::string::npos ? "" : request.path.substr(mark + 1);
-        if (request.method != "GET" || pending.size() >= maxPending) {
-            responder.respond(request.method == "GET" ? 503 : 405);
+        server.addDeferred(path, [this, &owner](const ControlRequest& request, ControlReplier reply) {
+            ask(owner, request, std::move(reply));
+        });
+    }
+
+    void ask(Ring<ControlQuestion>& owner, const ControlRequest& request, ControlReplier reply)
+    {
+        std::uint64_t id = ++lastId;
+        bool isAsked = pending.size() < maxPending
+            && owner.push({ .id = id, .path = request.path, .argument = request.queryText });
+        if (!isAsked) {
+            reply({ .status = 503, .body = {} });
             return;
         }
-        std::uint64_t id = ++lastId;
-        pending.emplace(id, std::move(responder));
-        Ring<ControlQuestion>& owner = path == "/config" ? *toConfig : *toData;
-        if (!owner.push({ .id = id, .path = path, .argument = argument }))
-            answer({ .id = id, .status = 503 });
+        pending.emplace(id, std::move(reply));
     }
 
-    void drain(Ring<ControlAnswer>& ring)
+    void drain(Ring<ControlInput>& ring)
     {
-        ring.drain([this](ControlAnswer& a) { answer(a); });
+        ring.drain([this](ControlInput& message) { std::visit([this](auto& m) { handle(m); }, message); });
     }
 
-    void answer(const ControlAnswer& a)
+    void handle(ControlAnswer& answer)
     {
-        auto entry = pending.find(a.id);
+        auto entry = pending.find(answer.id);
         if (entry == pending.end())
             return;
-        entry->second.respond(a.status, a.body, { { "content-type", "application/json" } });
+        ControlReplier reply = std::move(entry->second);
         pending.erase(entry);
+        reply({ .status = answer.status, .body = std::move(answer.body) });
+    }
+
+    void handle(KeysChanged& keys)
+    {
+        keyring.setAccepted(keys.accepted);
+        keyring.setSigning(keys.signing);
     }
 
     ProcessSettings settings;
     asio::io_context context { 1 };
     asio::executor_work_guard<asio::io_context::executor_type> work { context.get_executor() };
-    Http2Server server;
-    Ring<ControlAnswer> fromConfig;
-    Ring<ControlAnswer> fromData;
-    Ring<ControlQuestion>* toConfig {};
-    Ring<ControlQuestion>* toData {};
-    std::unordered_map<std::uint64_t, Http2Responder> pending; ///< Requests without an answer, by question.
+    Keyring keyring;
+    ControlServer server;
+    Ring<ControlInput> fromConfig;
+    Ring<ControlInput> fromData;
+    std::unordered_map<std::uint64_t, ControlReplier> pending; ///< Requests without an answer, by question.
     std::uint64_t lastId {};
     std::thread thread;
 };
@@ -100,13 +109,14 @@
 
 void ControlThread::start(Ring<ControlQuestion>& toConfig, Ring<ControlQuestion>& toData)
 {
-    m_impl->toConfig = &toConfig;
-    m_impl->toData = &toData;
+    m_impl->serve("/config", toConfig);
+    for (const char* path : { "/status", "/names", "/explain", "/metrics", "/burn" })
+        m_impl->serve(path, toData);
     m_impl->thread = std::thread([this] { m_impl->context.run(); });
 }
 
-Ring<ControlAnswer>& ControlThread::fromConfig() { return m_impl->fromConfig; }
+Ring<ControlInput>& ControlThread::fromConfig() { return m_impl->fromConfig; }
 
-Ring<ControlAnswer>& ControlThread::fromData() { return m_impl->fromData; }
+Ring<ControlInput>& ControlThread::fromData() { return m_impl->fromData; }
 
 } // namespace hawthorncroft
--- a/src/control_thread.h
+++ b/src/control_thread.h
@@ -38,11 +38,11 @@
      */
     void start(Ring<ControlQuestion>& toConfig, Ring<ControlQuestion>& toData);
 
-    /** @return Ring for answers of the configuration thread. */
-    Ring<ControlAnswer>& fromConfig();
+    /** @return Ring for answers and keys of the configuration thread. */
+    Ring<ControlInput>& fromConfig();
 
     /** @return Ring for answers of the data thread. */
-    Ring<ControlAnswer>& fromData();
+    Ring<ControlInput>& fromData();
 
 private:
     struct Impl;
--- a/src/control_type.h
+++ b/src/control_type.h
@@ -26,6 +26,7 @@
 /** An authentic request as its handler gets it. */
 struct ControlRequest {
     std::string path; ///< Without the query.
+    std::string queryText; ///< Text behind the question mark, as sent.
     std::map<std::string, std::string> query; ///< Not percent-decoded.
     Endpoint peer;
 };
@@ -37,6 +38,12 @@
 
 using ControlHandler = std::function<ControlReply(const ControlRequest&)>;
 
+/** Sends the reply to one request; called at most once, on the server's thread. */
+using ControlReplier = std::function<void(ControlReply)>;
+
+/** Handler that replies later, such as when another thread owns what is asked for. */
+using DeferredControlHandler = std::function<void(const ControlRequest&, ControlReplier)>;
+
 /** Why a request has no authentic reply with status 200. */
 enum class ControlError : std::uint8_t {
     None,
--- /dev/null
+++ b/src/process_report.h
@@ -0,0 +1,53 @@
+/**
+ * @file process_report.h
+ * The part of the status report that balancers and agents share. Owned by the data thread.
+ */
+#pragma once
+
+#include "config_base.h"
+#include "process_type.h"
+#include "report_type.h"
+#include "settings_type.h"
+
+namespace hawthorncroft {
+
+/** Identity and standing of one process, for its status report. */
+class ProcessReport {
+public:
+    /**
+     * @param role "balancer" or "agent".
+     * @param settings Settings of the process.
+     * @param second Wall clock in seconds at the start.
+     */
+    ProcessReport(std::string role, const ProcessSettings& settings, std::uint64_t second);
+
+    /**
+     * Notes the revision in force.
+     * @param revision Revision up to which the view is complete.
+     * @param second Wall clock in seconds.
+     */
+    void noteInForce(Revision revision, std::uint64_t second);
+
+    /** Notes how the configuration replica stands. */
+    void noteStanding(StandingReport standing) { m_standing = std::move(standing); }
+
+    /**
+     * Fills the fields that both roles have.
+     * @param view The configuration.
+     * @return The report without `serving`, `reason`, `target` and `counters`.
+     */
+    StatusReport status(const ConfigView& view) const;
+
+    std::uint64_t startedAt() const { return m_startedAt; }
+
+private:
+    std::string m_role;
+    std::string m_vm;
+    std::string m_failureDomain;
+    std::uint64_t m_startedAt;
+    Revision m_inForce;
+    std::uint64_t m_inForceSince {};
+    StandingReport m_standing;
+};
+
+} // namespace hawthorncroft
--- a/src/process_type.h
+++ b/src/process_type.h
@@ -7,6 +7,7 @@
 #include "config_type.h"
 #include "effect_type.h"
 
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -66,8 +67,26 @@
     std::uint64_t pause {};
 };
 
+/** How the configuration replica stands, for the status report. */
+struct StandingReport {
+    Revision newestSeen; ///< Highest revision that any process reported.
+    bool readsPlatform {};
+    std::optional<std::uint64_t> platformAgeMs; ///< Since the platform confirmed the view; none when it never did.
+    std::uint64_t peers {}; ///< Known processes.
+    std::vector<std::string> refused; ///< Faults of refused documents, one line each.
+};
+
 /** To the data thread. */
-using DataInput = std::variant<DocumentsAccepted, ServingChanged, PauseEnded, SendToProcess>;
+using DataInput = std::variant<DocumentsAccepted, ServingChanged, PauseEnded, SendToProcess, StandingReport>;
+
+/** The configuration changed the key ids in use. */
+struct KeysChanged {
+    KeyId signing;
+    std::vector<KeyId> accepted;
+};
+
+/** To the control thread. */
+using ControlInput = std::variant<ControlAnswer, KeysChanged>;
 
 inline constexpr std::size_t ringCapacity = 4096; ///< Messages between two threads.
 
--- a/src/report_func.cpp
+++ b/src/report_func.cpp
@@ -6,10 +6,10 @@
 
 namespace hawthorncroft {
 
-template <> struct FieldsOf<TargetReport> {
-    static constexpr std::tuple fields { Field { "id", &TargetReport::id }, Field { "service", &TargetReport::service },
-        Field { "state", &TargetReport::state }, Field { "limit", &TargetReport::limit },
-        Field { "running", &TargetReport::running }, Field { "streams", &TargetReport::streams } };
+template <> struct FieldsOf<TargetStatus> {
+    static constexpr std::tuple fields { Field { "id", &TargetStatus::id }, Field { "service", &TargetStatus::service },
+        Field { "state", &TargetStatus::state }, Field { "limit", &TargetStatus::limit },
+        Field { "running", &TargetStatus::running }, Field { "streams", &TargetStatus::streams } };
 };
 
 template <> struct FieldsOf<StatusReport> {
--- a/src/report_type.h
+++ b/src/report_type.h
@@ -16,7 +16,7 @@
 namespace hawthorncroft {
 
 /** An agent's target. */
-struct TargetReport {
+struct TargetStatus {
     std::uint32_t id {};
     std::uint32_t service {};
     std::string state; ///< Name of the TargetState.
@@ -44,7 +44,7 @@
     std::optional<std::uint64_t> platformAgeMs; ///< Since the platform confirmed the view; none when it never did.
     std::uint64_t peers {}; ///< Known processes.
     std::vector<std::string> refused; ///< Faults of refused documents, one line each.
-    std::optional<TargetReport> target; ///< Agents only.
+    std::optional<TargetStatus> target; ///< Agents only.
     std::map<std::string, std::uint64_t> counters;
 };
 
--- a/tests/ctl_fetch_test.cpp
+++ b/tests/ctl_fetch_test.cpp
@@ -177,7 +177,7 @@
 {
     StatusReport status { .role = "agent",
         .platformAgeMs = 12,
-        .target = TargetReport { .id = 3, .state = "warm" },
+        .target = TargetStatus { .id = 3, .state = "warm" },
         .counters = { { "opens", 5 } } };
     StatusReport read;
     REQUIRE(parseReport(toJson(status), read).empty());
