Measure the agent core: bytes of an idle feed and time of a packet

The bound of 256 bytes per open flow was checked by a static assertion only, which estimates the container's share.

agent-bench reads the allocator before and after feeds are adopted.

--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -152,11 +152,16 @@
 )
 
 set(BENCHES
+    agent-bench
     core-bench
     decisions-bench
     replica-bench
 )
 
+set(agent-bench_SOURCES
+    bench/agent_bench.cpp
+)
+
 set(core-bench_SOURCES
     bench/core_bench.cpp
 )
--- a/src/table/limits.h
+++ b/src/table/limits.h
@@ -42,7 +42,6 @@
 inline constexpr Duration http2StallTimeout = seconds(10); ///< For one write, and for connecting.
 inline constexpr Duration http2RequestTimeout = seconds(10); ///< For a request to arrive completely.
 
-<<<<<<< HEAD
 // Agent.
 inline constexpr std::size_t maxFlowRecords = 65536; ///< Flows of one agent; beyond it an Open is relayed or refused.
 inline constexpr std::size_t maxAnswerBytes = maxAnswerFragments * maxPayloadBytes; ///< Payload of one answer.
@@ -59,13 +58,12 @@
 
 inline constexpr std::size_t maxDeltaBytes
     = 1000000; ///< Texts in one answer to a peer; further ones follow on request.
-=======
+
 inline constexpr std::size_t maxControlRequestsPerSecond = 200; ///< Control requests from one peer address.
 inline constexpr std::size_t maxControlPeers = 4096; ///< Peer addresses whose rate is tracked.
 inline constexpr std::size_t maxControlNonces = 65536; ///< Latest nonces of requests that a server remembers.
 inline constexpr std::size_t maxControlReplyBytes = 32 * 1024 * 1024; ///< One reply, such as all documents.
 inline constexpr std::size_t maxControlTotalBytes = 96 * 1024 * 1024; ///< Replies that a server buffers.
 inline constexpr std::size_t maxControlClients = 64; ///< Endpoints to which a control client keeps connections.
->>>>>>> http2
 
 } // namespace hawthorncroft
