--- a/src/table/limits.h
+++ b/src/table/limits.h
@@ -58,7 +58,6 @@
 
 inline constexpr std::size_t maxDeltaBytes
     = 1000000; ///< Texts in one answer to a peer; further ones follow on request.
-
 inline constexpr std::size_t maxControlRequestsPerSecond = 200; ///< Control requests from one peer address.
 inline constexpr std::size_t maxControlPeers = 4096; ///< Peer addresses whose rate is tracked.
 inline constexpr std::size_t maxControlNonces = 65536; ///< Latest nonces of requests that a server remembers.
