Add the demo driver, its table, and the examples for Sofia and Reykjavik

"make demo" starts platform, fabric, targets, agents and balancers of a deployment as separate processes, keeps feeds, signed confirmations, uploads and misspelled names going, and changes the deployment: a preset switch, a killed and an added balancer, a drained target, a failure domain out and back. At the end it compares what callers were told with what targets saw, and fails if a promise was broken. The performance bounds are shown and do not fail the demo, because they depend on what else the machine does.

The target stand-in now also counts runs by caller and flow: its request ids differ for each admission, so a request that ran at two targets would not show.

A test checks that the table shows each kind of broken promise, and that both examples are accepted by the checks of documents and settings.

--- a/Makefile
+++ b/Makefile
@@ -7,13 +7,14 @@
 SOURCES = $(shell git ls-files 'src/*.h' 'src/*.cpp' 'tests/*.h' 'tests/*.cpp' 'standin/*.h' 'standin/*.cpp' \
 	'bench/*.h' 'bench/*.cpp' | grep -v generated)
 
-.PHONY: help install build check test format format-check tidy generate
+.PHONY: help install build check test demo format format-check tidy generate
 
 help:
 	@echo "install       install the Debian packages that the build needs (as root)"
 	@echo "build         build all programs"
 	@echo "test          run the tests of an existing build"
 	@echo "check         install, build, test"
+	@echo "demo          run both examples under load while parts of them change; below two minutes"
 	@echo "format        format all sources; format-check only checks"
 	@echo "tidy          run clang-tidy on all sources"
 	@echo "generate      regenerate the committed FlatBuffers code"
@@ -30,6 +31,9 @@
 
 check: install build test
 
+demo: build
+	$(BUILD)/standin-demo examples/sofia examples/reykjavik
+
 format:
 	clang-format -i $(SOURCES)
 
--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -63,6 +63,11 @@
 )
 
 set(STANDIN_SOURCES
+    standin/demo_judge.cpp
+    standin/demo_load.cpp
+    standin/demo_plan.cpp
+    standin/demo_process.cpp
+    standin/demo_script.cpp
     standin/fabric_cmd.cpp
     standin/fabric_control.cpp
     standin/fabric_shell.cpp
@@ -76,6 +81,7 @@
     hawthorncroft-balancer
     hawthorncroft-call
     hawthorncroftctl
+    standin-demo
     standin-fabric
     standin-platform
     standin-target
@@ -94,6 +100,10 @@
     src/ctl_main.cpp
 )
 
+set(standin-demo_SOURCES
+    standin/demo_main.cpp
+)
+
 set(standin-fabric_SOURCES
     standin/fabric_main.cpp
 )
@@ -114,6 +124,7 @@
     tests/caller_test.cpp
     tests/codec_test.cpp
     tests/config_test.cpp
+    tests/demo_test.cpp
     tests/ctl_test.cpp
     tests/dedup_test.cpp
     tests/fabric_test.cpp
--- a/standin/standin_target.cpp
+++ b/standin/standin_target.cpp
@@ -152,6 +152,8 @@
 void StandinTarget::run(const Http2Request& request, const std::string& id, const Http2Responder& responder)
 {
     ++m_truth.executed[id];
+    ++m_truth.flows[std::string(findHeader(request.headers, "caller")) + "/"
+        + std::string(findHeader(request.headers, "flow"))];
     std::uint64_t run = ++m_lastRun;
     auto timer = std::make_unique<boost::asio::steady_timer>(m_context, drawServiceTime());
     timer->async_wait([this, run, id](boost::system::error_code error) {
--- a/standin/standin_target_type.cpp
+++ b/standin/standin_target_type.cpp
@@ -87,6 +87,10 @@
 {
     json::object result;
     json::object executed;
+    json::object flows;
+    for (const auto& [flow, count] : truth.flows)
+        flows[flow] = count;
+    result["flows"] = std::move(flows);
     json::array doubled;
     for (const auto& [id, count] : truth.executed) {
         executed[id] = count;
--- a/standin/standin_target_type.h
+++ b/standin/standin_target_type.h
@@ -46,6 +46,7 @@
 /** What happened at the target, for the checks of a test. */
 struct StandinTargetTruth {
     std::map<std::string, std::uint64_t> executed; ///< Runs begun by request id.
+    std::map<std::string, std::uint64_t> flows; ///< Runs begun by "CALLER/FLOW", from the headers.
     std::uint64_t completed {}; ///< Requests that ran to their end.
     std::uint64_t cancelled {}; ///< Requests that were cancelled while they ran.
     std::uint64_t wrongService {}; ///< Requests, chunks and feeds for another service.
