--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -31,6 +31,7 @@
     src/core_func.cpp
     src/dedup_cmd.cpp
     src/keyring_func.cpp
+    src/name_sketch_func.cpp
     src/packet_func.cpp
     src/placement_func.cpp
     src/replica_func.cpp
@@ -44,20 +45,33 @@
 )
 
 set(SHELL_SOURCES
+    src/agent_report.cpp
+    src/agent_thread.cpp
     src/balancer_report.cpp
     src/balancer_thread.cpp
     src/caller_shell.cpp
     src/clock_func.cpp
     src/config_thread.cpp
+    src/control_client.cpp
+    src/control_func.cpp
+    src/control_server.cpp
     src/control_thread.cpp
     src/ctl_check.cpp
     src/ctl_diff.cpp
+    src/ctl_explain.cpp
+    src/ctl_fetch.cpp
     src/ctl_func.cpp
+    src/ctl_names.cpp
+    src/ctl_status.cpp
     src/http2_client.cpp
     src/http2_connection.cpp
     src/http2_server.cpp
     src/log_func.cpp
+    src/metrics_base.cpp
+    src/report_func.cpp
     src/settings_func.cpp
+    src/target_feeds.cpp
+    src/target_thread.cpp
     src/udp_func.cpp
     src/version_func.cpp
 )
@@ -78,6 +92,7 @@
 )
 
 set(PROGRAMS
+    hawthorncroft-agent
     hawthorncroft-balancer
     hawthorncroft-call
     hawthorncroftctl
@@ -87,6 +102,10 @@
     standin-target
 )
 
+set(hawthorncroft-agent_SOURCES
+    src/agent_main.cpp
+)
+
 set(hawthorncroft-balancer_SOURCES
     src/balancer_main.cpp
 )
@@ -124,15 +143,19 @@
     tests/caller_test.cpp
     tests/codec_test.cpp
     tests/config_test.cpp
-    tests/demo_test.cpp
+    tests/control_test.cpp
+    tests/ctl_fetch_test.cpp
     tests/ctl_test.cpp
     tests/dedup_test.cpp
+    tests/demo_test.cpp
     tests/fabric_test.cpp
     tests/fake_fleet.cpp
+    tests/fake_policy.cpp
     tests/fake_target.cpp
     tests/fleet_test.cpp
     tests/http2_test.cpp
     tests/main_test.cpp
+    tests/metrics_test.cpp
     tests/placement_test.cpp
     tests/replica_test.cpp
     tests/settings_test.cpp
@@ -141,6 +164,7 @@
 
 set(BENCHES
     core-bench
+    decisions-bench
     replica-bench
 )
 
@@ -148,6 +172,13 @@
     bench/core_bench.cpp
 )
 
+set(decisions-bench_SOURCES
+    bench/decisions_bench.cpp
+    tests/fake_fleet.cpp
+    tests/fake_policy.cpp
+    tests/fake_target.cpp
+)
+
 set(replica-bench_SOURCES
     bench/replica_bench.cpp
     bench/replica_fleet.cpp
