--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -78,6 +78,11 @@
 )
 
 set(STANDIN_SOURCES
+    standin/demo_judge.cpp
+    standin/demo_load.cpp
+    standin/demo_plan.cpp
+    standin/demo_process.cpp
+    standin/demo_script.cpp
     standin/fabric_cmd.cpp
     standin/fabric_control.cpp
     standin/fabric_shell.cpp
@@ -92,6 +97,7 @@
     hawthorncroft-balancer
     hawthorncroft-call
     hawthorncroftctl
+    standin-demo
     standin-fabric
     standin-platform
     standin-target
@@ -114,6 +120,10 @@
     src/ctl_main.cpp
 )
 
+set(standin-demo_SOURCES
+    standin/demo_main.cpp
+)
+
 set(standin-fabric_SOURCES
     standin/fabric_main.cpp
 )
@@ -138,6 +148,7 @@
     tests/ctl_fetch_test.cpp
     tests/ctl_test.cpp
     tests/dedup_test.cpp
+    tests/demo_test.cpp
     tests/fabric_test.cpp
     tests/fake_fleet.cpp
     tests/fake_policy.cpp
