List the demo's sources for the tests

Cause: the demo's plan and judge are tested, so they belong to the stand-in library.

Change: only its main function is left to the program.

--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -78,6 +78,11 @@
 )
 
 set(STANDIN_SOURCES
+    standin/demo_judge.cpp
+    standin/demo_load.cpp
+    standin/demo_plan.cpp
+    standin/demo_process.cpp
+    standin/demo_script.cpp
     standin/fabric_cmd.cpp
     standin/fabric_control.cpp
     standin/fabric_shell.cpp
@@ -116,12 +121,7 @@
 )
 
 set(standin-demo_SOURCES
-    standin/demo_judge.cpp
-    standin/demo_load.cpp
     standin/demo_main.cpp
-    standin/demo_plan.cpp
-    standin/demo_process.cpp
-    standin/demo_script.cpp
 )
 
 set(standin-fabric_SOURCES
