Let running requests end when a failure domain is taken out, and believe later admissions

At the return, a balancer that had not learned of it yet answered 'may have run' for requests that an agent back in service had just admitted.

Change: requests that run at the target may end within the grace of 1.5 s; the binding carries the configuration revision of its admission, and a balancer forwards a bound packet whose admission is newer than its own out-of-service entry, because the agent has the last word.

Ruled out: trusting the revision field of the caller's packet, which is not signed.

--- a/src/agent_base.h
+++ b/src/agent_base.h
@@ -227,6 +227,7 @@
     void followConfiguration(TimePoint now);
     void followKeys();
     void goOut(TimePoint now);
+    void giveUpRunning(TimePoint now);
     void loseTarget(TimePoint now);
     const TargetConfig* configured() const { return m_view.target(m_settings.target); }
     bool isDraining() const;
@@ -262,6 +263,7 @@
     std::uint16_t m_reportedLoad {};
     bool m_isConfirmed {};
     bool m_isOut {};
+    TimePoint m_giveUpAt; ///< When requests still running at a target that is out are given up; zero when none are.
     bool m_wasConfigured {}; ///< The configuration has named the target at some time.
     bool m_isShuttingDown {};
     bool m_waitsForStreams {};
--- a/src/agent_core.cpp
+++ b/src/agent_core.cpp
@@ -1,6 +1,7 @@
 #include "agent_base.h"
 #include "table/agent_counters.h"
 #include "table/agent_times.h"
+#include "table/service_times.h"
 
 #include <algorithm>
 
@@ -163,10 +164,9 @@
             refuseFlow(now, record, Reason::OutOfService);
             break;
         case FlowState::Running:
-            m_effects.emplace_back(CancelRequest { record.key, record.reservation });
-            m_admission.finishNeutral();
-            giveUp(now, record, Reason::OutOfService);
-            break;
+            // It needs no further packet to the target, and its answer is worth more than "may have run".
+            m_giveUpAt = now + outGrace;
+            return;
         case FlowState::Active:
             endStream(now, record, Reason::OutOfService);
             break;
@@ -177,6 +177,21 @@
     });
 }
 
+void AgentCore::giveUpRunning(TimePoint now)
+{
+    m_giveUpAt = {};
+    if (!m_isOut)
+        return;
+    m_records.forEach([&](FlowRecord& record) {
+        if (record.state != FlowState::Running)
+            return;
+        m_effects.emplace_back(CancelRequest { record.key, record.reservation });
+        m_admission.finishNeutral();
+        giveUp(now, record, Reason::OutOfService);
+        count(AgentCounter::GivenUp);
+    });
+}
+
 void AgentCore::onTargetHealth(TimePoint now, TargetState state, std::uint16_t load, Incarnation incarnation)
 {
     notePause(now);
--- a/src/agent_query.cpp
+++ b/src/agent_query.cpp
@@ -168,7 +168,8 @@
         .agentIncarnation = m_seeds.incarnation,
         .agent = m_settings.endpoint,
         .reservation = record.reservation,
-        .expiresAt = record.expiresAt };
+        .expiresAt = record.expiresAt,
+        .revision = m_view.completeThrough() };
     signBinding(m_keyring, record.key, binding);
     return binding;
 }
--- a/src/agent_timer_cmd.cpp
+++ b/src/agent_timer_cmd.cpp
@@ -26,6 +26,8 @@
         Wake wake = wakes.at(static_cast<std::size_t>(record.state));
         (this->*wake)(now, record);
     });
+    if (m_giveUpAt.us && now >= m_giveUpAt)
+        giveUpRunning(now);
     m_admission.tick(now);
     compactQueue();
     startQueued(now);
--- a/src/balancer_base.h
+++ b/src/balancer_base.h
@@ -147,8 +147,14 @@
         TimePoint now, const TargetConfig* first, const TargetConfig* second, FlowKind kind) const;
     void forward(Endpoint to, Packet& packet, BalancerEffects& effects);
     void refuse(Endpoint to, const Packet& packet, Outcome outcome, BalancerEffects& effects);
-    void noteOut(TimePoint now, const OperationsDocument& operations);
-    bool isPastGrace(TimePoint now, const TargetConfig& target) const;
+    /** A failure domain or VM that is taken out. */
+    struct OutOfService {
+        TimePoint since; ///< When this balancer learned of it.
+        Revision revision; ///< Latest configuration that says so.
+    };
+
+    void noteOut(TimePoint now, Revision revision, const OperationsDocument& operations);
+    bool isGivenUp(TimePoint now, const TargetConfig& target, const Binding& binding) const;
     void count(BalancerCounter counter) { ++m_counters[static_cast<std::size_t>(counter)]; }
 
     BalancerOptions m_options;
@@ -158,7 +164,7 @@
     TargetHints m_hints;
     RetryBudget m_retryBudget;
     OpenHealth m_openHealth;
-    std::unordered_map<std::string, TimePoint> m_outSince; ///< When a failure domain or VM was seen as taken out.
+    std::unordered_map<std::string, OutOfService> m_out; ///< By name of the failure domain or VM.
     TimePoint m_lastEvent;
     TimePoint m_lastContactEffect;
     std::uint64_t m_pause {}; ///< Number of pauses so far.
--- a/src/balancer_cmd.cpp
+++ b/src/balancer_cmd.cpp
@@ -2,6 +2,7 @@
 #include "binding_func.h"
 #include "table/balancer_times.h"
 #include "table/limits.h"
+#include "table/service_times.h"
 
 #include <algorithm>
 
@@ -104,22 +105,22 @@
     bool isChanged = m_view.apply(document);
     if (isChanged && document.document) {
         if (const auto* operations = std::get_if<OperationsDocument>(document.document.get()))
-            noteOut(now, *operations);
+            noteOut(now, document.revision, *operations);
     }
 }
 
-void BalancerCore::noteOut(TimePoint now, const OperationsDocument& operations)
+void BalancerCore::noteOut(TimePoint now, Revision revision, const OperationsDocument& operations)
 {
-    std::unordered_map<std::string, TimePoint> outSince;
+    std::unordered_map<std::string, OutOfService> out;
     // Before the first confirmation nobody was served, so there is no flow for which a grace time would help.
     TimePoint since = m_serving.isReady ? now : now - outGrace;
     auto keepOrAdd = [&](const std::string& name) {
-        auto known = m_outSince.find(name);
-        outSince[name] = known == m_outSince.end() ? since : known->second;
+        auto known = m_out.find(name);
+        out[name] = { known == m_out.end() ? since : known->second.since, revision };
     };
     std::for_each(operations.domainsOut.begin(), operations.domainsOut.end(), keepOrAdd);
     std::for_each(operations.vmsOut.begin(), operations.vmsOut.end(), keepOrAdd);
-    m_outSince = std::move(outSince);
+    m_out = std::move(out);
 }
 
 void BalancerCore::handleOpen(TimePoint now, Endpoint from, Packet& packet, BalancerEffects& effects)
@@ -190,7 +191,7 @@
     }
     packet.callerEndpoint = from;
     const TargetConfig* target = m_view.target(packet.binding.target);
-    if (target && m_view.isOut(*target) && isPastGrace(now, *target)) {
+    if (target && m_view.isOut(*target) && isGivenUp(now, *target, packet.binding)) {
         count(BalancerCounter::OutOfService);
         refuse(from, packet, mayHaveRun(Reason::OutOfService), effects);
         return;
--- a/src/balancer_query.cpp
+++ b/src/balancer_query.cpp
@@ -1,6 +1,7 @@
 #include "balancer_base.h"
 #include "table/balancer_names.h"
 #include "table/balancer_times.h"
+#include "table/service_times.h"
 
 #include <algorithm>
 
@@ -91,11 +92,14 @@
     return choice.target ? choice.target->id : TargetId();
 }
 
-bool BalancerCore::isPastGrace(TimePoint now, const TargetConfig& target) const
+bool BalancerCore::isGivenUp(TimePoint now, const TargetConfig& target, const Binding& binding) const
 {
     auto isLongOut = [&](const std::string& name) {
-        auto since = m_outSince.find(name);
-        return since != m_outSince.end() && now - since->second >= outGrace;
+        auto out = m_out.find(name);
+        if (out == m_out.end() || now - out->second.since < outGrace)
+            return false;
+        // An agent that admitted the flow under a later configuration is back in service, and this view is late.
+        return binding.revision < out->second.revision;
     };
     return isLongOut(target.failureDomain) || isLongOut(target.vm);
 }
--- a/src/binding_func.cpp
+++ b/src/binding_func.cpp
@@ -22,7 +22,7 @@
         std::span<const std::uint8_t> bytes() const { return { m_bytes.data(), m_size }; }
 
     private:
-        std::array<std::uint8_t, 80> m_bytes {};
+        std::array<std::uint8_t, 96> m_bytes {};
         std::size_t m_size {};
     };
 
@@ -39,6 +39,7 @@
         fields.add(binding.agent.port);
         fields.add(binding.reservation.value);
         fields.add(binding.expiresAt.us);
+        fields.add(binding.revision.value);
         fields.add(binding.key.value);
         return mac.compute(fields.bytes());
     }
--- a/src/codec_func.cpp
+++ b/src/codec_func.cpp
@@ -46,7 +46,7 @@
     wire::Binding wireBindingOf(const Binding& b)
     {
         return wire::Binding(b.service.value, b.target.value, b.targetIncarnation.value, b.agentIncarnation.value,
-            b.reservation.value, b.expiresAt.us, b.mac, b.key.value, b.agent.address, b.agent.port);
+            b.reservation.value, b.expiresAt.us, b.revision.value, b.mac, b.key.value, b.agent.address, b.agent.port);
     }
 
     void readHeader(const wire::Header& h, Packet& p)
@@ -94,6 +94,7 @@
             .agent = { b->agent_address(), b->agent_port() },
             .reservation = ReservationId(b->reservation()),
             .expiresAt = { b->expires_at() },
+            .revision = Revision(b->revision()),
             .key = KeyId(b->key()),
             .mac = b->mac() };
     }
--- a/src/packet_type.h
+++ b/src/packet_type.h
@@ -72,6 +72,7 @@
     Endpoint agent; ///< Where the agent receives datagrams.
     ReservationId reservation; ///< The admission at the agent.
     TimePoint expiresAt; ///< On the agent's clock.
+    Revision revision; ///< Configuration under which the agent admitted the flow or renewed its lease.
     KeyId key; ///< Key of the MAC.
     std::uint64_t mac {}; ///< Over all other fields, the caller id and the flow id.
 
--- a/src/table/balancer_times.h
+++ b/src/table/balancer_times.h
@@ -9,11 +9,6 @@
 namespace hawthorncroft {
 
 inline constexpr Duration pauseGap = seconds(1); ///< A gap this long between events means that the process was paused.
-/**
- * Time for which bound packets still go to an agent whose failure domain was taken out. The agent can answer with the
- * exact verdict; after this time the balancer can only say that a request may have run. Below the 3 s of promise P4.
- */
-inline constexpr Duration outGrace = milliseconds(1500);
 inline constexpr Duration loadFreshFor = seconds(2); ///< A load report older than this says nothing about the present.
 inline constexpr Duration stateFreshFor
     = seconds(3); ///< A target's report that it drains or is down is believed this long.
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -208,8 +208,17 @@
     f.operations.domainsOut = { "fd-1" };
     f.publish("operations", f.operations);
 
+    SECTION("lets a running request end within the grace time, so that its caller gets the answer")
+    {
+        for (auto& effect : f.effects)
+            CHECK_FALSE(std::holds_alternative<CancelRequest>(effect));
+        f.advance(milliseconds(1000));
+        for (auto& effect : f.effects)
+            CHECK_FALSE(std::holds_alternative<CancelRequest>(effect));
+    }
     SECTION("gives its flows up with true verdicts")
     {
+        f.advance(milliseconds(1600));
         std::map<std::uint64_t, Outcome> outcomes;
         bool isCancelled = false;
         bool isClosed = false;
@@ -228,6 +237,7 @@
     }
     SECTION("refuses everything, does not relay and does not contradict an outcome")
     {
+        f.advance(milliseconds(1600));
         f.effects.clear();
         CHECK(f.open(flowOf(9)).outcome == Outcome { Verdict::DidNotRun, Reason::OutOfService });
         CHECK(f.open(flowOf(1)).outcome.verdict == Verdict::MayHaveRun);
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -1,6 +1,7 @@
 #include "balancer_base.h"
 #include "binding_func.h"
 #include "table/balancer_times.h"
+#include "table/service_times.h"
 
 #include <catch2/catch.hpp>
 
@@ -244,6 +245,14 @@
             bench.operate(4, {});
             CHECK(std::holds_alternative<SendToProcess>(bench.send(bench.bound(PacketKind::Execute, 5, 4))));
         }
+        SECTION("unless the agent admitted the flow under a later configuration, which guards against a balancer that "
+                "learned late of the failure domain's return")
+        {
+            Packet packet = bench.bound(PacketKind::Execute, 5, 4);
+            packet.binding.revision = Revision(4);
+            signBinding(bench.keyring, packet.key, packet.binding);
+            CHECK(std::holds_alternative<SendToProcess>(bench.send(packet)));
+        }
         SECTION("and an older revision does not bring it back")
         {
             bench.operate(2, {});
