Keep the connection limit over configuration changes; retransmit Closed until acknowledged

Every change of the configuration set the connection limit of a target without requests back to its cold start, because only requests counted as progress. The limits are now reset only while neither has moved since the cold start; a test holds this.

Callers acknowledge Closed since their merge with the agent, so Closed is kept and repeated until then like an answer.

--- a/src/agent_timer_cmd.cpp
+++ b/src/agent_timer_cmd.cpp
@@ -95,10 +95,6 @@
         m_records.remove(record);
         return;
     }
-    if (record.kind != FlowKind::Request && record.resends > maxClosedResends) {
-        settle(record);
-        return;
-    }
     record.balancer = anotherBalancer(now, record.balancer);
     sendAnswer(now, record, record.balancer);
     count(AgentCounter::Resends);
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -144,6 +144,13 @@
         admission.tick(now = now + seconds(1));
         CHECK(admission.connectionLimit() == 12);
 
+        SECTION("and keeps its progress over a change of the configuration, which comes every second in a large fleet")
+        {
+            admission.setCapacity({ .slots = 4,
+                .connections = 100,
+                .preset = { .connectionPercent = 50, .uploadPercent = 40, .coldStartPercent = 20 } });
+            CHECK(admission.connectionLimit() == 12);
+        }
         SECTION("but not without success, which guards against filling a target that hangs")
         {
             for (int i = 0; i < 60; ++i)
