Add the service-level burn report

Operators need to know how much of each service's error budget is spent, how fast, and which minutes and events spent it.

BurnLog counts requests and flows by service and minute in bounded memory and says since when. Seconds of a minute are bit masks, so that sums over processes count a second as available when any of them answered in it. computeBurn judges three objectives of the configuration (answered in time, flows not broken, available): budget spent, burn rate over 5 min, 1 h, 6 h and 3 d, episodes with the events near them, and the budget left over time. It writes text, JSON and one page without external parts, for narrow screens. hawthorncroftctl burn asks GET /burn of processes or reads saved answers, and ends with 1 when an objective is missed.

--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -14,6 +14,11 @@
     src/balancer_cmd.cpp
     src/balancer_query.cpp
     src/binding_func.cpp
+    src/burn_func.cpp
+    src/burn_html.cpp
+    src/burn_json.cpp
+    src/burn_log.cpp
+    src/burn_text.cpp
     src/caller_cmd.cpp
     src/caller_open.cpp
     src/caller_packet.cpp
@@ -52,6 +57,7 @@
     src/clock_func.cpp
     src/config_thread.cpp
     src/control_thread.cpp
+    src/ctl_burn.cpp
     src/ctl_check.cpp
     src/ctl_diff.cpp
     src/ctl_explain.cpp
@@ -99,6 +105,7 @@
     tests/admission_test.cpp
     tests/agent_test.cpp
     tests/balancer_test.cpp
+    tests/burn_test.cpp
     tests/caller_test.cpp
     tests/codec_test.cpp
     tests/config_test.cpp
--- a/src/ctl_func.cpp
+++ b/src/ctl_func.cpp
@@ -65,7 +65,8 @@
         int (*run)(const CtlArguments& arguments, CtlStreams streams);
     };
 
-    constexpr std::array<Command, 7> commands { {
+    constexpr std::array<Command, 8> commands { {
+        { "burn", "show how much of the services' error budgets is spent, and by what", runBurn },
         { "check", "check documents as the fleet does, and warn of what is dangerous", runCheck },
         { "diff", "say what a new version of a document changes for callers", runDiff },
         { "explain", "say where a name leads and where a flow would go", runExplain },
--- a/src/ctl_func.h
+++ b/src/ctl_func.h
@@ -58,6 +58,7 @@
 /** @return Text as a JSON string, with quotes. */
 std::string quoted(std::string_view text);
 
+int runBurn(const CtlArguments& arguments, CtlStreams streams);
 int runCheck(const CtlArguments& arguments, CtlStreams streams);
 int runDiff(const CtlArguments& arguments, CtlStreams streams);
 int runExplain(const CtlArguments& arguments, CtlStreams streams);
