--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -1,4 +1,4 @@
-# Every source file, one a line and sorted, so that branches merge without conflicts.
+# Every source file, one a line and sorted.
 
 set(CORE_SOURCES
     src/admission_cmd.cpp
@@ -45,17 +45,21 @@
     src/replica_reader.cpp
     src/replica_standing.cpp
     src/replica_store.cpp
-    src/report_func.cpp
     src/target_hint_func.cpp
     src/verdict_func.cpp
 )
 
 set(SHELL_SOURCES
+    src/agent_report.cpp
+    src/agent_thread.cpp
     src/balancer_report.cpp
     src/balancer_thread.cpp
     src/caller_shell.cpp
     src/clock_func.cpp
     src/config_thread.cpp
+    src/control_client.cpp
+    src/control_func.cpp
+    src/control_server.cpp
     src/control_thread.cpp
     src/ctl_burn.cpp
     src/ctl_check.cpp
@@ -69,7 +73,12 @@
     src/http2_connection.cpp
     src/http2_server.cpp
     src/log_func.cpp
+    src/metrics_base.cpp
+    src/process_report.cpp
+    src/report_func.cpp
     src/settings_func.cpp
+    src/target_feeds.cpp
+    src/target_thread.cpp
     src/udp_func.cpp
     src/version_func.cpp
 )
@@ -78,13 +87,29 @@
     standin/fabric_cmd.cpp
     standin/fabric_control.cpp
     standin/fabric_shell.cpp
+    standin/standin_func.cpp
+    standin/standin_platform.cpp
+    standin/standin_target.cpp
+    standin/standin_target_type.cpp
 )
 
 set(PROGRAMS
+    hawthorncroft-agent
     hawthorncroft-balancer
     hawthorncroft-call
     hawthorncroftctl
+    standin-demo
     standin-fabric
+    standin-platform
+    standin-target
+)
+
+set(hawthorncroft-agent_SOURCES
+    src/agent_main.cpp
+)
+
+set(hawthorncroft-balancer_SOURCES
+    src/balancer_main.cpp
 )
 
 set(hawthorncroft-call_SOURCES
@@ -92,13 +117,30 @@
     src/call_options.cpp
 )
 
+set(hawthorncroftctl_SOURCES
+    src/ctl_main.cpp
+)
+
+set(standin-demo_SOURCES
+    standin/demo_judge.cpp
+    standin/demo_load.cpp
+    standin/demo_main.cpp
+    standin/demo_plan.cpp
+    standin/demo_process.cpp
+    standin/demo_script.cpp
+)
+
 set(standin-fabric_SOURCES
     standin/fabric_main.cpp
 )
 
-set(hawthorncroftctl_SOURCES src/ctl_main.cpp)
+set(standin-platform_SOURCES
+    standin/standin_platform_main.cpp
+)
 
-set(hawthorncroft-balancer_SOURCES src/balancer_main.cpp)
+set(standin-target_SOURCES
+    standin/standin_target_main.cpp
+)
 
 set(TEST_SOURCES
     bench/replica_fleet.cpp
@@ -109,29 +151,47 @@
     tests/caller_test.cpp
     tests/codec_test.cpp
     tests/config_test.cpp
+    tests/control_test.cpp
     tests/ctl_fetch_test.cpp
     tests/ctl_test.cpp
     tests/dedup_test.cpp
+    tests/demo_test.cpp
     tests/fabric_test.cpp
     tests/fake_fleet.cpp
+    tests/fake_policy.cpp
     tests/fake_target.cpp
     tests/fleet_test.cpp
     tests/http2_test.cpp
     tests/main_test.cpp
+    tests/metrics_test.cpp
     tests/placement_test.cpp
     tests/replica_test.cpp
     tests/settings_test.cpp
+    tests/standin_test.cpp
 )
 
 set(BENCHES
+    agent-bench
     core-bench
+    decisions-bench
     replica-bench
 )
 
+set(agent-bench_SOURCES
+    bench/agent_bench.cpp
+)
+
 set(core-bench_SOURCES
     bench/core_bench.cpp
 )
 
+set(decisions-bench_SOURCES
+    bench/decisions_bench.cpp
+    tests/fake_fleet.cpp
+    tests/fake_policy.cpp
+    tests/fake_target.cpp
+)
+
 set(replica-bench_SOURCES
     bench/replica_bench.cpp
     bench/replica_fleet.cpp
--- /dev/null
+++ b/src/agent_report.h
@@ -0,0 +1,21 @@
+/**
+ * @file agent_report.h
+ * Answers to questions about an agent on its control port.
+ */
+#pragma once
+
+#include "agent_base.h"
+#include "process_report.h"
+
+namespace hawthorncroft {
+
+/**
+ * Answers a question.
+ * @param question The question; an unknown path gives status 404.
+ * @param core The agent.
+ * @param process Identity and standing of the process.
+ * @return The answer, as JSON of report_type.h.
+ */
+ControlAnswer answerQuestion(const ControlQuestion& question, const AgentCore& core, const ProcessReport& process);
+
+} // namespace hawthorncroft
