Take a pending read by value in the simulated fleet

The address sanitizer stopped a run of the tests. Fleet::answer erased the map entry that its argument referred to and read it afterwards.

--- a/bench/replica_fleet.cpp
+++ b/bench/replica_fleet.cpp
@@ -209,7 +209,7 @@
         answer(i, read);
 }
 
-void Fleet::answer(std::size_t i, const PendingRead& read)
+void Fleet::answer(std::size_t i, PendingRead read)
 {
     m_pending.erase(i);
     Delta delta = m_platform.deltaSince(read.since, maxDeltaBytes);
--- a/bench/replica_fleet.h
+++ b/bench/replica_fleet.h
@@ -78,7 +78,7 @@
     void perform(std::size_t i, const ReadPlatform& effect);
     void deliver(std::size_t from, std::size_t to, const Packet& packet);
     void answerReads();
-    void answer(std::size_t i, const PendingRead& read);
+    void answer(std::size_t i, PendingRead read); ///< By value, because the entry is removed.
     void ping(std::size_t i, std::uint64_t number);
     bool isPending(std::size_t i, std::uint64_t number) const;
 
