Authenticate the requests of hawthorncroftctl

Control ports answer only requests with a key id, a nonce and a MAC by now, so status, names, explain, wait-in-force and burn would have got no answer.

Without --at the control port in the settings is asked. The tests use a ControlServer and cover a key that the process does not accept.

--- a/src/ctl_burn.cpp
+++ b/src/ctl_burn.cpp
@@ -12,10 +12,10 @@
 
 namespace {
 
-    constexpr const char* burnUsage
-        = "Usage: hawthorncroftctl burn (--at ENDPOINT... | FILE...) [--days N] [--json] [--html FILE]\n"
-          "Shows how much of each service's error budget is spent, how fast, and by what.\n"
-          "A FILE holds the answer of a process to GET /burn, saved earlier.";
+    constexpr const char* burnUsage = "Usage: hawthorncroftctl burn (--settings FILE [--at ENDPOINT...] | FILE...) "
+                                      "[--days N] [--json] [--html FILE]\n"
+                                      "Shows how much of each service's error budget is spent, how fast, and by what.\n"
+                                      "A FILE holds the answer of a process to GET /burn, saved earlier.";
 
     /** Counts of saved answers; prints the files that are wrong. */
     bool readFiles(const std::vector<std::string>& files, std::ostream& err, std::vector<BurnCounts>& all)
@@ -71,7 +71,7 @@
         return ctlRefused;
     bool allAnswered = true;
     FetchOptions fetchOptions;
-    if (values.count("at") || files.empty()) {
+    if (values.count("settings") || files.empty()) {
         if (!readFetchOptions(values, streams.err, fetchOptions))
             return ctlRefused;
         auto fetched = fetchReports<BurnCounts>(fetchOptions, "/burn", streams.err, parseBurnCounts);
--- a/src/ctl_explain.cpp
+++ b/src/ctl_explain.cpp
@@ -11,7 +11,7 @@
 namespace {
 
     constexpr const char* explainUsage
-        = "Usage: hawthorncroftctl explain NAME --at ENDPOINT... [--caller ID] [--flow ID] [--json]\n"
+        = "Usage: hawthorncroftctl explain NAME --settings FILE [--at ENDPOINT...] [--caller ID] [--flow ID] [--json]\n"
           "Says where a name leads and, with --flow, to which target the next open of that flow would go.";
 
     void printRank(std::ostream& out, std::size_t number, const RankReport& rank)
--- a/src/ctl_fetch.cpp
+++ b/src/ctl_fetch.cpp
@@ -1,42 +1,83 @@
 #include "ctl_fetch.h"
 
-#include "http2_base.h"
+#include "control_base.h"
+#include "settings_func.h"
 
 #include <boost/asio/io_context.hpp>
 
-#include <memory>
 #include <ostream>
+#include <random>
 
 namespace hawthorncroft {
 
 namespace options = boost::program_options;
+namespace leaf = boost::leaf;
 
 namespace {
 
-    std::string errorOf(const Http2Result& result)
+    std::uint64_t randomNumber()
     {
-        if (result.error != Http2Error::None)
-            return std::string(nameOf(result.error));
-        return result.succeeded() ? "" : "HTTP status " + std::to_string(result.status);
+        std::random_device device;
+        return (static_cast<std::uint64_t>(device()) << 32) | device();
+    }
+
+    /** Settings of a balancer or an agent, or every fault of the file as settings of a balancer. */
+    std::vector<ConfigFault> readSettings(const std::string& file, ProcessSettings& settings)
+    {
+        std::vector<ConfigFault> balancerFaults;
+        for (Program program : { Program::Balancer, Program::Agent }) {
+            std::vector<ConfigFault> faults = leaf::try_handle_all(
+                [&]() -> leaf::result<std::vector<ConfigFault>> {
+                    BOOST_LEAF_ASSIGN(settings, loadSettings(program, file));
+                    return std::vector<ConfigFault> {};
+                },
+                [](const SettingsError& error) { return error.faults; },
+                [&] {
+                    return std::vector<ConfigFault> { { file, "", "an unreadable file", "settings" } };
+                });
+            if (faults.empty())
+                return {};
+            if (program == Program::Balancer)
+                balancerFaults = std::move(faults);
+        }
+        return balancerFaults;
+    }
+
+    bool readKeys(
+        const options::variables_map& values, std::ostream& err, ProcessSettings& settings, FetchOptions& fetchOptions)
+    {
+        if (!values.count("settings")) {
+            err << "hawthorncroftctl: --settings with the settings file of a process is needed for its keys\n";
+            return false;
+        }
+        auto faults = readSettings(values["settings"].as<std::string>(), settings);
+        for (const auto& fault : faults)
+            err << toString(fault) << '\n';
+        if (!faults.empty())
+            return false;
+        fetchOptions.keyring = std::make_shared<Keyring>(keyringOf(settings));
+        KeyId key = values.count("key") ? KeyId(values["key"].as<std::uint32_t>()) : settings.keys.front().id;
+        if (fetchOptions.keyring->setSigning(key))
+            return true;
+        err << "hawthorncroftctl: the settings have no key " << key.value << '\n';
+        return false;
     }
 
 }
 
-std::vector<Fetched> fetchAll(const std::vector<Endpoint>& processes, const std::string& path, Duration timeout)
+std::vector<Fetched> fetchAll(const FetchOptions& fetchOptions, const std::string& path)
 {
     boost::asio::io_context context(1);
-    std::vector<std::unique_ptr<Http2Client>> clients;
-    std::vector<Fetched> answers(processes.size());
-    std::size_t waiting = processes.size();
-    for (std::size_t i = 0; i < processes.size(); ++i) {
-        answers[i].from = processes[i];
-        clients.push_back(std::make_unique<Http2Client>(context, processes[i]));
-        Http2Call call;
-        call.request.path = path;
-        call.timeout = timeout;
-        clients.back()->send(std::move(call), [&answers, &waiting, &context, i](Http2Result result) {
-            answers[i].error = errorOf(result);
-            answers[i].body = std::move(result.body);
+    ControlClient client(context, *fetchOptions.keyring, randomNumber);
+    std::vector<Fetched> answers(fetchOptions.processes.size());
+    std::size_t waiting = answers.size();
+    for (std::size_t i = 0; i < answers.size(); ++i) {
+        Fetched& answer = answers[i];
+        answer.from = fetchOptions.processes[i];
+        client.get(answer.from, path, fetchOptions.timeout, [&answer, &waiting, &context](ControlResult result) {
+            if (result.error != ControlError::None)
+                answer.error = nameOf(result.error);
+            answer.body = std::move(result.body);
             if (!--waiting)
                 context.stop();
         });
@@ -48,7 +89,10 @@
 
 void addFetchOptions(options::options_description& known, double defaultSeconds)
 {
-    known.add_options()("at", options::value<std::vector<std::string>>()->multitoken(),
+    known.add_options()("settings", options::value<std::string>(),
+        "settings file of a process; its keys sign the requests, and its control port is asked without --at")("key",
+        options::value<std::uint32_t>(), "number of the key that signs; the first of the settings without it")("at",
+        options::value<std::vector<std::string>>()->multitoken(),
         "control ports to ask, such as 10.0.0.1:7001; may be repeated")(
         "timeout", options::value<double>()->default_value(defaultSeconds), "seconds to wait");
 }
@@ -61,9 +105,12 @@
         return false;
     }
     fetchOptions.timeout = microseconds(static_cast<std::int64_t>(timeout * 1e6));
-    if (!values.count("at")) {
-        err << "hawthorncroftctl: --at with at least one control port is needed\n";
+    ProcessSettings settings;
+    if (!readKeys(values, err, settings, fetchOptions))
         return false;
+    if (!values.count("at")) {
+        fetchOptions.processes.push_back(settings.control);
+        return true;
     }
     for (const auto& text : values["at"].as<std::vector<std::string>>()) {
         Endpoint endpoint;
--- a/src/ctl_fetch.h
+++ b/src/ctl_fetch.h
@@ -4,8 +4,10 @@
  */
 #pragma once
 
-#include "core_type.h"
 #include "ctl_func.h"
+#include "keyring_type.h"
+
+#include <memory>
 
 namespace hawthorncroft {
 
@@ -16,22 +18,14 @@
     std::string body;
 };
 
-/**
- * Sends a GET request to every process.
- * @param processes Control ports.
- * @param path Path and query.
- * @param timeout For each answer.
- * @return One entry for each process, in the same order.
- */
-std::vector<Fetched> fetchAll(const std::vector<Endpoint>& processes, const std::string& path, Duration timeout);
-
-/** Adds the options of commands that ask processes: --at and --timeout. */
+/** Adds the options of commands that ask processes: --settings, --key, --at and --timeout. */
 void addFetchOptions(boost::program_options::options_description& known, double defaultSeconds);
 
 /** Whom to ask, from the command line. */
 struct FetchOptions {
-    std::vector<Endpoint> processes;
-    Duration timeout;
+    std::vector<Endpoint> processes; ///< Control ports.
+    Duration timeout; ///< For each answer.
+    std::shared_ptr<Keyring> keyring; ///< Signs requests and checks answers.
 };
 
 /**
@@ -43,6 +37,14 @@
  */
 bool readFetchOptions(const boost::program_options::variables_map& values, std::ostream& err, FetchOptions& options);
 
+/**
+ * Sends an authenticated request to every process.
+ * @param options Whom to ask.
+ * @param path Path and query.
+ * @return One entry for each process, in the same order.
+ */
+std::vector<Fetched> fetchAll(const FetchOptions& options, const std::string& path);
+
 /**
  * Asks every process and reads the reports. Prints the processes that do not answer.
  * @return The reports with the processes they are from.
@@ -52,7 +54,7 @@
     std::ostream& err, std::string (*parse)(std::string_view, Report&))
 {
     std::vector<std::pair<Endpoint, Report>> reports;
-    for (auto& fetched : fetchAll(options.processes, path, options.timeout)) {
+    for (auto& fetched : fetchAll(options, path)) {
         Report report;
         if (fetched.error.empty())
             fetched.error = parse(fetched.body, report);
--- a/src/ctl_names.cpp
+++ b/src/ctl_names.cpp
@@ -12,7 +12,7 @@
 namespace {
 
     constexpr const char* namesUsage
-        = "Usage: hawthorncroftctl names --at ENDPOINT... [--limit N] [--emit | --json]\n"
+        = "Usage: hawthorncroftctl names --settings FILE [--at ENDPOINT...] [--limit N] [--emit | --json]\n"
           "Lists names that callers use and that lead to no service, with the closest known names.\n"
           "--emit prints corrected spellings to review and to add to the services' documents.";
 
--- a/src/ctl_status.cpp
+++ b/src/ctl_status.cpp
@@ -14,11 +14,12 @@
 
 namespace {
 
-    constexpr const char* statusUsage = "Usage: hawthorncroftctl status --at ENDPOINT... [--json]\n"
+    constexpr const char* statusUsage = "Usage: hawthorncroftctl status --settings FILE [--at ENDPOINT...] [--json]\n"
                                         "Says of each process whether it serves and which configuration it has.";
 
     constexpr const char* waitUsage
-        = "Usage: hawthorncroftctl wait-in-force REVISION --at ENDPOINT... [--timeout SECONDS] [--json]\n"
+        = "Usage: hawthorncroftctl wait-in-force REVISION --settings FILE [--at ENDPOINT...] [--timeout SECONDS] "
+          "[--json]\n"
           "Waits until every process has the revision in force. Ends with 1 when one has not in time.";
 
     constexpr auto pollInterval = std::chrono::milliseconds(100);
@@ -58,7 +59,7 @@
     std::vector<std::string> laggards(const FetchOptions& fetchOptions, std::uint64_t revision)
     {
         std::vector<std::string> late;
-        for (const auto& fetched : fetchAll(fetchOptions.processes, "/status", fetchOptions.timeout)) {
+        for (const auto& fetched : fetchAll(fetchOptions, "/status")) {
             StatusReport status;
             std::string error = fetched.error.empty() ? parseReport(fetched.body, status) : fetched.error;
             if (!error.empty())
--- a/tests/ctl_fetch_test.cpp
+++ b/tests/ctl_fetch_test.cpp
@@ -1,6 +1,6 @@
 #include "config_func.h"
+#include "control_base.h"
 #include "ctl_func.h"
-#include "http2_base.h"
 #include "name_sketch_type.h"
 #include "report_type.h"
 
@@ -11,6 +11,8 @@
 #include <rapidcheck.h>
 
 #include <atomic>
+#include <filesystem>
+#include <fstream>
 #include <sstream>
 #include <thread>
 
@@ -21,12 +23,18 @@
 /** A process that answers on its control port what the test tells it to. */
 class Answering {
 public:
-    explicit Answering(std::function<std::string(const std::string&)> answer)
-        : m_server(m_context, [answer = std::move(answer)](const Http2Request& request, Http2Responder responder) {
-            std::string body = answer(request.path);
-            responder.respond(body.empty() ? 404 : 200, body);
-        })
+    using Answer = std::function<std::string(const std::string& query)>;
+
+    explicit Answering(const std::map<std::string, Answer>& answers)
+        : m_server(m_context, m_keyring)
     {
+        MacKey secret {};
+        secret[15] = 7;
+        m_keyring.add(KeyId(1), secret);
+        for (const auto& [path, answer] : answers)
+            m_server.add(path, [answer = answer](const ControlRequest& request) {
+                return ControlReply { .body = answer(request.queryText) };
+            });
         std::string error;
         REQUIRE(m_server.listen({ 0x7f000001, 0 }, error));
         m_endpoint = toString(m_server.endpoint());
@@ -45,11 +53,24 @@
 private:
     boost::asio::io_context m_context { 1 };
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work { m_context.get_executor() };
-    Http2Server m_server;
+    Keyring m_keyring;
+    ControlServer m_server;
     std::string m_endpoint;
     std::thread m_thread;
 };
 
+/** Settings file with one key. */
+std::string settingsFile(const std::string& lastDigit)
+{
+    auto path = std::filesystem::temp_directory_path()
+        / ("ctl-settings-" + std::to_string(::getpid()) + "-" + lastDigit + ".json");
+    std::ofstream(path) << R"({"vm":"v","failureDomain":"d","front":"127.0.0.1:1","data":"127.0.0.1:2",
+        "control":"127.0.0.1:3","platform":"127.0.0.1:4","peers":["127.0.0.1:5"],
+        "keys":[{"id":1,"secret":"0000000000000000000000000000000)"
+            + lastDigit + "\"}]}";
+    return path.string();
+}
+
 struct Run {
     explicit Run(const CtlArguments& arguments)
         : status(runCtl(arguments, { out, err }))
@@ -127,48 +148,58 @@
         .match = "corrected spelling",
         .serving = true,
         .ranks = { { .target = 3, .vm = "v", .eligibility = "eligible", .load = 500, .chosen = true } } };
-    Answering process([&](const std::string& path) -> std::string {
-        if (path == "/status")
-            return toJson(StatusReport { .role = "balancer", .serving = true, .revision = revision });
-        if (path == "/names")
-            return toJson(names);
-        return path == "/explain?name=a%20b&flow=9" ? toJson(explain) : "";
+    Answering process({
+        { "/status",
+            [&](const std::string&) {
+                return toJson(StatusReport { .role = "balancer", .serving = true, .revision = revision });
+            } },
+        { "/names", [&](const std::string&) { return toJson(names); } },
+        { "/explain", [&](const std::string& query) { return query == "name=a%20b&flow=9" ? toJson(explain) : "?"; } },
     });
     const std::string at = process.endpoint();
+    const std::string settings = settingsFile("7");
 
+    SECTION("a key that the process does not accept gets no answer")
+    {
+        Run run({ "status", "--settings", settingsFile("8"), "--at", at });
+        CHECK(run.status == ctlWarnings);
+        CHECK(run.err.str().find("no answer from " + at) != std::string::npos);
+        CHECK(Run({ "status", "--settings", settings, "--key", "5", "--at", at }).status == ctlRefused);
+        CHECK(Run({ "status", "--at", at }).status == ctlRefused);
+    }
     SECTION("status says who serves, and ends with 1 when a process does not answer")
     {
-        CHECK(Run({ "status", "--at", at }).says("serving, revision 4"));
-        Run unreachable({ "status", "--at", at, "127.0.0.1:1" });
+        CHECK(Run({ "status", "--settings", settings, "--at", at }).says("serving, revision 4"));
+        Run unreachable({ "status", "--settings", settings, "--at", at, "127.0.0.1:1" });
         CHECK(unreachable.status == ctlWarnings);
         CHECK(unreachable.says("serving, revision 4"));
         CHECK(Run({ "status" }).status == ctlRefused);
-        CHECK(Run({ "status", "--at", "nowhere" }).status == ctlRefused);
+        CHECK(Run({ "status", "--settings", settings, "--at", "nowhere" }).status == ctlRefused);
     }
     SECTION("names adds up processes and emits only spellings with one clear meaning")
     {
-        CHECK(Run({ "names", "--at", at, at }).says("10  curier"));
-        Run emitted({ "names", "--at", at, "--emit" });
+        CHECK(Run({ "names", "--settings", settings, "--at", at, at }).says("10  curier"));
+        Run emitted({ "names", "--settings", settings, "--at", at, "--emit" });
         CHECK(emitted.says(R"({"id":1,"name":"courier","spellings":["curier"]})"));
         CHECK(emitted.says(R"("undecided":["cat"])"));
     }
     SECTION("explain shows the ranks of a flow")
     {
-        Run run({ "explain", "a b", "--flow", "9", "--at", at });
+        Run run({ "explain", "a b", "--flow", "9", "--settings", settings, "--at", at });
         CHECK(run.status == ctlOk);
         CHECK(run.says("leads to service 7 ab by its corrected spelling"));
         CHECK(run.says("load 50 percent"));
     }
     SECTION("wait-in-force waits for the last process, and says who is late")
     {
-        Run late({ "wait-in-force", "5", "--at", at, "--timeout", "0.3" });
+        Run late({ "wait-in-force", "5", "--settings", settings, "--at", at, "--timeout", "0.3" });
         CHECK(late.status == ctlWarnings);
         CHECK(late.says("has revision 4"));
         std::thread change([&] {
             std::this_thread::sleep_for(std::chrono::milliseconds(200));
             revision = 5;
         });
-        CHECK(Run({ "wait-in-force", "5", "--at", at, "--timeout", "5" }).status == ctlOk);
+        CHECK(Run({ "wait-in-force", "5", "--settings", settings, "--at", at, "--timeout", "5" }).status == ctlOk);
         change.join();
     }
 }
