--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -14,11 +14,6 @@
     src/balancer_cmd.cpp
     src/balancer_query.cpp
     src/binding_func.cpp
-    src/burn_func.cpp
-    src/burn_html.cpp
-    src/burn_json.cpp
-    src/burn_log.cpp
-    src/burn_text.cpp
     src/caller_cmd.cpp
     src/caller_open.cpp
     src/caller_packet.cpp
@@ -54,6 +49,11 @@
     src/agent_thread.cpp
     src/balancer_report.cpp
     src/balancer_thread.cpp
+    src/burn_func.cpp
+    src/burn_html.cpp
+    src/burn_json.cpp
+    src/burn_log.cpp
+    src/burn_text.cpp
     src/caller_shell.cpp
     src/clock_func.cpp
     src/config_thread.cpp
