--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -149,6 +149,8 @@
     tests/replica_test.cpp
     tests/settings_test.cpp
     tests/standin_test.cpp
+    tests/trace_config_test.cpp
+    tests/trace_test.cpp
 )
 
 set(BENCHES
