--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -161,6 +161,7 @@
     tests/fake_policy.cpp
     tests/fake_target.cpp
     tests/fleet_test.cpp
+    tests/hostile_test.cpp
     tests/http2_test.cpp
     tests/main_test.cpp
     tests/metrics_test.cpp
@@ -168,6 +169,8 @@
     tests/replica_test.cpp
     tests/settings_test.cpp
     tests/standin_test.cpp
+    tests/trace_config_test.cpp
+    tests/trace_test.cpp
 )
 
 set(BENCHES
