--- a/standin/demo_judge.cpp
+++ b/standin/demo_judge.cpp
@@ -109,6 +109,8 @@
             addNumber("confirmations refused", std::to_string(count([&](const DemoFlow& f) {
                 return isConfirmation(f) && f.outcome.verdict == Verdict::DidNotRun;
             })));
+            addReasons("refused", Verdict::DidNotRun);
+            addReasons("may have run", Verdict::MayHaveRun);
             auto isCut = [&](const DemoFlow& f) { return isConfirmation(f) && mayHaveRun(f) && !isGivenUp(f); };
             addCount("cut requests (P9)",
                 count([&](const DemoFlow& f) { return isCut(f) && f.outcome.reason != Reason::NoAnswer; }));
@@ -118,6 +120,20 @@
             addCount("flows that never ended", count([](const DemoFlow& f) { return !f.endedAt.us; }));
         }
 
+        /** Adds one line for each reason with which confirmations ended. */
+        void addReasons(const std::string& verdictText, Verdict verdict)
+        {
+            std::map<std::string, std::size_t> counts;
+            for (const DemoFlow& flow : m_records.flows) {
+                if (flow.work != DemoWork::Confirmation || flow.outcome.verdict != verdict)
+                    continue;
+                std::string which = isGivenUp(flow) ? " (given up)" : "";
+                ++counts[verdictText + ": " + std::string(nameOf(flow.outcome.reason)) + which];
+            }
+            for (const auto& [reason, number] : counts)
+                addNumber("  " + reason, std::to_string(number));
+        }
+
         void judgeRuns()
         {
             std::size_t doubled = 0;
@@ -134,13 +150,18 @@
             addCount("doubled runs (P7)", doubled);
             addCount("false refusals (P6)", falseRefusals);
             addCount("answers without a run (P5)", falseAnswers);
-            addCount("requests beyond what a target bears (P3)", sumOf("overload"));
+            addCount("requests beyond what a target bears (P3)", sumOf(m_records.atEnd, "overload"));
+            std::size_t before = sumOf(m_records.beforeSteady, "overload");
+            std::size_t until = sumOf(m_records.beforeReturn, "overload");
+            addNumber("of these at start / later / after the domain's return",
+                std::to_string(before) + " / " + std::to_string(until - before) + " / "
+                    + std::to_string(sumOf(m_records.atEnd, "overload") - until));
         }
 
-        std::size_t sumOf(const std::string& name) const
+        static std::size_t sumOf(const DemoTruth& truths, const std::string& name)
         {
             std::size_t sum = 0;
-            for (const auto& [target, truth] : m_records.atEnd) {
+            for (const auto& [target, truth] : truths) {
                 auto found = truth.counts.find(name);
                 sum += found == truth.counts.end() ? 0 : found->second;
             }
@@ -149,7 +170,7 @@
 
         void judgeNames()
         {
-            std::size_t misrouted = sumOf("wrong_service");
+            std::size_t misrouted = sumOf(m_records.atEnd, "wrong_service");
             for (const DemoFlow& flow : m_records.flows) {
                 auto found = m_runs.find(nameInTruth(flow.key));
                 for (const Run& run : found == m_runs.end() ? std::vector<Run>() : found->second)
