--- a/standin/demo_load.h
+++ b/standin/demo_load.h
@@ -6,6 +6,7 @@
 
 #include "caller_shell.h"
 #include "demo_type.h"
+#include "keyring_type.h"
 
 #include <memory>
 #include <unordered_map>
@@ -66,6 +67,7 @@
     void onBroken(std::size_t caller, const FlowBroken& broken);
 
     const DemoPlan& m_plan;
+    Mac m_signature; ///< Of the person who confirms.
     std::vector<DemoFlow>& m_flows;
     std::vector<std::unique_ptr<CallerShell>> m_callers;
     std::unordered_map<FlowKey, std::size_t> m_index; ///< Place in m_flows.
--- a/standin/demo_script.h
+++ b/standin/demo_script.h
@@ -55,12 +55,14 @@
 
     // Steps, in their order.
     void openFeeds();
+    void startHalfLoad();
     void startLoad();
     void startSteady();
     void endSteady();
     void switchPreset();
     void killBalancer();
     void forgetBalancer();
+    void startBalancer();
     void addBalancer();
     void drainTarget();
     void undrainTarget();
--- a/standin/demo_type.h
+++ b/standin/demo_type.h
@@ -62,6 +62,7 @@
     Feed,
     Confirmation,
     Upload,
+    Probe, ///< Idempotent confirmation sent until the deployment serves.
     Unknown, ///< Confirmation with a name that nobody corrected.
     End,
 };
