Retransmit at least every 200 ms

Cause: while a killed balancer was still in the fabric's list, one packet in three was lost, and the doubling intervals left four tries within a confirmation's deadline of 1 s.

Change: retransmissions are at most 200 ms apart. The wait before another Open after a refusal still grows to 1 s, so an overloaded service sees no more retries than before.

--- a/src/caller_base.h
+++ b/src/caller_base.h
@@ -196,7 +196,7 @@
     void tick(TimePoint now, Flow& flow, CallerEffects& effects);
     void setNextResend(TimePoint now, Flow& flow);
     void setWake(Flow& flow);
-    Duration backoff(std::uint32_t tries);
+    Duration backoff(std::uint32_t tries, Duration longest);
     Duration withJitter(Duration duration);
 
     Flow* find(FlowId id);
--- a/src/caller_open.cpp
+++ b/src/caller_open.cpp
@@ -140,7 +140,7 @@
     flow.refusal = outcome;
     if (contains(finalReasons, outcome.reason) || flow.state == State::Cancelling || flow.state == State::Querying)
         return endRefused(now, flow, outcome, effects);
-    Duration wait = std::max(milliseconds(outcome.retryAfterMs), backoff(flow.retries));
+    Duration wait = std::max(milliseconds(outcome.retryAfterMs), backoff(flow.retries, m_settings.retryMax));
     bool isTooLate = now + wait >= flow.deadline;
     if (isTooLate)
         return endRefused(now, flow, outcome, effects);
@@ -150,7 +150,7 @@
             return endRefused(now, flow, outcome, effects);
         }
         // Feeds and uploads are few and must come back, so they try again at the lowest rate instead.
-        wait = std::max(wait, withJitter(m_settings.resendMax));
+        wait = std::max(wait, withJitter(m_settings.retryMax));
     }
     openAgainAt(flow, now + wait);
 }
--- a/src/caller_send.cpp
+++ b/src/caller_send.cpp
@@ -86,7 +86,7 @@
     packet.payload.assign(flow.payload.data() + begin, flow.payload.data() + end);
     if (chunk.sends)
         ++m_counters.resent;
-    chunk.resendAt = now + backoff(chunk.sends);
+    chunk.resendAt = now + backoff(chunk.sends, m_settings.resendMax);
     ++chunk.sends;
     send(std::move(packet), effects);
 }
--- a/src/caller_tick.cpp
+++ b/src/caller_tick.cpp
@@ -91,7 +91,7 @@
 
 void CallerCore::setNextResend(TimePoint now, Flow& flow)
 {
-    flow.resendAt = now + backoff(flow.sends);
+    flow.resendAt = now + backoff(flow.sends, m_settings.resendMax);
     ++flow.sends;
 }
 
@@ -107,11 +107,11 @@
     m_wakes.emplace(wakeAt, flow.id);
 }
 
-Duration CallerCore::backoff(std::uint32_t tries)
+Duration CallerCore::backoff(std::uint32_t tries, Duration longest)
 {
     constexpr std::uint32_t maxDoublings = 20;
     Duration delay = m_settings.resendAfter * (std::int64_t(1) << std::min(tries, maxDoublings));
-    return withJitter(std::min(delay, m_settings.resendMax));
+    return withJitter(std::min(delay, longest));
 }
 
 Duration CallerCore::withJitter(Duration duration)
--- a/src/caller_type.h
+++ b/src/caller_type.h
@@ -18,7 +18,8 @@
     FlowId firstFlow { 1 }; ///< Number of the first flow.
     Duration hedgeAfter { milliseconds(40) }; ///< An Open without a reply for this long is sent a second time.
     Duration resendAfter { milliseconds(80) }; ///< First retransmission; doubles each time.
-    Duration resendMax { milliseconds(1000) }; ///< Longest time between two retransmissions, before jitter.
+    Duration resendMax { milliseconds(200) }; ///< Longest time between two retransmissions, before jitter.
+    Duration retryMax { milliseconds(1000) }; ///< Longest time before another Open after a refusal, before jitter.
     std::uint32_t retryPercent { 10 }; ///< Retries and hedges allowed per 100 successes.
     std::uint32_t retryReserve { 10 }; ///< Retries and hedges allowed before the first success.
     Duration lease { leaseOfFlow }; ///< A feed or upload without a Renewed for this long is broken.
