--- a/standin/demo_judge.cpp
+++ b/standin/demo_judge.cpp
@@ -128,7 +128,9 @@
                 if (flow.work != DemoWork::Confirmation || flow.outcome.verdict != verdict)
                     continue;
                 std::string which = isGivenUp(flow) ? " (given up)" : "";
-                ++counts[verdictText + ": " + std::string(nameOf(flow.outcome.reason)) + which];
+                std::string line = verdictText + ": ";
+                line += nameOf(flow.outcome.reason);
+                ++counts[line += which];
             }
             for (const auto& [reason, number] : counts)
                 addNumber("  " + reason, std::to_string(number));
