Serve metrics and the counts behind the burn report

Cause: /metrics and /burn were answered with 404, so hawthorncroftctl burn had nothing to read from running processes.

Change: the agent core reports each flow's end as an effect; the agent counts them by service and minute with preset and failure domain changes as events, and both programs serve their metrics.

--- a/Makefile
+++ b/Makefile
@@ -46,6 +46,8 @@
 bench-core: build
 	$(BUILD)/core-bench
 	$(BUILD)/agent-bench
+	$(BUILD)/loopback-bench
+	$(BUILD)/capacity-bench
 
 demo: install build
 	$(BUILD)/standin-demo examples/sofia examples/reykjavik
--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -76,6 +76,7 @@
     src/metrics_base.cpp
     src/process_report.cpp
     src/report_func.cpp
+    src/service_report.cpp
     src/settings_func.cpp
     src/target_feeds.cpp
     src/target_thread.cpp
@@ -175,8 +176,10 @@
 
 set(BENCHES
     agent-bench
+    capacity-bench
     core-bench
     decisions-bench
+    loopback-bench
     replica-bench
 )
 
@@ -184,6 +187,10 @@
     bench/agent_bench.cpp
 )
 
+set(capacity-bench_SOURCES
+    bench/capacity_bench.cpp
+)
+
 set(core-bench_SOURCES
     bench/core_bench.cpp
 )
@@ -195,6 +202,10 @@
     tests/fake_target.cpp
 )
 
+set(loopback-bench_SOURCES
+    bench/loopback_bench.cpp
+)
+
 set(replica-bench_SOURCES
     bench/replica_bench.cpp
     bench/replica_fleet.cpp
--- a/src/agent_base.h
+++ b/src/agent_base.h
@@ -190,6 +190,7 @@
     void refuseFlow(TimePoint now, FlowRecord& record, Reason reason);
     void giveUp(TimePoint now, FlowRecord& record, Reason reason);
     void finish(TimePoint now, FlowRecord& record, Outcome outcome);
+    void reportEnd(TimePoint now, const FlowRecord& record, Outcome outcome);
     void answer(TimePoint now, FlowRecord& record, Outcome outcome, std::vector<std::uint8_t> payload);
     void release(FlowRecord& record);
     void settle(FlowRecord& record);
--- a/src/agent_outcome_cmd.cpp
+++ b/src/agent_outcome_cmd.cpp
@@ -22,8 +22,21 @@
     repeatOutcome(now, record, record.balancer);
 }
 
+void AgentCore::reportEnd(TimePoint now, const FlowRecord& record, Outcome outcome)
+{
+    // The caller used another reservation; nothing of the service is in it.
+    bool isUnused = record.state == FlowState::Reserved && outcome.reason == Reason::Expired;
+    if (isUnused)
+        return;
+    bool isRunning = record.state == FlowState::Running;
+    Duration serviceTime = isRunning ? now - record.startedAt : Duration {};
+    m_effects.emplace_back(FlowEnded { record.service, record.kind, outcome, serviceTime });
+}
+
 void AgentCore::finish(TimePoint now, FlowRecord& record, Outcome outcome)
 {
+    if (record.state != FlowState::Finished && record.state != FlowState::Answering)
+        reportEnd(now, record, outcome);
     release(record);
     m_records.releaseWork(record);
     m_records.setState(record, FlowState::Finished);
@@ -35,6 +48,7 @@
 
 void AgentCore::answer(TimePoint now, FlowRecord& record, Outcome outcome, std::vector<std::uint8_t> payload)
 {
+    reportEnd(now, record, outcome);
     release(record);
     m_records.keepAnswer(record, std::move(payload));
     record.outcome = outcome;
--- a/src/agent_report.cpp
+++ b/src/agent_report.cpp
@@ -37,8 +37,13 @@
 
 }
 
-ControlAnswer answerQuestion(const ControlQuestion& question, const AgentCore& core, const ProcessReport& process)
+ControlAnswer answerQuestion(const ControlQuestion& question, const AgentCore& core, const ProcessReport& process,
+    const ServiceReport& service, std::uint64_t second)
 {
+    if (question.path == "/burn")
+        return { .id = question.id, .body = service.burnJson(core.view(), second) };
+    if (question.path == "/metrics")
+        return { .id = question.id, .body = metricsAnswer(service.metrics(), question.argument) };
     if (question.path != "/status")
         return { .id = question.id, .status = 404, .body = {} };
     StatusReport report = process.status(core.view());
--- a/src/agent_report.h
+++ b/src/agent_report.h
@@ -6,6 +6,7 @@
 
 #include "agent_base.h"
 #include "process_report.h"
+#include "service_report.h"
 
 namespace hawthorncroft {
 
@@ -14,8 +15,11 @@
  * @param question The question; an unknown path gives status 404.
  * @param core The agent.
  * @param process Identity and standing of the process.
+ * @param service Counts for the burn report, and metrics.
+ * @param second Wall clock in seconds.
  * @return The answer, as JSON of report_type.h.
  */
-ControlAnswer answerQuestion(const ControlQuestion& question, const AgentCore& core, const ProcessReport& process);
+ControlAnswer answerQuestion(const ControlQuestion& question, const AgentCore& core, const ProcessReport& process,
+    const ServiceReport& service, std::uint64_t second);
 
 } // namespace hawthorncroft
--- a/src/agent_thread.cpp
+++ b/src/agent_thread.cpp
@@ -43,6 +43,7 @@
         , keyring(keyringOf(processSettings))
         , core(agentSettingsOf(processSettings), { Incarnation(randomNumber()), randomNumber() }, keyring, effects)
         , process("agent", processSettings, wallClockSeconds())
+        , serviceReport(toString(processSettings.control), wallClockSeconds())
         , target(processSettings.target)
         , data(context)
         , timer(context)
@@ -55,10 +56,13 @@
 
     void onDatagram(Endpoint from, std::span<const std::uint8_t> bytes)
     {
+        serviceReport.metrics().add(Counter::DatagramsIn);
+        serviceReport.metrics().add(Counter::BytesIn, bytes.size());
         DecodeError error = unseal(keyring, bytes);
         if (error == DecodeError::None)
             error = decode(bytes, packet);
         if (error != DecodeError::None) {
+            serviceReport.metrics().add(error == DecodeError::BadMac ? Counter::BadTrailers : Counter::Malformed);
             if (limiter.allow(monotonicNow().us))
                 log(LogPart::Data, LogLevel::Warning, "Dropped a datagram: " + std::string(nameOf(error)) + ".");
             return;
@@ -109,9 +113,13 @@
     {
         encode(effect.packet, buffer);
         seal(keyring, buffer);
+        serviceReport.metrics().add(Counter::DatagramsOut);
+        serviceReport.metrics().add(Counter::BytesOut, buffer.size());
         data.send(effect.to, buffer);
     }
 
+    void carryOutOne(FlowEnded& effect) { serviceReport.noteEnd(effect, core.view(), wallClockSeconds()); }
+
     template <typename Command> void carryOutOne(Command& command) { commands.push(std::move(command)); }
 
     void reportPause()
@@ -132,6 +140,7 @@
     void handle(DocumentsAccepted& accepted)
     {
         core.onConfiguration(monotonicNow(), accepted.documents, accepted.completeThrough);
+        serviceReport.noteConfiguration(core.view(), wallClockSeconds());
         process.noteInForce(accepted.completeThrough, wallClockSeconds());
     }
 
@@ -174,8 +183,9 @@
 
     void drainQuestions()
     {
-        questions.drain(
-            [this](ControlQuestion& question) { toControl->push(answerQuestion(question, core, process)); });
+        questions.drain([this](ControlQuestion& question) {
+            toControl->push(answerQuestion(question, core, process, serviceReport, wallClockSeconds()));
+        });
     }
 
     void checkShutdown()
@@ -197,6 +207,7 @@
     AgentEffects effects;
     AgentCore core;
     ProcessReport process;
+    ServiceReport serviceReport;
     TargetThread target;
     UdpSocket data;
     asio::steady_timer timer;
--- a/src/agent_type.h
+++ b/src/agent_type.h
@@ -95,8 +95,16 @@
     TimePoint deadline; ///< Zero when there is none.
 };
 
+/** Report that a flow ended, for the burn report and metrics. */
+struct FlowEnded {
+    ServiceId service;
+    FlowKind kind { FlowKind::Request };
+    Outcome outcome;
+    Duration serviceTime; ///< At the target; zero when the flow never started there.
+};
+
 using AgentEffect = std::variant<SendToProcess, RunRequest, CancelRequest, OpenFeed, CloseFeed, PauseFeed, ResumeFeed,
-    StoreChunk, CommitUpload>;
+    StoreChunk, CommitUpload, FlowEnded>;
 using AgentEffects = std::vector<AgentEffect>;
 
 /** What an agent counts. Names are in table/agent_counters.h. */
--- a/src/balancer_report.h
+++ b/src/balancer_report.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "balancer_base.h"
+#include "metrics_base.h"
 #include "name_sketch_type.h"
 #include "process_report.h"
 
@@ -36,6 +37,7 @@
     ControlAnswer answer(const ControlQuestion& question, const BalancerCore& core, TimePoint now) const;
 
     ProcessReport& process() { return m_process; }
+    Metrics& metrics() { return m_metrics; }
 
 private:
     using Answer = std::string (BalancerReport::*)(const std::string&, const BalancerCore&, TimePoint) const;
@@ -45,9 +47,10 @@
         Answer answer;
     };
 
-    static const std::array<Route, 3> routes;
+    static const std::array<Route, 4> routes;
 
     std::string status(const std::string& query, const BalancerCore& core, TimePoint now) const;
+    std::string metricsText(const std::string& query, const BalancerCore& core, TimePoint now) const;
     std::string names(const std::string& query, const BalancerCore& core, TimePoint now) const;
     std::string explain(const std::string& query, const BalancerCore& core, TimePoint now) const;
     std::vector<RankReport> ranksOf(
@@ -55,6 +58,7 @@
 
     ProcessReport m_process;
     NameSketch m_names;
+    Metrics m_metrics;
 };
 
 } // namespace hawthorncroft
--- a/src/balancer_thread.cpp
+++ b/src/balancer_thread.cpp
@@ -44,6 +44,7 @@
 
     void onFrontDatagram(Endpoint from, std::span<const std::uint8_t> bytes)
     {
+        noteReceived(bytes);
         DecodeError error = decode(bytes, packet);
         if (error != DecodeError::None) {
             noteRejected(error);
@@ -55,6 +56,7 @@
 
     void onDataDatagram(Endpoint from, std::span<const std::uint8_t> bytes)
     {
+        noteReceived(bytes);
         DecodeError error = unseal(keyring, bytes);
         if (error == DecodeError::None)
             error = decode(bytes, packet);
@@ -72,9 +74,21 @@
         carryOut();
     }
 
+    void noteReceived(std::span<const std::uint8_t> bytes)
+    {
+        reports.metrics().add(Counter::DatagramsIn);
+        reports.metrics().add(Counter::BytesIn, bytes.size());
+    }
+
+    void noteSent()
+    {
+        reports.metrics().add(Counter::DatagramsOut);
+        reports.metrics().add(Counter::BytesOut, buffer.size());
+    }
+
     void noteRejected(DecodeError error)
     {
-        ++rejected;
+        reports.metrics().add(error == DecodeError::BadMac ? Counter::BadTrailers : Counter::Malformed);
         if (limiter.allow(monotonicNow().us))
             log(LogPart::Data, LogLevel::Warning, "Dropped a datagram: " + std::string(nameOf(error)) + ".");
     }
@@ -103,12 +117,14 @@
         encode(effect.packet, buffer);
         seal(keyring, buffer);
         data.send(effect.to, buffer);
+        noteSent();
     }
 
     void carryOutOne(SendToCaller& effect)
     {
         encode(effect.packet, buffer);
         front.send(effect.to, buffer);
+        noteSent();
     }
 
     void carryOutOne(UnknownNameSeen& effect) { reports.noteUnknownName(effect.name, wallClockSeconds()); }
@@ -173,7 +189,6 @@
     Packet packet; ///< Reused for each datagram.
     Bytes buffer; ///< Reused for each datagram.
     BalancerEffects effects;
-    std::uint64_t rejected {};
     LogLimiter limiter;
     std::thread thread;
 };
--- /dev/null
+++ b/src/service_report.cpp
@@ -0,0 +1,86 @@
+#include "service_report.h"
+
+#include "burn_func.h"
+
+namespace hawthorncroft {
+
+namespace {
+
+    constexpr std::size_t countedMinutes = 20000; ///< Two weeks of one service; some hundred bytes each.
+    constexpr double microsecondsPerMs = 1000;
+
+    /** Outcomes that say nothing about the service: the caller chose another reservation or changed its mind. */
+    bool isUnused(const Outcome& outcome)
+    {
+        return outcome.reason == Reason::Expired || outcome.reason == Reason::Cancelled;
+    }
+
+    Counter counterOf(Verdict verdict)
+    {
+        if (verdict == Verdict::Done)
+            return Counter::Done;
+        return verdict == Verdict::DidNotRun ? Counter::DidNotRun : Counter::MayHaveRun;
+    }
+
+}
+
+ServiceReport::ServiceReport(std::string process, std::uint64_t second)
+    : m_process(std::move(process))
+    , m_burn(second, countedMinutes)
+{
+}
+
+void ServiceReport::noteEnd(const FlowEnded& flow, const ConfigView& view, std::uint64_t second)
+{
+    if (isUnused(flow.outcome))
+        return;
+    m_metrics.add(counterOf(flow.outcome.verdict));
+    if (flow.kind == FlowKind::Request)
+        noteRequest(flow, view, second);
+    bool isBroken = flow.kind != FlowKind::Request && flow.outcome.verdict != Verdict::Done;
+    m_metrics.add(Counter::FlowsBroken, isBroken);
+    m_burn.noteFlow(flow.service, second, isBroken);
+}
+
+void ServiceReport::noteRequest(const FlowEnded& flow, const ConfigView& view, std::uint64_t second)
+{
+    const ServiceConfig* service = view.service(flow.service);
+    std::int64_t allowedMs = service ? service->objectives.inTimeMs : Objectives {}.inTimeMs;
+    bool isAnswered = flow.outcome.verdict == Verdict::Done;
+    bool isInTime = isAnswered && flow.serviceTime <= milliseconds(allowedMs);
+    m_metrics.add(Counter::InTime, isInTime);
+    m_metrics.record(Distribution::Latency, static_cast<double>(flow.serviceTime.us) / microsecondsPerMs);
+    m_burn.noteRequest(flow.service, second, isAnswered, isInTime);
+}
+
+void ServiceReport::noteConfiguration(const ConfigView& view, std::uint64_t second)
+{
+    const OperationsDocument* operations = view.operations();
+    if (!operations)
+        return;
+    if (!m_preset.empty() && m_preset != operations->inForce)
+        m_burn.noteEvent({ .at = second, .text = "preset " + operations->inForce + " in force" });
+    for (const auto& domain : operations->domainsOut) {
+        if (std::find(m_domainsOut.begin(), m_domainsOut.end(), domain) == m_domainsOut.end())
+            m_burn.noteEvent({ .at = second, .text = "failure domain " + domain + " taken out" });
+    }
+    for (const auto& domain : m_domainsOut) {
+        const auto& out = operations->domainsOut;
+        if (std::find(out.begin(), out.end(), domain) == out.end())
+            m_burn.noteEvent({ .at = second, .text = "failure domain " + domain + " back in service" });
+    }
+    m_preset = operations->inForce;
+    m_domainsOut = operations->domainsOut;
+}
+
+std::string ServiceReport::burnJson(const ConfigView& view, std::uint64_t second) const
+{
+    return toJson(m_burn.counts(m_process, second, view.services()));
+}
+
+std::string metricsAnswer(const Metrics& metrics, const std::string& query)
+{
+    return query == "format=text" ? metrics.text() : metrics.json();
+}
+
+} // namespace hawthorncroft
