Judge silent targets when they are needed instead of in every tick

Cause: the balancer's tick walked over the hints of every target 50 times a second, which grows with the number of targets (130,000 at the target size), and hints of removed targets were never forgotten.

Change: a target is judged when an open considers it; a search once a minute forgets hints of removed targets, and replies of unknown targets leave no hint.

--- a/src/balancer_base.h
+++ b/src/balancer_base.h
@@ -42,7 +42,7 @@
     void onProcessPacket(TimePoint now, Endpoint from, Packet& packet, BalancerEffects& effects);
 
     /**
-     * Updates suspicions and notices pauses. Called every few milliseconds.
+     * Notices pauses and forgets hints about removed targets. Called every few milliseconds.
      * @param now Current time.
      * @param[out] effects Effects are appended.
      */
@@ -139,6 +139,7 @@
     void handleHint(TimePoint now, Endpoint from, Packet& packet, BalancerEffects& effects);
     void handleBadKind(TimePoint now, Endpoint from, Packet& packet, BalancerEffects& effects);
 
+    void noteHint(TimePoint now, const Packet& packet);
     void resolveBound(Packet& packet) const;
     bool noticePause(TimePoint now, BalancerEffects& effects);
     bool admitOpen(TimePoint now, Endpoint from, const Packet& packet, BalancerEffects& effects);
@@ -166,6 +167,7 @@
     RetryBudget m_retryBudget;
     OpenHealth m_openHealth;
     std::unordered_map<std::string, OutOfService> m_out; ///< By name of the failure domain or VM.
+    TimePoint m_hintsPrunedAt;
     TimePoint m_lastEvent;
     TimePoint m_lastContactEffect;
     std::uint64_t m_pause {}; ///< Number of pauses so far.
--- a/src/balancer_cmd.cpp
+++ b/src/balancer_cmd.cpp
@@ -77,8 +77,10 @@
 void BalancerCore::onTick(TimePoint now, BalancerEffects& effects)
 {
     noticePause(now, effects);
-    for (auto& [target, hint] : m_hints)
-        hint.noteTick(now);
+    if (now - m_hintsPrunedAt < hintPruneInterval)
+        return;
+    m_hintsPrunedAt = now;
+    std::erase_if(m_hints, [this](const auto& hint) { return !m_view.target(hint.first); });
 }
 
 bool BalancerCore::noticePause(TimePoint now, BalancerEffects& effects)
@@ -244,7 +246,7 @@
 
 void BalancerCore::handleReply(TimePoint now, Endpoint, Packet& packet, BalancerEffects& effects)
 {
-    m_hints[packet.target].noteReply(now, packet);
+    noteHint(now, packet);
     if (packet.kind == Kind::Opened) {
         m_retryBudget.noteSuccess(m_view.preset().retryPercent);
         m_openHealth.noteSuccess();
@@ -257,7 +259,13 @@
 void BalancerCore::handleHint(TimePoint now, Endpoint, Packet& packet, BalancerEffects&)
 {
     // An agent that relays an Open reports its own state to the balancer, since the reply comes from another agent.
-    if (packet.target)
+    noteHint(now, packet);
+}
+
+void BalancerCore::noteHint(TimePoint now, const Packet& packet)
+{
+    // Hints are kept for configured targets only, which bounds them.
+    if (m_view.target(packet.target))
         m_hints[packet.target].noteReply(now, packet);
 }
 
--- a/src/table/balancer_times.h
+++ b/src/table/balancer_times.h
@@ -17,6 +17,7 @@
 inline constexpr Duration firstProbeDelay
     = milliseconds(500); ///< Wait before a suspected target is probed by one open.
 inline constexpr Duration longestProbeDelay = seconds(8); ///< Upper end of the doubling probe delay.
+inline constexpr Duration hintPruneInterval = seconds(60); ///< Between searches for hints of removed targets.
 inline constexpr std::uint32_t notReadyRetryMs = 50; ///< Retry-after while the view is not confirmed; milliseconds.
 inline constexpr std::uint32_t noTargetRetryMs = 500; ///< Retry-after when no target is eligible; milliseconds.
 inline constexpr std::size_t ranksConsidered = 8; ///< Ranks examined for one open.
--- a/src/target_hint_func.cpp
+++ b/src/target_hint_func.cpp
@@ -9,19 +9,20 @@
 void TargetHint::noteOpenSent(TimePoint now, FlowKind kind)
 {
     ++m_loads[static_cast<std::size_t>(kind)].opensSince;
-    if (!m_unanswered++)
-        m_firstUnanswered = now;
-    // A probe was just sent; the next one waits for its outcome.
-    if (m_probeAt.us && now >= m_probeAt) {
-        m_probeDelay = std::min(m_probeDelay * 2, longestProbeDelay);
+    // An open to a silent target is a probe; the next one waits for its outcome, longer each time.
+    if (isSilent(now)) {
+        m_probeDelay = std::min(std::max(m_probeDelay * 2, firstProbeDelay), longestProbeDelay);
         m_probeAt = now + m_probeDelay;
     }
+    if (!m_unanswered++)
+        m_firstUnanswered = now;
 }
 
 void TargetHint::noteReply(TimePoint now, const Packet& reply)
 {
     m_unanswered = 0;
     m_probeAt = {};
+    m_probeDelay = {};
     if (reply.targetState == TargetState::Unknown)
         return;
     m_state = reply.targetState;
@@ -34,16 +35,16 @@
         m_busyUntil = {};
 }
 
-void TargetHint::noteTick(TimePoint now)
+bool TargetHint::isSilent(TimePoint now) const
 {
-    bool isSilent = m_unanswered >= suspectCount && now - m_firstUnanswered >= suspectAfter;
-    if (!isSilent || m_probeAt.us)
-        return;
-    m_probeDelay = firstProbeDelay;
-    m_probeAt = now + m_probeDelay;
+    return m_unanswered >= suspectCount && now - m_firstUnanswered >= suspectAfter;
 }
 
-bool TargetHint::isSuspected(TimePoint now) const { return m_probeAt.us && now < m_probeAt; }
+bool TargetHint::isSuspected(TimePoint now) const
+{
+    TimePoint probeAt = m_probeAt.us ? m_probeAt : m_firstUnanswered + suspectAfter + firstProbeDelay;
+    return isSilent(now) && now < probeAt;
+}
 
 bool TargetHint::refusesWork(TimePoint now) const
 {
--- a/src/target_hint_type.h
+++ b/src/target_hint_type.h
@@ -29,12 +29,6 @@
      */
     void noteReply(TimePoint now, const Packet& reply);
 
-    /**
-     * Doubles the wait before the next probe when the target is suspected and a probe was not answered.
-     * @param now Current time.
-     */
-    void noteTick(TimePoint now);
-
     /** @return Whether the target leaves opens unanswered and no probe is due. */
     bool isSuspected(TimePoint now) const;
 
@@ -54,6 +48,9 @@
     std::optional<std::uint32_t> estimatedLoad(TimePoint now, FlowKind kind, std::uint32_t weight) const;
 
 private:
+    /** @return Whether several opens in a row were left unanswered for long. */
+    bool isSilent(TimePoint now) const;
+
     struct LoadReport {
         std::uint16_t load {}; ///< Use of the limit in 1/1000.
         std::uint32_t opensSince {}; ///< Opens sent after the report.
@@ -66,8 +63,8 @@
     TimePoint m_busyUntil;
     TimePoint m_firstUnanswered; ///< When the first open since the last reply was sent.
     std::uint32_t m_unanswered {}; ///< Opens since the last reply.
-    TimePoint m_probeAt; ///< Suspected until then; zero when not suspected.
-    Duration m_probeDelay;
+    TimePoint m_probeAt; ///< When a silent target may be probed again; zero before the first probe.
+    Duration m_probeDelay; ///< Wait after the latest probe.
 };
 
 /** Beliefs about all targets that a balancer used. */
