--- a/src/balancer_base.h
+++ b/src/balancer_base.h
@@ -100,6 +100,15 @@
      */
     std::optional<std::uint32_t> loadOf(TimePoint now, TargetId id, FlowKind kind) const;
 
+    /**
+     * Tells how old a target's load report is.
+     * @param now Current time.
+     * @param id The target.
+     * @param kind Kind of the flow.
+     * @return Its age; zero when there was none.
+     */
+    Duration loadAge(TimePoint now, TargetId id, FlowKind kind) const;
+
     const ConfigView& view() const { return m_view; }
     const BalancerCounters& counters() const { return m_counters; }
 
--- a/src/balancer_query.cpp
+++ b/src/balancer_query.cpp
@@ -83,6 +83,13 @@
     return hint->second.estimatedLoad(now, kind, weight);
 }
 
+Duration BalancerCore::loadAge(TimePoint now, TargetId id, FlowKind kind) const
+{
+    auto hint = m_hints.find(id);
+    bool isKnown = hint != m_hints.end() && hint->second.loadReportedAt(kind).us;
+    return isKnown ? now - hint->second.loadReportedAt(kind) : Duration {};
+}
+
 TargetId BalancerCore::preferredTarget(TimePoint now, ServiceId service, const FlowKey& key) const
 {
     Packet open;
--- a/src/balancer_report.cpp
+++ b/src/balancer_report.cpp
@@ -146,6 +146,7 @@
             .chosen = ranks[i] == chosen };
         if (auto load = core.loadOf(now, ranks[i], FlowKind::Request))
             rank.load = *load;
+        rank.loadAgeMs = static_cast<std::uint64_t>(core.loadAge(now, ranks[i], FlowKind::Request).us / 1000);
         reports.push_back(std::move(rank));
     }
     return reports;
--- a/src/target_hint_type.h
+++ b/src/target_hint_type.h
@@ -47,6 +47,9 @@
      */
     std::optional<std::uint32_t> estimatedLoad(TimePoint now, FlowKind kind, std::uint32_t weight) const;
 
+    /** @return When the last load report for flows of the kind arrived; zero when there was none. */
+    TimePoint loadReportedAt(FlowKind kind) const { return m_loads[static_cast<std::size_t>(kind)].at; }
+
 private:
     /** @return Whether several opens in a row were left unanswered for long. */
     bool isSilent(TimePoint now) const;
