--- a/src/agent_core.cpp
+++ b/src/agent_core.cpp
@@ -1,4 +1,5 @@
 #include "agent_base.h"
+#include "name_table_type.h"
 #include "table/agent_counters.h"
 #include "table/agent_times.h"
 #include "table/service_times.h"
@@ -7,11 +8,7 @@
 
 namespace hawthorncroft {
 
-std::string_view nameOf(AgentCounter counter)
-{
-    auto index = static_cast<std::size_t>(counter);
-    return index < agentCounterNames.size() ? agentCounterNames[index] : "invalid";
-}
+std::string_view nameOf(AgentCounter counter) { return lookUpName(agentCounterNames, counter); }
 
 const std::array<AgentCore::Handler, static_cast<std::size_t>(PacketKind::End)> AgentCore::handlers {
     &AgentCore::onOther, // Invalid
--- a/src/balancer_query.cpp
+++ b/src/balancer_query.cpp
@@ -1,4 +1,5 @@
 #include "balancer_base.h"
+#include "name_table_type.h"
 #include "table/balancer_names.h"
 #include "table/balancer_times.h"
 #include "table/service_times.h"
@@ -7,17 +8,9 @@
 
 namespace hawthorncroft {
 
-std::string_view nameOf(BalancerCounter counter)
-{
-    auto index = static_cast<std::size_t>(counter);
-    return index < balancerCounterNames.size() ? balancerCounterNames[index] : "invalid";
-}
+std::string_view nameOf(BalancerCounter counter) { return lookUpName(balancerCounterNames, counter); }
 
-std::string_view nameOf(BalancerCore::Eligibility eligibility)
-{
-    auto index = static_cast<std::size_t>(eligibility);
-    return index < eligibilityNames.size() ? eligibilityNames[index] : "invalid";
-}
+std::string_view nameOf(BalancerCore::Eligibility eligibility) { return lookUpName(eligibilityNames, eligibility); }
 
 BalancerCore::Eligibility BalancerCore::eligibilityOf(TimePoint now, TargetId id) const
 {
--- a/src/codec_func.cpp
+++ b/src/codec_func.cpp
@@ -1,4 +1,5 @@
 #include "codec_func.h"
+#include "name_table_type.h"
 
 #include "generated/wire_generated.h"
 #include "table/limits.h"
@@ -10,7 +11,7 @@
 
 namespace {
 
-    constexpr std::array<std::string_view, static_cast<std::size_t>(DecodeError::End)> decodeErrorNames {
+    constexpr NameTable<DecodeError> decodeErrorNames {
         "none",
         "too large",
         "malformed",
@@ -108,11 +109,7 @@
 
 }
 
-std::string_view nameOf(DecodeError error)
-{
-    auto index = static_cast<std::size_t>(error);
-    return index < decodeErrorNames.size() ? decodeErrorNames[index] : "invalid";
-}
+std::string_view nameOf(DecodeError error) { return lookUpName(decodeErrorNames, error); }
 
 void encode(const Packet& packet, Bytes& bytes)
 {
--- a/src/config_check.cpp
+++ b/src/config_check.cpp
@@ -1,4 +1,5 @@
 #include "config_func.h"
+#include "name_table_type.h"
 
 #include "table/config_fields.h"
 #include "table/limits.h"
@@ -231,11 +232,7 @@
 
 }
 
-std::string_view nameOf(Role role)
-{
-    auto index = static_cast<std::size_t>(role);
-    return index < roleNames.size() ? roleNames[index] : "invalid";
-}
+std::string_view nameOf(Role role) { return lookUpName(roleNames, role); }
 
 std::string_view nameOf(DocumentKind kind)
 {
--- a/src/control_func.cpp
+++ b/src/control_func.cpp
@@ -1,4 +1,5 @@
 #include "control_func.h"
+#include "name_table_type.h"
 
 #include "table/control_names.h"
 
@@ -96,14 +97,8 @@
     return ++m_counts[address] <= m_perSecond;
 }
 
-std::string_view nameOf(ControlError error)
-{
-    return error < ControlError::End ? controlErrorNames[static_cast<std::size_t>(error)] : "invalid";
-}
+std::string_view nameOf(ControlError error) { return lookUpName(controlErrorNames, error); }
 
-std::string_view nameOf(ControlCounter counter)
-{
-    return counter < ControlCounter::End ? controlCounterNames[static_cast<std::size_t>(counter)] : "invalid";
-}
+std::string_view nameOf(ControlCounter counter) { return lookUpName(controlCounterNames, counter); }
 
 } // namespace hawthorncroft
--- a/src/http2_connection.cpp
+++ b/src/http2_connection.cpp
@@ -1,4 +1,5 @@
 #include "http2_connection.h"
+#include "name_table_type.h"
 
 #include "table/http2_names.h"
 
@@ -383,14 +384,8 @@
     return {};
 }
 
-std::string_view nameOf(Http2Error error)
-{
-    return error < Http2Error::End ? http2ErrorNames[static_cast<std::size_t>(error)] : "invalid";
-}
+std::string_view nameOf(Http2Error error) { return lookUpName(http2ErrorNames, error); }
 
-std::string_view nameOf(Http2Counter counter)
-{
-    return counter < Http2Counter::End ? http2CounterNames[static_cast<std::size_t>(counter)] : "invalid";
-}
+std::string_view nameOf(Http2Counter counter) { return lookUpName(http2CounterNames, counter); }
 
 } // namespace hawthorncroft
--- a/src/log_func.cpp
+++ b/src/log_func.cpp
@@ -1,4 +1,5 @@
 #include "log_func.h"
+#include "name_table_type.h"
 
 #include <log4cplus/configurator.h>
 #include <log4cplus/consoleappender.h>
@@ -14,7 +15,7 @@
 
 namespace {
 
-    constexpr std::array<std::string_view, static_cast<std::size_t>(LogPart::End)> partNames {
+    constexpr NameTable<LogPart> partNames {
         "main",
         "data",
         "control",
@@ -23,7 +24,7 @@
         "metrics",
     };
 
-    constexpr std::array<std::string_view, static_cast<std::size_t>(LogLevel::End)> levelNames {
+    constexpr NameTable<LogLevel> levelNames {
         "debug",
         "info",
         "warning",
@@ -52,17 +53,9 @@
 
 }
 
-std::string_view nameOf(LogPart part)
-{
-    auto index = static_cast<std::size_t>(part);
-    return index < partNames.size() ? partNames[index] : "invalid";
-}
+std::string_view nameOf(LogPart part) { return lookUpName(partNames, part); }
 
-std::string_view nameOf(LogLevel level)
-{
-    auto index = static_cast<std::size_t>(level);
-    return index < levelNames.size() ? levelNames[index] : "invalid";
-}
+std::string_view nameOf(LogLevel level) { return lookUpName(levelNames, level); }
 
 void startLogs(const std::map<std::string, std::string>& levels)
 {
--- a/src/metrics_base.cpp
+++ b/src/metrics_base.cpp
@@ -1,4 +1,5 @@
 #include "metrics_base.h"
+#include "name_table_type.h"
 
 #include "table/metrics_names.h"
 
@@ -185,10 +186,7 @@
     return *m_latest;
 }
 
-std::string_view nameOf(Counter counter)
-{
-    return counter < Counter::End ? counterNames[static_cast<std::size_t>(counter)] : "invalid";
-}
+std::string_view nameOf(Counter counter) { return lookUpName(counterNames, counter); }
 
 std::string_view nameOf(Distribution distribution)
 {
--- a/src/table/agent_counters.h
+++ b/src/table/agent_counters.h
@@ -5,12 +5,13 @@
 #pragma once
 
 #include "../agent_type.h"
+#include "../name_table_type.h"
 
 #include <array>
 
 namespace hawthorncroft {
 
-inline constexpr std::array<std::string_view, static_cast<std::size_t>(AgentCounter::End)> agentCounterNames {
+inline constexpr NameTable<AgentCounter> agentCounterNames {
     "accepted",
     "refused-opens",
     "relayed-opens",
--- a/src/table/balancer_names.h
+++ b/src/table/balancer_names.h
@@ -5,12 +5,13 @@
 #pragma once
 
 #include "../balancer_base.h"
+#include "../name_table_type.h"
 
 #include <array>
 
 namespace hawthorncroft {
 
-inline constexpr std::array<std::string_view, static_cast<std::size_t>(BalancerCounter::End)> balancerCounterNames {
+inline constexpr NameTable<BalancerCounter> balancerCounterNames {
     "opens_placed",
     "bound_forwarded",
     "replies_forwarded",
@@ -25,14 +26,13 @@
     "pauses",
 };
 
-inline constexpr std::array<std::string_view, static_cast<std::size_t>(BalancerCore::Eligibility::End)>
-    eligibilityNames {
-        "eligible",
-        "not configured",
-        "out of service",
-        "leaving",
-        "refusing work",
-        "suspected",
-    };
+inline constexpr NameTable<BalancerCore::Eligibility> eligibilityNames {
+    "eligible",
+    "not configured",
+    "out of service",
+    "leaving",
+    "refusing work",
+    "suspected",
+};
 
 } // namespace hawthorncroft
--- a/src/table/config_fields.h
+++ b/src/table/config_fields.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "../config_reader.h"
+#include "../name_table_type.h"
 
 #include <array>
 
@@ -40,6 +41,6 @@
     { "unavailableSecondsPerMonth", &Objectives::unavailableSecondsPerMonth, { 0, 2678400 } }, // 31 days.
 } };
 
-inline constexpr std::array<std::string_view, static_cast<std::size_t>(Role::End)> roleNames { "balancer", "agent" };
+inline constexpr NameTable<Role> roleNames { "balancer", "agent" };
 
 } // namespace hawthorncroft
--- a/src/table/control_names.h
+++ b/src/table/control_names.h
@@ -5,10 +5,11 @@
 #pragma once
 
 #include "../control_type.h"
+#include "../name_table_type.h"
 
 namespace hawthorncroft {
 
-inline constexpr std::array<std::string_view, static_cast<std::size_t>(ControlError::End)> controlErrorNames = {
+inline constexpr NameTable<ControlError> controlErrorNames = {
     "none",
     "unreachable",
     "timeout",
@@ -22,7 +23,7 @@
     "no key",
 };
 
-inline constexpr std::array<std::string_view, static_cast<std::size_t>(ControlCounter::End)> controlCounterNames = {
+inline constexpr NameTable<ControlCounter> controlCounterNames = {
     "served",
     "unauthorized",
     "replayed",
--- a/src/table/http2_names.h
+++ b/src/table/http2_names.h
@@ -5,10 +5,11 @@
 #pragma once
 
 #include "../http2_type.h"
+#include "../name_table_type.h"
 
 namespace hawthorncroft {
 
-inline constexpr std::array<std::string_view, static_cast<std::size_t>(Http2Error::End)> http2ErrorNames = {
+inline constexpr NameTable<Http2Error> http2ErrorNames = {
     "none",
     "connect failed",
     "too many requests",
@@ -21,7 +22,7 @@
     "response too large",
 };
 
-inline constexpr std::array<std::string_view, static_cast<std::size_t>(Http2Counter::End)> http2CounterNames = {
+inline constexpr NameTable<Http2Counter> http2CounterNames = {
     "connections",
     "connections_refused",
     "connect_failures",
--- a/src/table/metrics_names.h
+++ b/src/table/metrics_names.h
@@ -5,12 +5,13 @@
 #pragma once
 
 #include "../metrics_type.h"
+#include "../name_table_type.h"
 
 #include <array>
 
 namespace hawthorncroft {
 
-inline constexpr std::array<std::string_view, static_cast<std::size_t>(Counter::End)> counterNames = {
+inline constexpr NameTable<Counter> counterNames = {
     "datagrams_in",
     "datagrams_out",
     "bytes_in",
--- a/src/table/packet_names.h
+++ b/src/table/packet_names.h
@@ -4,13 +4,14 @@
  */
 #pragma once
 
+#include "../name_table_type.h"
 #include "../packet_type.h"
 
 #include <array>
 
 namespace hawthorncroft {
 
-inline constexpr std::array<std::string_view, static_cast<std::size_t>(PacketKind::End)> packetKindNames {
+inline constexpr NameTable<PacketKind> packetKindNames {
     "invalid",
     "open",
     "opened",
@@ -32,13 +33,13 @@
     "stamp-reply",
 };
 
-inline constexpr std::array<std::string_view, static_cast<std::size_t>(FlowKind::End)> flowKindNames {
+inline constexpr NameTable<FlowKind> flowKindNames {
     "request",
     "feed",
     "upload",
 };
 
-inline constexpr std::array<std::string_view, static_cast<std::size_t>(TargetState::End)> targetStateNames {
+inline constexpr NameTable<TargetState> targetStateNames {
     "unknown",
     "cold",
     "warm",
--- a/src/table/verdict_names.h
+++ b/src/table/verdict_names.h
@@ -4,20 +4,21 @@
  */
 #pragma once
 
+#include "../name_table_type.h"
 #include "../verdict_type.h"
 
 #include <array>
 
 namespace hawthorncroft {
 
-inline constexpr std::array<std::string_view, static_cast<std::size_t>(Verdict::End)> verdictNames {
+inline constexpr NameTable<Verdict> verdictNames {
     "none",
     "done",
     "did not run",
     "may have run",
 };
 
-inline constexpr std::array<std::string_view, static_cast<std::size_t>(Reason::End)> reasonNames {
+inline constexpr NameTable<Reason> reasonNames {
     "none",
     "unknown name",
     "wrong service",
--- a/tests/fake_policy.cpp
+++ b/tests/fake_policy.cpp
@@ -1,4 +1,5 @@
 #include "fake_fleet.h"
+#include "name_table_type.h"
 
 #include <algorithm>
 #include <array>
@@ -7,7 +8,7 @@
 
 namespace {
 
-    constexpr std::array<std::string_view, static_cast<std::size_t>(Policy::End)> policyNames {
+    constexpr NameTable<Policy> policyNames {
         "product",
         "plain rendezvous",
         "flow cache",
@@ -18,11 +19,7 @@
 
 }
 
-std::string_view nameOf(Policy policy)
-{
-    auto index = static_cast<std::size_t>(policy);
-    return index < policyNames.size() ? policyNames[index] : "invalid";
-}
+std::string_view nameOf(Policy policy) { return lookUpName(policyNames, policy); }
 
 void Fleet::applyPolicy(std::uint32_t balancer, SendToProcess& effect)
 {
