--- a/tests/fake_fleet.cpp
+++ b/tests/fake_fleet.cpp
@@ -60,6 +60,7 @@
     , m_random(options.seed)
 {
     m_keyring.add(KeyId(1), MacKey { 1 });
+    m_keyring.add(KeyId(2), MacKey { 2 });
     ServicesDocument services {
         { { .id = ServiceId(firstService), .name = serviceName, .spellings = { "curier-route" } },
             { .id = ServiceId(firstService + 1), .name = "receipt-intake" } }
@@ -220,6 +221,11 @@
     publish("operations", m_operations);
 }
 
+void Fleet::rotateKeys(KeyId signing, std::vector<KeyId> accepted)
+{
+    publish("keys", KeysDocument { signing, std::move(accepted) });
+}
+
 void Fleet::distribute(const VersionedDocument& document)
 {
     auto spread = [&] {
--- a/tests/fake_fleet.h
+++ b/tests/fake_fleet.h
@@ -136,6 +136,8 @@
     void publish(const std::string& key, Document document);
     void setOut(std::vector<std::string> domains, std::vector<std::string> vms = {});
     void setPreset(const std::string& name);
+    /** Publishes the key ids in use; the fleet holds the secrets of keys 1 and 2. */
+    void rotateKeys(KeyId signing, std::vector<KeyId> accepted);
     std::string domainOf(std::uint32_t target) const { return "domain-" + std::to_string(target % m_options.domains); }
 
     // Failures.
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -51,6 +51,29 @@
         CHECK(fleet.flows().at(upload).outcome.verdict == Verdict::Done);
         requireClean(fleet);
     }
+    SECTION("while keys are rotated with flows open, which guards against bindings that die with their key")
+    {
+        fleet.rotateKeys(KeyId(2), { KeyId(1), KeyId(2) });
+        fleet.requestsPerSecond(200, seconds(30));
+        fleet.run(seconds(25));
+        fleet.rotateKeys(KeyId(2), { KeyId(2) });
+        fleet.run(seconds(25));
+        CHECK(fleet.brokenFeeds() == 0);
+        CHECK(fleet.openFeeds() == 70);
+        requireClean(fleet);
+    }
+    SECTION(
+        "when every packet comes twice, late and out of order, which guards against crossed answers and second runs")
+    {
+        fleet.options().duplicates = 1;
+        fleet.options().jitter = milliseconds(30);
+        fleet.requestsPerSecond(200, seconds(5));
+        FlowKey late = fleet.upload(2, 50000);
+        fleet.run(seconds(15));
+        CHECK(fleet.brokenFeeds() == 0);
+        CHECK(fleet.flows().at(late).outcome.verdict == Verdict::Done);
+        requireClean(fleet);
+    }
     SECTION("also on a network that loses, duplicates and reorders")
     {
         fleet.options().loss = 0.03;
