Require a confirmation whenever the data thread paused, and hand over documents again

Cause: the configuration thread took a pause of the data thread alone for no pause; documents that did not fit into the ring waited for the next change; contacts on the data path did not say from whom they came, so a newer revision was fetched late. AddressSanitizer reported leaks in the fake fleet, whose repeating actions owned themselves.

Change: PauseNoticed requires a new confirmation, documents are handed over again with each tick, contacts name their sender, and the fake fleet repeats by member functions.

--- a/src/agent_thread.cpp
+++ b/src/agent_thread.cpp
@@ -7,6 +7,7 @@
 #include "codec_func.h"
 #include "log_func.h"
 #include "settings_func.h"
+#include "table/service_times.h"
 #include "target_thread.h"
 #include "udp_base.h"
 
@@ -25,7 +26,6 @@
 namespace {
 
     constexpr Duration tickInterval = milliseconds(10);
-    constexpr Duration contactInterval = milliseconds(100); ///< Signs of life reported to the configuration thread.
 
     AgentSettings agentSettingsOf(const ProcessSettings& settings)
     {
@@ -73,18 +73,18 @@
             return;
         }
         TimePoint now = monotonicNow();
-        noteContact(now);
+        noteContact(now, from);
         core.onPacket(now, from, std::move(packet));
         carryOut();
     }
 
-    void noteContact(TimePoint now)
+    void noteContact(TimePoint now, Endpoint from)
     {
         bool isNewer = packet.revision > core.view().completeThrough();
         if (!isNewer && now - lastContact < contactInterval)
             return;
         lastContact = now;
-        toConfig->push(PeerContact { packet.revision });
+        toConfig->push(PeerContact { from, packet.revision });
     }
 
     void scheduleTick()
--- a/src/balancer_base.h
+++ b/src/balancer_base.h
@@ -150,7 +150,7 @@
 
     void noteHint(TimePoint now, const Packet& packet);
     void resolveBound(Packet& packet) const;
-    bool noticePause(TimePoint now, BalancerEffects& effects);
+    void noticePause(TimePoint now, BalancerEffects& effects);
     bool admitOpen(TimePoint now, Endpoint from, const Packet& packet, BalancerEffects& effects);
     void place(TimePoint now, const Resolution& resolution, Packet& packet, BalancerEffects& effects);
     Choice choose(TimePoint now, ServiceId service, const Packet& open) const;
--- a/src/balancer_cmd.cpp
+++ b/src/balancer_cmd.cpp
@@ -65,7 +65,6 @@
 void BalancerCore::onProcessPacket(TimePoint now, Endpoint from, Packet& packet, BalancerEffects& effects)
 {
     noticePause(now, effects);
-    constexpr Duration contactInterval = milliseconds(100);
     bool isNewer = packet.revision > m_view.completeThrough();
     if (isNewer || now - m_lastContactEffect >= contactInterval) {
         m_lastContactEffect = now;
@@ -83,16 +82,15 @@
     std::erase_if(m_hints, [this](const auto& hint) { return !m_view.target(hint.first); });
 }
 
-bool BalancerCore::noticePause(TimePoint now, BalancerEffects& effects)
+void BalancerCore::noticePause(TimePoint now, BalancerEffects& effects)
 {
     bool isPause = m_lastEvent.us && now - m_lastEvent >= pauseGap;
     m_lastEvent = now;
     if (!isPause)
-        return false;
+        return;
     ++m_pause;
     count(BalancerCounter::Pauses);
     effects.push_back(ConfirmView { m_pause });
-    return true;
 }
 
 void BalancerCore::confirmView(std::uint64_t pause)
--- a/src/balancer_thread.cpp
+++ b/src/balancer_thread.cpp
@@ -136,7 +136,7 @@
         toConfig->push(PauseNoticed { effect.pause });
     }
 
-    void carryOutOne(ContactSeen& effect) { toConfig->push(PeerContact { effect.revision }); }
+    void carryOutOne(ContactSeen& effect) { toConfig->push(PeerContact { effect.from, effect.revision }); }
 
     void drainInput()
     {
--- a/src/config_thread.cpp
+++ b/src/config_thread.cpp
@@ -93,6 +93,7 @@
         if (platformCall)
             replica.onPlatformAlive(now);
         carryOut(effects);
+        handOver();
         reportStanding(now);
         if (now - lastReport >= reportInterval) {
             lastReport = now;
@@ -116,7 +117,6 @@
 
     void drainInput()
     {
-        // A pause that the data thread noticed is noticed here by the gap between two ticks.
         tick();
         input.drain([this](ConfigInput& message) { std::visit([this](auto& m) { handle(m); }, message); });
         reportStanding(monotonicNow());
@@ -135,11 +135,16 @@
     void handle(PeerContact& contact)
     {
         ReplicaEffects effects;
-        replica.noteContact(monotonicNow(), contact.revision, {}, effects);
+        replica.noteDataContact(monotonicNow(), contact.from, contact.revision, effects);
         carryOut(effects);
     }
 
-    void handle(PauseNoticed& pause) { openPause = pause.pause; }
+    void handle(PauseNoticed& pause)
+    {
+        // Only the data thread may have been paused, so that this thread's ticks show no gap.
+        replica.requireConfirmation(monotonicNow());
+        openPause = pause.pause;
+    }
 
     void reportStanding(TimePoint now)
     {
@@ -224,9 +229,17 @@
                     + std::to_string(replica.completeThrough().value) + ".");
         unsent.insert(
             unsent.end(), std::make_move_iterator(documents.begin()), std::make_move_iterator(documents.end()));
+        isBehind = true;
+        handOver();
+    }
+
+    void handOver()
+    {
         // Documents that a full ring did not take must not be lost, or the data thread's view would have a gap.
-        if (toData.push(DocumentsAccepted { unsent, replica.completeThrough() }))
-            unsent.clear();
+        if (!isBehind || !toData.push(DocumentsAccepted { unsent, replica.completeThrough() }))
+            return;
+        unsent.clear();
+        isBehind = false;
     }
 
     void useKeys(const VersionedDocument& document)
@@ -263,6 +276,7 @@
     std::uint64_t openPause {}; ///< Pause whose end was not reported; zero when there is none.
     TimePoint lastReport; ///< When the last StandingReport was sent.
     ServingChanged reported; ///< Standing that the data thread knows.
+    bool isBehind {}; ///< The data thread does not have the newest revision yet.
     std::vector<VersionedDocument> unsent; ///< Accepted, but not yet taken by the data thread's ring.
     LogLimiter limiter;
     std::thread thread;
--- a/src/process_type.h
+++ b/src/process_type.h
@@ -22,6 +22,7 @@
 
 /** A datagram of another process shows that this process is not cut off. */
 struct PeerContact {
+    Endpoint from; ///< Datagram endpoint of the other process.
     Revision revision; ///< Revision that the other process holds.
 };
 
--- a/src/table/service_times.h
+++ b/src/table/service_times.h
@@ -14,4 +14,6 @@
  */
 inline constexpr Duration outGrace = milliseconds(1500);
 
+inline constexpr Duration contactInterval = milliseconds(100); ///< Between signs of life passed to the replica.
+
 } // namespace hawthorncroft
--- a/tests/fake_fleet.cpp
+++ b/tests/fake_fleet.cpp
@@ -178,18 +178,17 @@
 
 void Fleet::requestsPerSecond(double rate, Duration duration, Duration deadline)
 {
-    TimePoint end = m_now + duration;
-    auto next = std::make_shared<std::function<void()>>();
-    *next = [this, rate, end, deadline, next] {
-        if (m_now >= end) {
-            after(microseconds(0), [next] { *next = nullptr; });
-            return;
-        }
-        request(static_cast<std::uint32_t>(m_random() % m_callers.size()), false, deadline);
-        double gap = std::exponential_distribution<double>(rate)(m_random);
-        after(microseconds(static_cast<std::int64_t>(gap * 1e6) + 1), *next);
-    };
-    (*next)();
+    startRequests(rate, m_now + duration, deadline);
+}
+
+void Fleet::startRequests(double rate, TimePoint end, Duration deadline)
+{
+    if (m_now >= end)
+        return;
+    request(static_cast<std::uint32_t>(m_random() % m_callers.size()), false, deadline);
+    double gap = std::exponential_distribution<double>(rate)(m_random);
+    after(microseconds(static_cast<std::int64_t>(gap * 1e6) + 1),
+        [this, rate, end, deadline] { startRequests(rate, end, deadline); });
 }
 
 // Operators and configuration.
--- a/tests/fake_fleet.h
+++ b/tests/fake_fleet.h
@@ -209,6 +209,8 @@
     TargetId baselineTarget(std::uint32_t balancer, const Packet& packet);
     void refreshReports();
     void reportHealth(std::uint32_t target);
+    void pollHealth(std::uint32_t target);
+    void startRequests(double rate, TimePoint end, Duration deadline);
 
     FleetOptions m_options;
     std::mt19937_64 m_random;
--- a/tests/fake_target.cpp
+++ b/tests/fake_target.cpp
@@ -31,15 +31,16 @@
     reportHealth(target);
     if (isFirst) {
         tickAgent(target);
-        auto poll = std::make_shared<std::function<void()>>();
-        *poll = [this, target, poll] {
-            reportHealth(target);
-            after(healthInterval, *poll);
-        };
-        after(healthInterval, *poll);
+        after(healthInterval, [this, target] { pollHealth(target); });
     }
 }
 
+void Fleet::pollHealth(std::uint32_t target)
+{
+    reportHealth(target);
+    after(healthInterval, [this, target] { pollHealth(target); });
+}
+
 AgentCore& Fleet::agent(std::uint32_t target) { return *m_agents[target]->core; }
 
 void Fleet::reportHealth(std::uint32_t target)
