Format metrics on a thread of their own

Cause: the design names a thread for each duty, but the data thread formatted metrics when asked for, which takes time from datagrams.

Change: the data thread publishes a copy once a second through MetricsChannel; the metrics thread answers /metrics as JSON or, with format=text, as text.

--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -74,6 +74,7 @@
     src/http2_server.cpp
     src/log_func.cpp
     src/metrics_base.cpp
+    src/metrics_thread.cpp
     src/process_report.cpp
     src/report_func.cpp
     src/service_report.cpp
--- a/src/agent_report.cpp
+++ b/src/agent_report.cpp
@@ -42,8 +42,6 @@
 {
     if (question.path == "/burn")
         return { .id = question.id, .body = service.burnJson(core.view(), second) };
-    if (question.path == "/metrics")
-        return { .id = question.id, .body = metricsAnswer(service.metrics(), question.argument) };
     if (question.path != "/status")
         return { .id = question.id, .status = 404, .body = {} };
     StatusReport report = process.status(core.view());
--- a/src/agent_thread.cpp
+++ b/src/agent_thread.cpp
@@ -96,11 +96,20 @@
             core.onTick(monotonicNow());
             carryOut();
             commands.flush();
+            publishMetrics(monotonicNow());
             checkShutdown();
             scheduleTick();
         });
     }
 
+    void publishMetrics(TimePoint now)
+    {
+        if (now - metricsPublishedAt < metricsInterval)
+            return;
+        metricsPublishedAt = now;
+        metricsChannel.publish(serviceReport.metrics());
+    }
+
     void carryOut()
     {
         for (auto& effect : effects)
@@ -225,6 +234,8 @@
     std::uint64_t endedPause {}; ///< Latest pause after which the view was confirmed.
     std::function<void()> onShutDown;
     TimePoint shutdownEnd;
+    MetricsChannel metricsChannel;
+    TimePoint metricsPublishedAt;
     LogLimiter limiter;
     std::thread thread;
 };
@@ -279,4 +290,6 @@
 
 Ring<ControlQuestion>& AgentThread::questions() { return m_impl->questions; }
 
+MetricsChannel& AgentThread::metrics() { return m_impl->metricsChannel; }
+
 } // namespace hawthorncroft
--- a/src/agent_thread.h
+++ b/src/agent_thread.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "metrics_base.h"
 #include "process_type.h"
 #include "ring_type.h"
 #include "settings_type.h"
@@ -56,6 +57,9 @@
     /** @return Ring for the control thread's questions. */
     Ring<ControlQuestion>& questions();
 
+    /** @return Copies of the metrics, published once a second. */
+    MetricsChannel& metrics();
+
 private:
     struct Impl;
     std::unique_ptr<Impl> m_impl;
--- a/src/balancer_report.cpp
+++ b/src/balancer_report.cpp
@@ -1,6 +1,5 @@
 #include "balancer_report.h"
 
-#include "service_report.h"
 #include "table/balancer_times.h"
 
 #include <charconv>
@@ -52,9 +51,8 @@
 
 }
 
-const std::array<BalancerReport::Route, 4> BalancerReport::routes {
+const std::array<BalancerReport::Route, 3> BalancerReport::routes {
     Route { "/status", &BalancerReport::status },
-    Route { "/metrics", &BalancerReport::metricsText },
     Route { "/names", &BalancerReport::names },
     Route { "/explain", &BalancerReport::explain },
 };
@@ -84,11 +82,6 @@
     return toJson(report);
 }
 
-std::string BalancerReport::metricsText(const std::string& query, const BalancerCore&, TimePoint) const
-{
-    return metricsAnswer(m_metrics, query);
-}
-
 std::string BalancerReport::names(const std::string&, const BalancerCore& core, TimePoint) const
 {
     NamesReport report;
--- a/src/balancer_report.h
+++ b/src/balancer_report.h
@@ -47,10 +47,9 @@
         Answer answer;
     };
 
-    static const std::array<Route, 4> routes;
+    static const std::array<Route, 3> routes;
 
     std::string status(const std::string& query, const BalancerCore& core, TimePoint now) const;
-    std::string metricsText(const std::string& query, const BalancerCore& core, TimePoint now) const;
     std::string names(const std::string& query, const BalancerCore& core, TimePoint now) const;
     std::string explain(const std::string& query, const BalancerCore& core, TimePoint now) const;
     std::vector<RankReport> ranksOf(
--- a/src/balancer_thread.cpp
+++ b/src/balancer_thread.cpp
@@ -6,6 +6,7 @@
 #include "codec_func.h"
 #include "log_func.h"
 #include "settings_func.h"
+#include "table/service_times.h"
 #include "udp_base.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -101,10 +102,19 @@
                 return;
             core.onTick(monotonicNow(), effects);
             carryOut();
+            publishMetrics(monotonicNow());
             scheduleTick();
         });
     }
 
+    void publishMetrics(TimePoint now)
+    {
+        if (now - metricsPublishedAt < metricsInterval)
+            return;
+        metricsPublishedAt = now;
+        metricsChannel.publish(reports.metrics());
+    }
+
     void carryOut()
     {
         for (auto& effect : effects)
@@ -189,6 +199,8 @@
     Packet packet; ///< Reused for each datagram.
     Bytes buffer; ///< Reused for each datagram.
     BalancerEffects effects;
+    MetricsChannel metricsChannel;
+    TimePoint metricsPublishedAt;
     LogLimiter limiter;
     std::thread thread;
 };
@@ -246,4 +258,6 @@
 
 Ring<ControlQuestion>& BalancerThread::questions() { return m_impl->questions; }
 
+MetricsChannel& BalancerThread::metrics() { return m_impl->metricsChannel; }
+
 } // namespace hawthorncroft
--- a/src/control_thread.cpp
+++ b/src/control_thread.cpp
@@ -26,6 +26,7 @@
         , keyring(keyringOf(processSettings))
         , server(context, keyring)
         , fromConfig(ringCapacity, [this] { asio::post(context, [this] { drain(fromConfig); }); })
+        , fromMetrics(ringCapacity, [this] { asio::post(context, [this] { drain(fromMetrics); }); })
         , fromData(ringCapacity, [this] { asio::post(context, [this] { drain(fromData); }); })
     {
     }
@@ -76,6 +77,7 @@
     Keyring keyring;
     ControlServer server;
     Ring<ControlInput> fromConfig;
+    Ring<ControlInput> fromMetrics;
     Ring<ControlInput> fromData;
     std::unordered_map<std::uint64_t, ControlReplier> pending; ///< Requests without an answer, by question.
     std::uint64_t lastId {};
@@ -107,16 +109,20 @@
         .allowed = "a free address of this VM" };
 }
 
-void ControlThread::start(Ring<ControlQuestion>& toConfig, Ring<ControlQuestion>& toData)
+void ControlThread::start(
+    Ring<ControlQuestion>& toConfig, Ring<ControlQuestion>& toMetrics, Ring<ControlQuestion>& toData)
 {
     m_impl->serve("/config", toConfig);
-    for (const char* path : { "/status", "/names", "/explain", "/metrics", "/burn" })
+    m_impl->serve("/metrics", toMetrics);
+    for (const char* path : { "/status", "/names", "/explain", "/burn" })
         m_impl->serve(path, toData);
     m_impl->thread = std::thread([this] { m_impl->context.run(); });
 }
 
 Ring<ControlInput>& ControlThread::fromConfig() { return m_impl->fromConfig; }
 
+Ring<ControlInput>& ControlThread::fromMetrics() { return m_impl->fromMetrics; }
+
 Ring<ControlInput>& ControlThread::fromData() { return m_impl->fromData; }
 
 } // namespace hawthorncroft
--- a/src/control_thread.h
+++ b/src/control_thread.h
@@ -34,13 +34,17 @@
     /**
      * Starts the thread.
      * @param toConfig Ring for /config; this thread is its only producer.
+     * @param toMetrics Ring for /metrics; this thread is its only producer.
      * @param toData Ring for all other paths; this thread is its only producer.
      */
-    void start(Ring<ControlQuestion>& toConfig, Ring<ControlQuestion>& toData);
+    void start(Ring<ControlQuestion>& toConfig, Ring<ControlQuestion>& toMetrics, Ring<ControlQuestion>& toData);
 
     /** @return Ring for answers and keys of the configuration thread. */
     Ring<ControlInput>& fromConfig();
 
+    /** @return Ring for answers of the metrics thread. */
+    Ring<ControlInput>& fromMetrics();
+
     /** @return Ring for answers of the data thread. */
     Ring<ControlInput>& fromData();
 
--- a/src/process_base.h
+++ b/src/process_base.h
@@ -6,6 +6,7 @@
 
 #include "config_thread.h"
 #include "control_thread.h"
+#include "metrics_thread.h"
 #include "settings_func.h"
 
 #include "clock_func.h"
@@ -51,7 +52,8 @@
     ConfigThread config(
         { .settings = settings, .node = node, .randomSeed = randomNumber() }, data.input(), control.fromConfig());
     data.start(config.input(), control.fromData());
-    control.start(config.questions(), data.questions());
+    MetricsThread metrics(data.metrics(), control.fromMetrics());
+    control.start(config.questions(), metrics.questions(), data.questions());
     log(LogPart::Main, LogLevel::Info, "Started on VM " + settings.vm + ".");
 
     boost::asio::io_context context { 1 };
@@ -64,6 +66,7 @@
     context.run();
     data.stop();
     control.stop();
+    metrics.stop();
     config.stop();
     log(LogPart::Main, LogLevel::Info, "Ended.");
     return 0;
--- a/src/service_report.cpp
+++ b/src/service_report.cpp
@@ -78,9 +78,4 @@
     return toJson(m_burn.counts(m_process, second, view.services()));
 }
 
-std::string metricsAnswer(const Metrics& metrics, const std::string& query)
-{
-    return query == "format=text" ? metrics.text() : metrics.json();
-}
-
 } // namespace hawthorncroft
--- a/src/service_report.h
+++ b/src/service_report.h
@@ -44,7 +44,6 @@
     std::string burnJson(const ConfigView& view, std::uint64_t second) const;
 
     Metrics& metrics() { return m_metrics; }
-    const Metrics& metrics() const { return m_metrics; }
 
 private:
     void noteRequest(const FlowEnded& flow, const ConfigView& view, std::uint64_t second);
@@ -56,12 +55,4 @@
     std::vector<std::string> m_domainsOut; ///< Failure domains out at the last change.
 };
 
-/**
- * Formats metrics as GET /metrics answers them.
- * @param metrics The metrics.
- * @param query Query of the path; "format=text" asks for text, anything else gives JSON.
- * @return The body.
- */
-std::string metricsAnswer(const Metrics& metrics, const std::string& query);
-
 } // namespace hawthorncroft
--- a/src/table/service_times.h
+++ b/src/table/service_times.h
@@ -16,4 +16,6 @@
 
 inline constexpr Duration contactInterval = milliseconds(100); ///< Between signs of life passed to the replica.
 
+inline constexpr Duration metricsInterval = seconds(1); ///< Between copies of the metrics for the metrics thread.
+
 } // namespace hawthorncroft
