Add hawthorncroftctl metrics

Cause: processes served their metrics, but no tool asked for them.

Change: the command adds up the counters and distributions of all processes that answer, as text or JSON.

--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -67,6 +67,7 @@
     src/ctl_explain.cpp
     src/ctl_fetch.cpp
     src/ctl_func.cpp
+    src/ctl_metrics.cpp
     src/ctl_names.cpp
     src/ctl_status.cpp
     src/http2_client.cpp
--- a/src/ctl_func.cpp
+++ b/src/ctl_func.cpp
@@ -69,12 +69,13 @@
         int (*run)(const CtlArguments& arguments, CtlStreams streams);
     };
 
-    constexpr std::array<Command, 8> commands { {
+    constexpr std::array<Command, 9> commands { {
         { "burn", "show how much of the services' error budgets is spent, and by what", runBurn },
         { "check", "check documents as the fleet does, and warn of what is dangerous", runCheck },
         { "diff", "say what a new version of a document changes for callers", runDiff },
         { "explain", "say where a name leads and where a flow would go", runExplain },
         { "names", "list unknown names with the closest known ones", runNames },
+        { "metrics", "print counters and distributions, added up over processes", runMetrics },
         { "status", "say of each process whether it serves, and its configuration", runStatus },
         { "wait-in-force", "wait until every process has a revision in force", runWaitInForce },
         { "version", "print the version", runVersion },
--- a/src/ctl_func.h
+++ b/src/ctl_func.h
@@ -63,6 +63,7 @@
 int runDiff(const CtlArguments& arguments, CtlStreams streams);
 int runExplain(const CtlArguments& arguments, CtlStreams streams);
 int runNames(const CtlArguments& arguments, CtlStreams streams);
+int runMetrics(const CtlArguments& arguments, CtlStreams streams);
 int runStatus(const CtlArguments& arguments, CtlStreams streams);
 int runWaitInForce(const CtlArguments& arguments, CtlStreams streams);
 int runVersion(const CtlArguments& arguments, CtlStreams streams);
--- a/tests/ctl_fetch_test.cpp
+++ b/tests/ctl_fetch_test.cpp
@@ -1,6 +1,7 @@
 #include "config_func.h"
 #include "control_base.h"
 #include "ctl_func.h"
+#include "metrics_base.h"
 #include "name_sketch_type.h"
 #include "report_type.h"
 
@@ -204,6 +205,28 @@
     }
 }
 
+TEST_CASE("An operator adds up the metrics of running processes", "[ctl]")
+{
+    Metrics counted;
+    counted.add(Counter::DatagramsIn, 21);
+    Answering first({ { "/metrics", [&](const std::string&) { return counted.json(); } } });
+    Answering second({ { "/metrics", [&](const std::string&) { return counted.json(); } } });
+    std::string settings = settingsFile("7");
+
+    SECTION("over all that answer, which guards against the figures of one process taken for the fleet's")
+    {
+        Run run({ "metrics", "--settings", settings, "--at", first.endpoint(), "--at", second.endpoint() });
+        CHECK(run.status == 0);
+        CHECK(run.says(std::string(nameOf(Counter::DatagramsIn)) + " 42"));
+    }
+    SECTION("and ends with 1 when one does not answer")
+    {
+        Run run({ "metrics", "--settings", settings, "--at", first.endpoint(), "--at", "127.0.0.1:1" });
+        CHECK(run.status == 1);
+        CHECK(run.says(std::string(nameOf(Counter::DatagramsIn)) + " 21"));
+    }
+}
+
 TEST_CASE("Reports survive the way to JSON and back", "[ctl]")
 {
     StatusReport status { .role = "agent",
