Parse the arguments of commands that ask processes in one place

Cause: five commands of hawthorncroftctl repeated the same six lines.

Change: parseFetchArguments serves them; behaviour is unchanged.

--- a/src/ctl_explain.cpp
+++ b/src/ctl_explain.cpp
@@ -59,10 +59,10 @@
     known.add_options()("caller", options::value<std::uint64_t>(), "number of the caller")(
         "flow", options::value<std::uint64_t>(), "number of the flow");
     options::variables_map values;
-    int status = parseArguments(arguments, known, "name", explainUsage, streams, values);
     FetchOptions fetchOptions;
-    if (status >= 0 || !readFetchOptions(values, streams.err, fetchOptions))
-        return status >= 0 ? status : ctlRefused;
+    int status = parseFetchArguments(arguments, known, "name", explainUsage, streams, values, fetchOptions);
+    if (status >= 0)
+        return status;
     const auto& names = values["name"].as<std::vector<std::string>>();
     if (names.size() != 1) {
         streams.err << "hawthorncroftctl: explain needs one name\n";
--- a/src/ctl_fetch.cpp
+++ b/src/ctl_fetch.cpp
@@ -123,4 +123,14 @@
     return true;
 }
 
+int parseFetchArguments(const CtlArguments& arguments, const options::options_description& known,
+    const char* positional, const char* usage, CtlStreams streams, options::variables_map& values,
+    FetchOptions& fetchOptions)
+{
+    int status = parseArguments(arguments, known, positional, usage, streams, values);
+    if (status >= 0)
+        return status;
+    return readFetchOptions(values, streams.err, fetchOptions) ? -1 : ctlRefused;
+}
+
 } // namespace hawthorncroft
--- a/src/ctl_fetch.h
+++ b/src/ctl_fetch.h
@@ -37,6 +37,14 @@
  */
 bool readFetchOptions(const boost::program_options::variables_map& values, std::ostream& err, FetchOptions& options);
 
+/**
+ * Parses the arguments of a command that asks processes. Parameters as for parseArguments and readFetchOptions.
+ * @return -1 to go on, otherwise the exit status.
+ */
+int parseFetchArguments(const CtlArguments& arguments, const boost::program_options::options_description& known,
+    const char* positional, const char* usage, CtlStreams streams, boost::program_options::variables_map& values,
+    FetchOptions& options);
+
 /**
  * Sends an authenticated request to every process.
  * @param options Whom to ask.
--- a/src/ctl_metrics.cpp
+++ b/src/ctl_metrics.cpp
@@ -26,10 +26,10 @@
     options::options_description known("Options");
     addFetchOptions(known, 3);
     options::variables_map values;
-    int status = parseArguments(arguments, known, "argument", metricsUsage, streams, values);
     FetchOptions fetchOptions;
-    if (status >= 0 || !readFetchOptions(values, streams.err, fetchOptions))
-        return status >= 0 ? status : ctlRefused;
+    int status = parseFetchArguments(arguments, known, "argument", metricsUsage, streams, values, fetchOptions);
+    if (status >= 0)
+        return status;
     auto reports = fetchReports<Metrics>(fetchOptions, "/metrics", streams.err, parseMetrics);
     Metrics sum;
     for (const auto& [from, metrics] : reports)
--- a/src/ctl_names.cpp
+++ b/src/ctl_names.cpp
@@ -112,10 +112,10 @@
     known.add_options()("limit", options::value<std::size_t>()->default_value(20), "names to list")(
         "emit", "print corrected spellings as JSON");
     options::variables_map values;
-    int status = parseArguments(arguments, known, "argument", namesUsage, streams, values);
     FetchOptions fetchOptions;
-    if (status >= 0 || !readFetchOptions(values, streams.err, fetchOptions))
-        return status >= 0 ? status : ctlRefused;
+    int status = parseFetchArguments(arguments, known, "argument", namesUsage, streams, values, fetchOptions);
+    if (status >= 0)
+        return status;
     auto reports = fetchReports<NamesReport>(fetchOptions, "/names", streams.err, parseReport);
     NamesReport sum;
     sum.names = merged(reports, values["limit"].as<std::size_t>());
--- a/src/ctl_status.cpp
+++ b/src/ctl_status.cpp
@@ -87,10 +87,10 @@
     options::options_description known("Options");
     addFetchOptions(known, 3);
     options::variables_map values;
-    int status = parseArguments(arguments, known, "argument", statusUsage, streams, values);
     FetchOptions fetchOptions;
-    if (status >= 0 || !readFetchOptions(values, streams.err, fetchOptions))
-        return status >= 0 ? status : ctlRefused;
+    int status = parseFetchArguments(arguments, known, "argument", statusUsage, streams, values, fetchOptions);
+    if (status >= 0)
+        return status;
     auto statuses = fetchReports<StatusReport>(fetchOptions, "/status", streams.err, parseReport);
     if (values.count("json")) {
         printJson(streams.out, statuses);
@@ -107,10 +107,10 @@
     options::options_description known("Options");
     addFetchOptions(known, 5);
     options::variables_map values;
-    int status = parseArguments(arguments, known, "revision", waitUsage, streams, values);
     FetchOptions fetchOptions;
-    if (status >= 0 || !readFetchOptions(values, streams.err, fetchOptions))
-        return status >= 0 ? status : ctlRefused;
+    int status = parseFetchArguments(arguments, known, "revision", waitUsage, streams, values, fetchOptions);
+    if (status >= 0)
+        return status;
     std::uint64_t revision = 0;
     if (!parseRevision(values, revision)) {
         streams.err << "hawthorncroftctl: wait-in-force needs one revision\n";
