Build an agent's replies in one place and use the shared clock

Cause: the re-read found two functions of the agent that fill the same fields of a reply, a second monotonic clock in the control server, and an unused message type.

Change: replyFrom fills what every reply carries; the control server uses monotonicNow; ShutdownRequested is gone.

--- a/src/agent_base.h
+++ b/src/agent_base.h
@@ -238,6 +238,7 @@
     // Replies.
     void noteBalancer(TimePoint now, Endpoint from);
     Endpoint anotherBalancer(TimePoint now, Endpoint avoided);
+    Packet replyFrom(TimePoint now, PacketKind kind, FlowKind flowKind, const FlowKey& key) const;
     Packet replyTo(TimePoint now, const FlowRecord& record, PacketKind kind) const;
     Packet replyTo(TimePoint now, const Packet& packet, PacketKind kind) const;
     Binding bindingOf(const FlowRecord& record) const;
--- a/src/agent_query.cpp
+++ b/src/agent_query.cpp
@@ -174,35 +174,33 @@
     return binding;
 }
 
-Packet AgentCore::replyTo(TimePoint now, const FlowRecord& record, PacketKind kind) const
+Packet AgentCore::replyFrom(TimePoint now, PacketKind kind, FlowKind flowKind, const FlowKey& key) const
 {
     Packet reply;
     reply.kind = kind;
-    reply.flowKind = record.kind;
-    reply.key = record.key;
-    reply.callerEndpoint = record.caller;
+    reply.flowKind = flowKind;
+    reply.key = key;
     reply.revision = m_view.completeThrough();
-    reply.service = record.service;
     reply.target = m_settings.target;
     reply.targetState = targetState();
-    reply.load = m_admission.load(record.kind);
+    reply.load = m_admission.load(flowKind);
     reply.agentTime = now;
     return reply;
 }
 
+Packet AgentCore::replyTo(TimePoint now, const FlowRecord& record, PacketKind kind) const
+{
+    Packet reply = replyFrom(now, kind, record.kind, record.key);
+    reply.callerEndpoint = record.caller;
+    reply.service = record.service;
+    return reply;
+}
+
 Packet AgentCore::replyTo(TimePoint now, const Packet& packet, PacketKind kind) const
 {
-    Packet reply;
-    reply.kind = kind;
-    reply.flowKind = packet.flowKind;
-    reply.key = packet.key;
+    Packet reply = replyFrom(now, kind, packet.flowKind, packet.key);
     reply.callerEndpoint = packet.callerEndpoint;
-    reply.revision = m_view.completeThrough();
     reply.service = packet.service;
-    reply.target = m_settings.target;
-    reply.targetState = targetState();
-    reply.load = m_admission.load(packet.flowKind);
-    reply.agentTime = now;
     reply.nonce = packet.nonce;
     reply.binding = packet.binding;
     return reply;
--- a/src/control_server.cpp
+++ b/src/control_server.cpp
@@ -1,18 +1,13 @@
 #include "control_base.h"
 
+#include "clock_func.h"
+
 #include <charconv>
-#include <chrono>
 
 namespace hawthorncroft {
 
 namespace {
 
-    TimePoint steadyNow()
-    {
-        auto time = std::chrono::steady_clock::now().time_since_epoch();
-        return { std::chrono::duration_cast<std::chrono::microseconds>(time).count() };
-    }
-
     KeyId keyIdOf(const Http2Request& request)
     {
         std::string_view text = findHeader(request.headers, controlKeyHeader);
@@ -58,7 +53,7 @@
 void ControlServer::handle(const Http2Request& request, const Http2Responder& responder)
 {
     // The rate is checked before the MAC, so a flood costs little.
-    if (!m_rate.take(request.peer.address, steadyNow()))
+    if (!m_rate.take(request.peer.address, monotonicNow()))
         return refuse(responder, 429, ControlCounter::RateLimited);
     if (request.method != "GET" || !request.body.empty())
         return refuse(responder, 400, ControlCounter::BadRequest);
--- a/src/process_type.h
+++ b/src/process_type.h
@@ -45,9 +45,6 @@
     std::string body;
 };
 
-/** Graceful shutdown begins. */
-struct ShutdownRequested { };
-
 /** To the configuration thread. */
 using ConfigInput = std::variant<StampArrived, PeerContact, PauseNoticed>;
 
