--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -101,6 +101,41 @@
     standin/standin_target_type.cpp
 )
 
+# Transparent flows. Core and shell; the files that other programs use too are compiled into both libraries.
+set(TRANSIT_SOURCES
+    src/clock_func.cpp
+    src/core_func.cpp
+    src/placement_func.cpp
+    src/transit_admission.cpp
+    src/transit_agent_cmd.cpp
+    src/transit_agent_message.cpp
+    src/transit_agent_target.cpp
+    src/transit_balancer_cmd.cpp
+    src/transit_balancer_locate.cpp
+    src/transit_balancer_open.cpp
+    src/transit_codec_func.cpp
+    src/transit_fleet.cpp
+    src/transit_http.cpp
+    src/transit_locator.cpp
+    src/transit_log.cpp
+    src/transit_metrics.cpp
+    src/transit_names.cpp
+    src/transit_placement.cpp
+    src/transit_shell.cpp
+    src/transit_view_cmd.cpp
+    src/transit_view_query.cpp
+    src/udp_func.cpp
+    src/version_func.cpp
+)
+
+set(PLATFORM_SOURCES
+    platform/packet_format.cpp
+    platform/platform_process.cpp
+    platform/platform_settings.cpp
+    platform/store_client.cpp
+    platform/store_decoder.cpp
+)
+
 set(PROGRAMS
     hawthorncroft-agent
     hawthorncroft-balancer
--- a/src/clock_func.cpp
+++ b/src/clock_func.cpp
@@ -1,10 +1,9 @@
 #include "clock_func.h"
 
-#include <openssl/rand.h>
-
 #include <chrono>
 #include <ctime>
 #include <stdexcept>
+#include <sys/random.h>
 
 namespace hawthorncroft {
 
@@ -34,7 +33,7 @@
 {
     std::uint64_t number = 0;
     while (!number) {
-        if (RAND_bytes(reinterpret_cast<unsigned char*>(&number), sizeof(number)) != 1)
+        if (getrandom(&number, sizeof(number), 0) != sizeof(number))
             throw std::runtime_error("the system gives no random numbers");
     }
     return number;
--- /dev/null
+++ b/src/table/transit_limits.h
@@ -0,0 +1,78 @@
+/**
+ * @file transit_limits.h
+ * Times, counts and weights of transparent flows. Times between processes assume a few milliseconds from one failure
+ * domain to another.
+ */
+#pragma once
+
+#include "../core_type.h"
+
+namespace hawthorncroft {
+
+// View.
+inline constexpr std::size_t maxRemovedItems = 10000; ///< Removed keys remembered for deltas.
+
+// Gossip and the store.
+inline constexpr Duration stampInterval = milliseconds(500); ///< Between stamps; half the routers' two probes.
+inline constexpr Duration memberLifetime = milliseconds(1700); ///< Three stamps may be lost before a process counts as gone.
+inline constexpr Duration memberForgotten = seconds(30); ///< After this silence a process gets no more stamps.
+inline constexpr std::size_t maxStampsToAll = 40; ///< Fleets up to this size tell everybody; larger ones some.
+inline constexpr std::size_t stampFanout = 6; ///< Processes told at once in larger fleets.
+inline constexpr std::size_t maxMembers = 4096; ///< Processes remembered; the least recently heard go first.
+inline constexpr std::size_t maxBalancersInStamp = 16; ///< Balancers named in one stamp.
+inline constexpr Duration stampReplyGap = milliseconds(20); ///< Between two answers to the same process.
+inline constexpr std::size_t baseStoreReaders = 2; ///< Balancers that read the store, so that one may fail unnoticed.
+inline constexpr Duration watchWait = milliseconds(1500); ///< Half of the time in which a change has to be in force.
+inline constexpr Duration watchGrace = milliseconds(400); ///< Beyond the wait before a watch is given up.
+inline constexpr Duration readTimeout = milliseconds(1000); ///< A slow store takes some hundreds of milliseconds.
+inline constexpr Duration viewAgeLimit = milliseconds(2100); ///< Beyond it another process reads; above watchWait.
+inline constexpr Duration viewAgeStep = milliseconds(150); ///< Further ranks start one after the other.
+inline constexpr Duration storeBackoffMin = milliseconds(60); ///< After the first failed call.
+inline constexpr Duration storeBackoffMax = milliseconds(600); ///< After many; a fifth of the time for a change.
+inline constexpr Duration registrationReturn = milliseconds(2200); ///< Lapsed targets register again by then.
+
+// Balancer.
+inline constexpr Duration openRepeatAfter = milliseconds(25); ///< Agents answer in a few ms; callers repeat after 200 ms.
+inline constexpr std::size_t maxOpenAttempts = 5; ///< Agents that one opening packet is sent to.
+inline constexpr Duration suspicionTime = milliseconds(1000); ///< Agents that left an opening packet unanswered.
+inline constexpr Duration locateBroadcastAfter = milliseconds(30); ///< Locators answer in a few ms.
+inline constexpr Duration locateTimeout = milliseconds(400); ///< After it the caller's next copy starts again.
+inline constexpr std::size_t locatorCount = 2; ///< Agents told of a flow that they do not hold.
+inline constexpr std::size_t maxLocateBroadcast = 128; ///< Agents asked when the locators do not know.
+inline constexpr std::size_t maxLocates = 4096; ///< Flows that are being located.
+inline constexpr std::size_t maxPacketsPerLocate = 16; ///< Callers have at most 16 packets in flight.
+inline constexpr std::size_t maxPendingOpens = 8192; ///< Opening packets whose agent has not answered.
+inline constexpr std::size_t maxWaitingPackets = 512; ///< Packets that wait for the first view.
+inline constexpr Duration maxWaitForView = milliseconds(600); ///< Callers repeat by then.
+inline constexpr std::size_t maxCachedFlows = 400000; ///< Flows that one balancer remembers.
+inline constexpr Duration flowIdleLimit = seconds(60); ///< Cached and held flows without packets are forgotten.
+inline constexpr double flowWeight = 0.03; ///< Share of a slot that an open flow is expected to use.
+inline constexpr double remoteWeight = 0.1; ///< Load by which a target of another failure domain seems busier.
+inline constexpr double coldWeight = 0.5; ///< Load by which a cold target seems busier.
+inline constexpr std::size_t maxCandidates = 16; ///< Targets compared for one opening packet.
+inline constexpr Duration drainTime = milliseconds(3000); ///< Routers leave a balancer after two probes a half second apart.
+
+// Agent.
+inline constexpr Duration coldWindow = milliseconds(1100); ///< The limit of a cold target holds in any second.
+inline constexpr Duration coldMargin = milliseconds(500); ///< A record's remaining cold time may be understated by its way here.
+inline constexpr Duration targetAnswerTime = milliseconds(60); ///< The target is on the same machine and answers at once.
+inline constexpr Duration expectedRequestTime = milliseconds(60); ///< A flow that opened brings its first request by then.
+inline constexpr Duration loadReportGap = milliseconds(50); ///< Between two reports to one balancer.
+inline constexpr Duration loadInterest = seconds(2); ///< Balancers that sent nothing for this time get no reports.
+inline constexpr Duration askerLifetime = seconds(1); ///< Time for which a flow's asker is remembered.
+inline constexpr Duration endedFlowTime = seconds(10); ///< Ended flows are remembered while late packets may come.
+inline constexpr std::size_t maxHeldFlows = 20000; ///< Flows that one agent remembers.
+inline constexpr std::size_t maxNotedFlows = 100000; ///< Flows of other agents that one agent remembers.
+inline constexpr Duration flowLifetime = seconds(60); ///< Flows older than this may be discarded.
+inline constexpr Duration finishTime = milliseconds(1500); ///< Longest wait for running requests when an agent ends.
+
+// Shell.
+inline constexpr Duration tickInterval = milliseconds(10); ///< Resolution of the cores' timers.
+inline constexpr Duration idleTickInterval = milliseconds(50); ///< While nothing waits for a timer; load reports go out then.
+inline constexpr std::size_t fragmentSize = 1400; ///< Bytes of a datagram between processes; fits common links.
+inline constexpr Duration fragmentLifetime = seconds(1); ///< Incomplete messages are dropped after it.
+inline constexpr std::size_t maxFragments = 2048; ///< Fragments of one message.
+inline constexpr std::size_t maxPartialMessages = 64; ///< Incomplete messages.
+inline constexpr std::uint32_t maxLogLinesPerSecond = 60; ///< Lines of one kind that a process writes in a second.
+
+} // namespace hawthorncroft
--- /dev/null
+++ b/src/table/transit_names.h
@@ -0,0 +1,64 @@
+/**
+ * @file transit_names.h
+ * Names of the enumerations of transparent flows, in the order of their values, as they appear in logs and metrics.
+ */
+#pragma once
+
+#include "../transit_effect_type.h"
+
+namespace hawthorncroft {
+
+inline constexpr NameTable<ProcessRole> processRoleNames = {
+    "balancer",
+    "agent",
+};
+
+inline constexpr NameTable<DeclineReason> declineReasonNames = {
+    "no_view",
+    "wrong_service",
+    "not_registered",
+    "draining",
+    "evacuated",
+    "cold",
+    "full",
+    "leaving",
+    "returned_by_target",
+    "target_silent",
+};
+
+inline constexpr NameTable<StoreFailure> storeFailureNames = {
+    "history_gone",
+    "refused",
+    "unreachable",
+    "invalid",
+};
+
+inline constexpr NameTable<TransitCounter> transitCounterNames = {
+    "packets_from_callers",
+    "packets_from_target",
+    "opens_forwarded",
+    "opens_repeated",
+    "opens_declined",
+    "opens_refused",
+    "flows_opened",
+    "flows_located",
+    "flows_lost",
+    "locates_unanswered",
+    "packets_dropped",
+    "packets_returned",
+    "no_route",
+    "malformed",
+    "messages_in",
+    "messages_out",
+    "store_calls",
+    "store_failures",
+    "log_lines_dropped",
+};
+
+inline constexpr NameTable<TransitDistribution> transitDistributionNames = {
+    "open_us",
+    "locate_us",
+    "request_us",
+};
+
+} // namespace hawthorncroft
--- /dev/null
+++ b/src/transit_agent_cmd.cpp
@@ -0,0 +1,250 @@
+#include "transit_agent_base.h"
+
+#include "table/transit_limits.h"
+
+#include <algorithm>
+
+namespace hawthorncroft {
+
+namespace {
+
+    constexpr std::size_t flowsPerNote = 40; ///< Flows in one message to a locator; fits a datagram.
+    constexpr std::size_t maxBalancerTags = 1U << 20; ///< Balancers told apart in the tags of packets.
+
+}
+
+TransitAgent::TransitAgent(TransitAgentOptions options)
+    : TransitCore(options.fleet)
+    , m_options(std::move(options))
+    , m_admission(m_options.admission)
+    , m_knowsAllFlows(m_options.isFirstStart)
+{
+}
+
+void TransitAgent::onTick(TimePoint now, TransitEffects& effects)
+{
+    if (!m_startedAt)
+        m_startedAt = now;
+    m_fleet.onTick(now, load(), effects);
+    expireOpens(now, effects);
+    expireExpected(now);
+    while (!m_waiting.empty() && now >= m_waiting.front().first + maxWaitForView) {
+        ForwardMessage forward = std::move(m_waiting.front().second);
+        m_waiting.pop_front();
+        decline(std::move(forward), DeclineReason::NoView, effects);
+    }
+    if (now >= m_nextSweepAt) {
+        m_nextSweepAt = now + seconds(1);
+        sweepFlows(now);
+        // All flows that are older than the agent are over by now.
+        m_knowsAllFlows |= now >= *m_startedAt + flowLifetime;
+    }
+    sendLoads(now, effects);
+}
+
+void TransitAgent::onMessage(Endpoint from, Message message, TimePoint now, TransitEffects& effects)
+{
+    effects.push_back(CountEvent { TransitCounter::MessagesIn });
+    m_fleet.noteMessage(from, message.through, now, effects);
+    if (auto* forward = std::get_if<ForwardMessage>(&message.body)) {
+        onForward(std::move(*forward), now, effects);
+    } else if (auto* holder = std::get_if<HolderMessage>(&message.body)) {
+        onHolder(from, *holder, now);
+    } else if (auto* stamp = std::get_if<StampMessage>(&message.body)) {
+        if (m_fleet.onStamp(from, message.through, *stamp, now, effects) && stamp->role == ProcessRole::Agent)
+            noteRestartedAgent(from, effects);
+    } else if (auto* delta = std::get_if<DeltaMessage>(&message.body)) {
+        if (m_fleet.onDelta(from, *delta, now, effects))
+            onViewChanged(now, effects);
+    } else if (std::get_if<LeavingMessage>(&message.body)) {
+        m_fleet.onLeaving(from, now, effects);
+    }
+    // Held, Declined and NotHeld messages are for balancers; an agent gets them after an address was used again.
+}
+
+void TransitAgent::onStop(TimePoint now, TransitEffects& effects)
+{
+    if (m_stoppedAt)
+        return;
+    m_stoppedAt = now;
+    effects.push_back(WriteLog { "stopping",
+        { { "busy", static_cast<std::int64_t>(m_busy) }, { "flows", static_cast<std::int64_t>(m_flows.size()) } } });
+    m_fleet.announceLeaving(effects);
+}
+
+bool TransitAgent::isFinished(TimePoint now) const
+{
+    return m_stoppedAt && (!m_busy || now >= *m_stoppedAt + finishTime);
+}
+
+LoadReport TransitAgent::load() const
+{
+    const ViewedTarget* own = m_admission.ownRecord(m_fleet.view());
+    return {
+        .busy = m_busy + m_expected,
+        .slots = own ? own->record.slots : 0,
+        .flows = static_cast<std::uint32_t>(m_flows.size()) - m_ended,
+    };
+}
+
+bool TransitAgent::holds(const FlowTuple& flow) const
+{
+    auto found = m_flows.find(flow);
+    return found != m_flows.end() && found->second.state != FlowState::Ended;
+}
+
+std::optional<Endpoint> TransitAgent::notedHolderOf(const FlowTuple& flow) const
+{
+    auto found = m_noted.find(flow);
+    if (found == m_noted.end())
+        return std::nullopt;
+    return found->second.first;
+}
+
+void TransitAgent::onViewChanged(TimePoint now, TransitEffects& effects)
+{
+    TransitLocators before = std::move(m_locators);
+    m_locators = TransitLocators(m_fleet.view());
+    for (const auto& [endpoint, target] : m_fleet.view().targets())
+        m_fleet.addMember(agentOf(endpoint.address), ProcessRole::Agent, now);
+    if (!(before == m_locators))
+        noteChangedLocators(before, effects);
+    const ViewedTarget* own = m_admission.ownRecord(m_fleet.view());
+    if (own && (own->record.id != m_targetId || own->record.startedAt != m_targetStartedAt))
+        onLifetimeChanged(*own, effects);
+    if (!m_fleet.view().hasConfiguration())
+        return;
+    auto waiting = std::move(m_waiting);
+    m_waiting.clear();
+    for (auto& [since, forward] : waiting)
+        onOpen(std::move(forward), now, effects);
+}
+
+void TransitAgent::onLifetimeChanged(const ViewedTarget& own, TransitEffects& effects)
+{
+    effects.push_back(WriteLog { "target_lifetime",
+        { { "target", own.record.id }, { "started_at", static_cast<std::int64_t>(own.record.startedAt) },
+            { "revision", static_cast<std::int64_t>(own.revision.value) },
+            { "cold_ms", own.record.coldLeft.us / 1000 }, { "flows_before", static_cast<std::int64_t>(m_flows.size()) } } });
+    m_targetId = own.record.id;
+    m_targetStartedAt = own.record.startedAt;
+}
+
+void TransitAgent::noteLocators(const FlowTuple& flow, TransitEffects& effects)
+{
+    for (std::uint32_t address : m_locators.of(flow, locatorCount)) {
+        if (agentOf(address) != m_fleet.self())
+            effects.push_back(SendMessage { agentOf(address), HolderMessage { { flow } } });
+    }
+}
+
+void TransitAgent::noteChangedLocators(const TransitLocators& before, TransitEffects& effects)
+{
+    std::unordered_map<std::uint32_t, std::vector<FlowTuple>> notes;
+    for (const auto& [flow, held] : m_flows) {
+        if (held.state == FlowState::Ended)
+            continue;
+        auto old = before.of(flow, locatorCount);
+        for (std::uint32_t address : m_locators.of(flow, locatorCount)) {
+            if (std::find(old.begin(), old.end(), address) == old.end())
+                notes[address].push_back(flow);
+        }
+    }
+    for (auto& [address, flows] : notes) {
+        if (agentOf(address) == m_fleet.self())
+            continue;
+        for (std::size_t at = 0; at < flows.size(); at += flowsPerNote) {
+            auto end = flows.begin() + static_cast<std::ptrdiff_t>(std::min(at + flowsPerNote, flows.size()));
+            effects.push_back(SendMessage {
+                agentOf(address), HolderMessage { { flows.begin() + static_cast<std::ptrdiff_t>(at), end } } });
+        }
+    }
+}
+
+void TransitAgent::noteRestartedAgent(Endpoint agent, TransitEffects& effects)
+{
+    std::vector<FlowTuple> flows;
+    auto send = [&] {
+        if (!flows.empty())
+            effects.push_back(SendMessage { agent, HolderMessage { std::move(flows) } });
+        flows.clear();
+    };
+    for (const auto& [flow, held] : m_flows) {
+        if (held.state == FlowState::Ended)
+            continue;
+        auto locators = m_locators.of(flow, locatorCount);
+        if (std::find(locators.begin(), locators.end(), agent.address) == locators.end())
+            continue;
+        flows.push_back(flow);
+        if (flows.size() >= flowsPerNote)
+            send();
+    }
+    send();
+}
+
+void TransitAgent::expireOpens(TimePoint now, TransitEffects& effects)
+{
+    while (!m_openTimers.empty() && m_openTimers.front().first <= now) {
+        FlowTuple flow = m_openTimers.front().second;
+        m_openTimers.pop_front();
+        auto pending = m_opens.find(flow);
+        if (pending == m_opens.end() || pending->second.deadline > now)
+            continue;
+        ForwardMessage forward = std::move(pending->second.forward);
+        m_opens.erase(pending);
+        decline(std::move(forward), DeclineReason::Silent, effects);
+    }
+}
+
+void TransitAgent::expireExpected(TimePoint now)
+{
+    while (!m_expectedTimers.empty() && m_expectedTimers.front().first <= now) {
+        auto found = m_flows.find(m_expectedTimers.front().second);
+        m_expectedTimers.pop_front();
+        if (found != m_flows.end() && found->second.isExpected) {
+            found->second.isExpected = false;
+            --m_expected;
+        }
+    }
+}
+
+void TransitAgent::sweepFlows(TimePoint now)
+{
+    std::vector<FlowTuple> over;
+    for (const auto& [flow, held] : m_flows) {
+        Duration limit = held.state == FlowState::Ended ? endedFlowTime : flowIdleLimit;
+        if (now >= held.usedAt + limit)
+            over.push_back(flow);
+    }
+    for (const auto& flow : over)
+        forgetFlow(flow);
+    std::erase_if(m_noted, [&](const auto& entry) { return now >= entry.second.second + flowLifetime; });
+    std::erase_if(m_askers, [&](const auto& entry) { return now >= entry.second.until; });
+    std::erase_if(m_interested, [&](const auto& entry) { return now >= entry.second.until; });
+}
+
+void TransitAgent::sendLoads(TimePoint now, TransitEffects& effects)
+{
+    LoadReport current = load();
+    for (auto& [balancer, interest] : m_interested) {
+        if (now >= interest.until || now < interest.reportedAt + loadReportGap || interest.reported == current)
+            continue;
+        interest.reportedAt = now;
+        interest.reported = current;
+        effects.push_back(SendMessage { balancer, HeldMessage { .load = current } });
+    }
+}
+
+std::uint32_t TransitAgent::tagOf(Endpoint balancer, bool isLocating)
+{
+    auto found = m_balancerTags.find(balancer);
+    if (found == m_balancerTags.end()) {
+        if (m_balancers.size() >= maxBalancerTags)
+            return 0; // What the target returns is dropped; the caller sends it again.
+        found = m_balancerTags.emplace(balancer, static_cast<std::uint32_t>(m_balancers.size())).first;
+        m_balancers.push_back(balancer);
+    }
+    return ((found->second + 1) << 1) | static_cast<std::uint32_t>(isLocating);
+}
+
+} // namespace hawthorncroft
--- /dev/null
+++ b/src/transit_agent_message.cpp
@@ -0,0 +1,137 @@
+#include "transit_agent_base.h"
+
+#include "table/transit_limits.h"
+
+namespace hawthorncroft {
+
+namespace {
+
+    constexpr std::uint32_t mostAcknowledged = 1U << 28; ///< Bytes from a target in one flow; far above any answer.
+
+}
+
+void TransitAgent::onForward(ForwardMessage forward, TimePoint now, TransitEffects& effects)
+{
+    Interest& interest = m_interested[forward.replyTo];
+    interest.until = now + loadInterest; // The balancer gets load reports.
+    bool isOpening = forward.packet.flags.isOpening && !forward.packet.flags.hasAcknowledgement;
+    if (isOpening)
+        onOpen(std::move(forward), now, effects);
+    else
+        onData(std::move(forward), now, effects);
+}
+
+void TransitAgent::onOpen(ForwardMessage forward, TimePoint now, TransitEffects& effects)
+{
+    const FlowTuple& flow = forward.packet.flow;
+    auto known = m_flows.find(flow);
+    if (known != m_flows.end() && known->second.state != FlowState::Ended) {
+        // A copy: the target answers it as it answered the first.
+        handToTarget(forward, effects);
+        return;
+    }
+    if (!m_fleet.view().hasConfiguration() && m_waiting.size() < maxWaitingPackets) {
+        m_waiting.emplace_back(now, std::move(forward));
+        return;
+    }
+    OpenRequest request { forward.service, flow.service, forward.routeRevision };
+    auto reason = m_admission.test(m_fleet.view(), request, load(), now);
+    if (m_stoppedAt)
+        reason = DeclineReason::Leaving;
+    if (m_flows.size() >= maxHeldFlows)
+        reason = DeclineReason::Full;
+    if (reason) {
+        decline(std::move(forward), *reason, effects);
+        return;
+    }
+    m_admission.noteAdmitted(now);
+    forgetFlow(flow);
+    HeldFlow& held = m_flows[flow];
+    held = { .state = FlowState::Opening, .openedAt = now, .usedAt = now, .isExpected = true };
+    ++m_expected;
+    m_expectedTimers.emplace_back(now + expectedRequestTime, flow);
+    m_openTimers.emplace_back(now + targetAnswerTime, flow);
+    handToTarget(forward, effects);
+    m_opens[flow] = { std::move(forward), now + targetAnswerTime };
+}
+
+void TransitAgent::onData(ForwardMessage forward, TimePoint now, TransitEffects& effects)
+{
+    auto found = m_flows.find(forward.packet.flow);
+    if (found == m_flows.end()) {
+        onUnknownData(std::move(forward), now, effects);
+        return;
+    }
+    HeldFlow& held = found->second;
+    bool isChosen = held.state == FlowState::Open || held.state == FlowState::Ended || !held.targetSequence
+        || forward.packet.acknowledged - held.targetSequence < mostAcknowledged;
+    if (!isChosen || held.state == FlowState::Opening) {
+        // The caller acknowledges another target, which answered the opening packet too.
+        answerNotHeld(forward, effects);
+        return;
+    }
+    if (held.state == FlowState::Answered) {
+        held.state = FlowState::Open;
+        noteLocators(forward.packet.flow, effects);
+    }
+    if (forward.isLocating)
+        effects.push_back(SendMessage { forward.replyTo,
+            HeldMessage { .flow = forward.packet.flow, .targetSequence = held.targetSequence, .load = load() } });
+    noteFromCaller(held, forward.packet, now, effects);
+    handToTarget(forward, effects);
+}
+
+void TransitAgent::onUnknownData(ForwardMessage forward, TimePoint now, TransitEffects& effects)
+{
+    const FlowTuple& flow = forward.packet.flow;
+    auto noted = m_noted.find(flow);
+    if (forward.isLocating && !forward.hops && noted != m_noted.end()) {
+        forward.hops = 1;
+        Endpoint holder = noted->second.first;
+        effects.push_back(SendMessage { holder, std::move(forward) });
+        return;
+    }
+    if (m_knowsAllFlows) {
+        answerNotHeld(forward, effects);
+        return;
+    }
+    // This agent started after its target, which alone knows. It returns the packet when it does not hold the flow.
+    m_askers[flow] = { forward.replyTo, now + askerLifetime };
+    handToTarget(forward, effects);
+}
+
+void TransitAgent::decline(ForwardMessage forward, DeclineReason reason, TransitEffects& effects)
+{
+    const FlowTuple& flow = forward.packet.flow;
+    const ViewedTarget* own = m_admission.ownRecord(m_fleet.view());
+    effects.push_back(CountEvent { TransitCounter::OpensDeclined });
+    effects.push_back(WriteLog { "open_declined",
+        { { "flow", toString(flow.caller) }, { "to", toString(flow.service) }, { "reason", std::string(nameOf(reason)) },
+            { "busy", static_cast<std::int64_t>(m_busy) },
+            { "target_revision", static_cast<std::int64_t>(own ? own->revision.value : 0) },
+            { "revision", static_cast<std::int64_t>(m_fleet.view().through().value) } } });
+    if (reason == DeclineReason::Silent || reason == DeclineReason::Returned)
+        forgetFlow(flow);
+    Endpoint balancer = forward.replyTo;
+    effects.push_back(SendMessage { balancer, DeclinedMessage { reason, std::move(forward), load() } });
+}
+
+void TransitAgent::answerNotHeld(const ForwardMessage& forward, TransitEffects& effects)
+{
+    effects.push_back(SendMessage { forward.replyTo, NotHeldMessage { forward.isLocating, forward.packet } });
+}
+
+void TransitAgent::handToTarget(const ForwardMessage& forward, TransitEffects& effects)
+{
+    effects.push_back(HandToTarget { forward.packet, tagOf(forward.replyTo, forward.isLocating) });
+}
+
+void TransitAgent::onHolder(Endpoint from, const HolderMessage& holder, TimePoint now)
+{
+    for (const auto& flow : holder.flows) {
+        if (m_noted.size() < maxNotedFlows || m_noted.contains(flow))
+            m_noted[flow] = { from, now };
+    }
+}
+
+} // namespace hawthorncroft
--- /dev/null
+++ b/src/transit_agent_target.cpp
@@ -0,0 +1,161 @@
+#include "transit_agent_base.h"
+
+#include "table/transit_limits.h"
+
+namespace hawthorncroft {
+
+void TransitAgent::onPacket(TransitPacket packet, TimePoint now, TransitEffects& effects)
+{
+    effects.push_back(CountEvent { TransitCounter::PacketsFromTarget });
+    if (packet.flags.isReturned) {
+        onReturned(std::move(packet), effects);
+        return;
+    }
+    auto found = m_flows.find(packet.flow);
+    if (found == m_flows.end()) {
+        learnFlow(packet, now, effects);
+        found = m_flows.find(packet.flow);
+    }
+    if (found != m_flows.end())
+        noteFromTarget(found->second, packet, now, effects);
+    effects.push_back(HandToCaller { std::move(packet) });
+}
+
+void TransitAgent::onReturned(TransitPacket packet, TransitEffects& effects)
+{
+    effects.push_back(CountEvent { TransitCounter::PacketsReturned });
+    std::uint32_t tag = packet.tag;
+    bool isOpening = packet.flags.isOpening && !packet.flags.hasAcknowledgement;
+    packet.flags.isReturned = false;
+    packet.tag = 0;
+    auto pending = m_opens.find(packet.flow);
+    if (isOpening) {
+        if (pending == m_opens.end())
+            return; // Declined already.
+        ForwardMessage forward = std::move(pending->second.forward);
+        m_opens.erase(pending);
+        decline(std::move(forward), DeclineReason::Returned, effects);
+        return;
+    }
+    forgetFlow(packet.flow);
+    m_askers.erase(packet.flow);
+    std::size_t index = tag >> 1;
+    bool isKnown = index > 0 && index <= m_balancers.size();
+    effects.push_back(WriteLog { "packet_returned",
+        { { "flow", toString(packet.flow.caller) }, { "to", toString(packet.flow.service) },
+            { "target", m_targetId }, { "balancer", isKnown ? toString(m_balancers[index - 1]) : std::string("unknown") } } });
+    if (!isKnown) {
+        effects.push_back(CountEvent { TransitCounter::PacketsDropped });
+        return;
+    }
+    bool isLocating = tag & 1;
+    effects.push_back(SendMessage { m_balancers[index - 1], NotHeldMessage { isLocating, std::move(packet) } });
+}
+
+void TransitAgent::learnFlow(const TransitPacket& packet, TimePoint now, TransitEffects& effects)
+{
+    bool isEnding = packet.flags.isReset;
+    if (isEnding || m_flows.size() >= maxHeldFlows)
+        return;
+    HeldFlow& held = m_flows[packet.flow];
+    held.state = packet.flags.isOpening ? FlowState::Answered : FlowState::Open;
+    held.openedAt = now;
+    if (held.state == FlowState::Open) {
+        effects.push_back(WriteLog { "flow_learned",
+            { { "flow", toString(packet.flow.caller) }, { "to", toString(packet.flow.service) },
+                { "target", m_targetId } } });
+        noteLocators(packet.flow, effects);
+    }
+    auto asker = m_askers.find(packet.flow);
+    if (asker == m_askers.end())
+        return;
+    effects.push_back(SendMessage { asker->second.balancer, HeldMessage { .flow = packet.flow, .load = load() } });
+    m_askers.erase(asker);
+}
+
+void TransitAgent::noteFromTarget(HeldFlow& flow, const TransitPacket& packet, TimePoint now, TransitEffects& effects)
+{
+    flow.usedAt = now;
+    bool isAnswer = packet.flags.isOpening && packet.flags.hasAcknowledgement;
+    if (isAnswer) {
+        flow.targetSequence = packet.sequence;
+        if (flow.state == FlowState::Opening)
+            flow.state = FlowState::Answered;
+        auto pending = m_opens.find(packet.flow);
+        if (pending != m_opens.end()) {
+            Endpoint balancer = pending->second.forward.replyTo;
+            m_opens.erase(pending);
+            effects.push_back(CountEvent { TransitCounter::FlowsOpened });
+            effects.push_back(SendMessage { balancer,
+                HeldMessage { .flow = packet.flow, .targetSequence = packet.sequence, .isOpening = true, .load = load() } });
+        }
+    }
+    if (packet.dataSize && flow.requestAt) {
+        effects.push_back(RecordTime { TransitDistribution::RequestTime, now - *flow.requestAt });
+        effects.push_back(WriteLog { "request_answered",
+            { { "request", flow.requestId }, { "flow", toString(packet.flow.caller) },
+                { "to", toString(packet.flow.service) }, { "target", m_targetId },
+                { "took_us", (now - *flow.requestAt).us }, { "busy", static_cast<std::int64_t>(m_busy) } } });
+        endRequest(flow);
+    }
+    if (packet.flags.isFinal)
+        flow.hasTargetEnded = true;
+    if (packet.flags.isReset || (flow.hasTargetEnded && flow.hasCallerEnded)) {
+        endFlow(flow);
+    }
+}
+
+void TransitAgent::noteFromCaller(HeldFlow& flow, const TransitPacket& packet, TimePoint now, TransitEffects& effects)
+{
+    flow.usedAt = now;
+    if (packet.dataSize && !flow.requestAt) {
+        if (flow.isExpected) {
+            flow.isExpected = false;
+            --m_expected;
+        }
+        flow.requestAt = now;
+        ++m_busy;
+    }
+    if (!packet.requestId.empty() && packet.requestId != flow.requestId) {
+        flow.requestId = packet.requestId;
+        effects.push_back(WriteLog { "request_started",
+            { { "request", flow.requestId }, { "flow", toString(packet.flow.caller) },
+                { "to", toString(packet.flow.service) }, { "target", m_targetId },
+                { "busy", static_cast<std::int64_t>(m_busy) } } });
+    }
+    if (packet.flags.isFinal)
+        flow.hasCallerEnded = true;
+    if (packet.flags.isReset || (flow.hasTargetEnded && flow.hasCallerEnded)) {
+        endFlow(flow);
+    }
+}
+
+void TransitAgent::endRequest(HeldFlow& flow)
+{
+    if (flow.requestAt)
+        --m_busy;
+    flow.requestAt.reset();
+    if (flow.isExpected)
+        --m_expected;
+    flow.isExpected = false;
+}
+
+void TransitAgent::endFlow(HeldFlow& flow)
+{
+    endRequest(flow);
+    if (flow.state != FlowState::Ended)
+        ++m_ended;
+    flow.state = FlowState::Ended;
+}
+
+void TransitAgent::forgetFlow(const FlowTuple& flow)
+{
+    auto found = m_flows.find(flow);
+    if (found == m_flows.end())
+        return;
+    endFlow(found->second);
+    --m_ended;
+    m_flows.erase(found);
+}
+
+} // namespace hawthorncroft
--- /dev/null
+++ b/src/transit_balancer_base.h
@@ -0,0 +1,127 @@
+/**
+ * @file transit_balancer_base.h
+ * Transparent flows at a balancer: places opening packets, remembers which agent holds a flow, and finds the holder of a
+ * flow that it does not know. Its flow table is a cache; the agents hold the truth. Pure.
+ */
+#pragma once
+
+#include "transit_core_base.h"
+#include "transit_locator_base.h"
+#include "transit_placement_base.h"
+
+#include <deque>
+#include <unordered_map>
+
+namespace hawthorncroft {
+
+/** Settings of a balancer. */
+struct TransitBalancerOptions {
+    FleetOptions fleet;
+    std::string failureDomain;
+    std::uint16_t fleetPort {}; ///< Port at which every process of the system gets messages.
+};
+
+/** Core of a balancer for transparent flows. */
+class TransitBalancer : public TransitCore {
+public:
+    explicit TransitBalancer(TransitBalancerOptions options);
+
+    /** Lets time pass; called about every `tickInterval`. */
+    void onTick(TimePoint now, TransitEffects& effects) override;
+
+    /** Takes a packet that the routers forwarded. */
+    void onPacket(TransitPacket packet, TimePoint now, TransitEffects& effects) override;
+
+    /** Takes a message of another process. */
+    void onMessage(Endpoint from, Message message, TimePoint now, TransitEffects& effects) override;
+
+    /** Begins a planned end: not ready any more, but packets are still forwarded. */
+    void onStop(TimePoint now, TransitEffects& effects) override;
+
+    /** @return Whether the routers may send packets here. */
+    bool isReady() const override;
+
+    /** @return Whether the planned end is over. */
+    bool isFinished(TimePoint now) const override;
+
+    bool isBusy() const override { return !m_opens.empty() || !m_locates.empty() || !m_waiting.empty(); }
+
+    const TransitPlacement& placement() const { return m_placement; }
+
+    /** @return Agent that holds the flow as far as this balancer knows. */
+    std::optional<Endpoint> holderOf(const FlowTuple& flow) const;
+
+    std::size_t cachedFlows() const { return m_flows.size(); }
+
+private:
+    /** Agent that may hold a flow. */
+    struct Holder {
+        Endpoint agent;
+        std::uint32_t targetSequence {}; ///< First sequence number of its target; zero when unknown.
+    };
+
+    struct CachedFlow {
+        Holder holder;
+        Holder second; ///< While the caller has not chosen between two targets that answered.
+        TimePoint usedAt;
+    };
+
+    struct PendingOpen {
+        ForwardMessage forward;
+        Endpoint agent; ///< Asked last.
+        TimePoint startedAt;
+        TimePoint repeatAt;
+    };
+
+    struct Locate {
+        std::vector<TransitPacket> packets;
+        std::vector<Endpoint> waitingFor; ///< Agents that have not answered.
+        std::vector<Endpoint> asked;
+        TimePoint startedAt;
+        bool isBroadcast {}; ///< Every agent was asked.
+        bool isComplete {}; ///< `asked` contains every agent that may hold the flow.
+    };
+
+    // Opening packets, in transit_balancer_open.cpp.
+    void openFlow(TransitPacket packet, const RouteRecord& route, TimePoint now, TransitEffects& effects);
+    void sendOpen(ForwardMessage forward, TimePoint startedAt, TimePoint now, TransitEffects& effects);
+    void refuseOpen(const TransitPacket& packet, std::string_view reason, std::size_t tried, TimePoint now, TransitEffects& effects);
+    void onHeld(Endpoint from, const HeldMessage& held, TimePoint now, TransitEffects& effects);
+    void onDeclined(Endpoint from, DeclinedMessage declined, TimePoint now, TransitEffects& effects);
+    void repeatOpens(TimePoint now, TransitEffects& effects);
+    const std::string* serviceFor(const RouteRecord& route, const FlowTuple& flow) const;
+
+    // Packets of flows, in transit_balancer_locate.cpp.
+    void forwardData(TransitPacket packet, TimePoint now, TransitEffects& effects);
+    void startLocate(TransitPacket packet, TimePoint now, TransitEffects& effects);
+    void askLocators(const FlowTuple& flow, Locate& locate, TimePoint now, TransitEffects& effects);
+    void broadcastLocate(Locate& locate, TimePoint now, TransitEffects& effects);
+    void askAgent(Endpoint agent, Locate& locate, std::uint8_t hops, TransitEffects& effects);
+    void onNotHeld(Endpoint from, NotHeldMessage message, TimePoint now, TransitEffects& effects);
+    void finishLocate(const FlowTuple& flow, Endpoint holder, TimePoint now, TransitEffects& effects);
+    void declareLost(const FlowTuple& flow, const Locate& locate, TimePoint now, TransitEffects& effects);
+    void tickLocates(TimePoint now, TransitEffects& effects);
+    std::vector<Endpoint> agentsThatMayHold(TimePoint now) const;
+
+    // In transit_balancer_cmd.cpp.
+    void handlePacket(TransitPacket packet, TimePoint now, TransitEffects& effects);
+    void onViewChanged(TimePoint now, TransitEffects& effects) override;
+    void releaseWaiting(TimePoint now, TransitEffects& effects);
+    void sweepFlows(TimePoint now);
+    void cacheHolder(const FlowTuple& flow, Holder holder, bool isOpening, TimePoint now);
+    Endpoint agentOf(std::uint32_t address) const { return { address, m_options.fleetPort }; }
+
+    TransitBalancerOptions m_options;
+    TransitPlacement m_placement;
+    TransitLocators m_locators;
+    std::unordered_map<FlowTuple, CachedFlow> m_flows;
+    std::unordered_map<FlowTuple, PendingOpen> m_opens;
+    std::deque<std::pair<TimePoint, FlowTuple>> m_openTimers; ///< In order of time.
+    std::unordered_map<FlowTuple, Locate> m_locates;
+    std::deque<std::pair<TimePoint, TransitPacket>> m_waiting; ///< Packets that wait for the first view.
+    TimePoint m_nextSweepAt;
+    std::optional<TimePoint> m_stoppedAt;
+    bool m_wasReady {};
+};
+
+} // namespace hawthorncroft
--- /dev/null
+++ b/src/transit_balancer_cmd.cpp
@@ -0,0 +1,152 @@
+#include "transit_balancer_base.h"
+
+#include "table/transit_limits.h"
+
+namespace hawthorncroft {
+
+TransitBalancer::TransitBalancer(TransitBalancerOptions options)
+    : TransitCore(options.fleet)
+    , m_options(std::move(options))
+    , m_placement(m_options.failureDomain)
+{
+}
+
+void TransitBalancer::onTick(TimePoint now, TransitEffects& effects)
+{
+    m_fleet.onTick(now, {}, effects);
+    releaseWaiting(now, effects);
+    repeatOpens(now, effects);
+    tickLocates(now, effects);
+    if (now >= m_nextSweepAt) {
+        m_nextSweepAt = now + seconds(5);
+        sweepFlows(now);
+    }
+    if (isReady() != m_wasReady) {
+        m_wasReady = isReady();
+        effects.push_back(WriteLog { "ready",
+            { { "is_ready", static_cast<std::int64_t>(m_wasReady) },
+                { "revision", static_cast<std::int64_t>(m_fleet.view().through().value) },
+                { "targets", static_cast<std::int64_t>(m_fleet.view().targets().size()) } } });
+    }
+}
+
+void TransitBalancer::onPacket(TransitPacket packet, TimePoint now, TransitEffects& effects)
+{
+    effects.push_back(CountEvent { TransitCounter::PacketsFromCallers });
+    if (m_fleet.view().hasConfiguration()) {
+        handlePacket(std::move(packet), now, effects);
+        return;
+    }
+    if (m_waiting.size() >= maxWaitingPackets) {
+        m_waiting.pop_front();
+        effects.push_back(CountEvent { TransitCounter::PacketsDropped });
+    }
+    m_waiting.emplace_back(now, std::move(packet));
+}
+
+void TransitBalancer::onMessage(Endpoint from, Message message, TimePoint now, TransitEffects& effects)
+{
+    effects.push_back(CountEvent { TransitCounter::MessagesIn });
+    m_fleet.noteMessage(from, message.through, now, effects);
+    if (auto* held = std::get_if<HeldMessage>(&message.body)) {
+        onHeld(from, *held, now, effects);
+    } else if (auto* declined = std::get_if<DeclinedMessage>(&message.body)) {
+        onDeclined(from, std::move(*declined), now, effects);
+    } else if (auto* notHeld = std::get_if<NotHeldMessage>(&message.body)) {
+        onNotHeld(from, std::move(*notHeld), now, effects);
+    } else if (auto* stamp = std::get_if<StampMessage>(&message.body)) {
+        m_fleet.onStamp(from, message.through, *stamp, now, effects);
+        if (stamp->role == ProcessRole::Agent)
+            m_placement.noteLoad(from.address, stamp->load, now);
+    } else if (auto* delta = std::get_if<DeltaMessage>(&message.body)) {
+        if (m_fleet.onDelta(from, *delta, now, effects))
+            onViewChanged(now, effects);
+    } else if (std::get_if<LeavingMessage>(&message.body)) {
+        m_fleet.onLeaving(from, now, effects);
+        m_placement.suspect(from.address, now);
+    }
+    // Forward and Holder messages are for agents; a balancer that gets one has the address of a former agent.
+}
+
+void TransitBalancer::onStop(TimePoint now, TransitEffects& effects)
+{
+    if (m_stoppedAt)
+        return;
+    m_stoppedAt = now;
+    effects.push_back(WriteLog { "stopping", { { "drain_ms", drainTime.us / 1000 }, { "flows", static_cast<std::int64_t>(m_flows.size()) } } });
+}
+
+bool TransitBalancer::isReady() const { return !m_stoppedAt && m_fleet.view().hasConfiguration(); }
+
+bool TransitBalancer::isFinished(TimePoint now) const { return m_stoppedAt && now >= *m_stoppedAt + drainTime; }
+
+std::optional<Endpoint> TransitBalancer::holderOf(const FlowTuple& flow) const
+{
+    auto found = m_flows.find(flow);
+    if (found == m_flows.end())
+        return std::nullopt;
+    return found->second.holder.agent;
+}
+
+void TransitBalancer::handlePacket(TransitPacket packet, TimePoint now, TransitEffects& effects)
+{
+    const RouteRecord* route = m_fleet.view().routeAt(packet.flow.service);
+    if (!route) {
+        effects.push_back(CountEvent { TransitCounter::NoRoute });
+        refuseOpen(packet, "no_route", 0, now, effects);
+        return;
+    }
+    bool isOpening = packet.flags.isOpening && !packet.flags.hasAcknowledgement;
+    if (isOpening)
+        openFlow(std::move(packet), *route, now, effects);
+    else
+        forwardData(std::move(packet), now, effects);
+}
+
+void TransitBalancer::onViewChanged(TimePoint now, TransitEffects& effects)
+{
+    m_locators = TransitLocators(m_fleet.view());
+    for (const auto& [endpoint, target] : m_fleet.view().targets())
+        m_fleet.addMember(agentOf(endpoint.address), ProcessRole::Agent, now);
+    releaseWaiting(now, effects);
+}
+
+void TransitBalancer::releaseWaiting(TimePoint now, TransitEffects& effects)
+{
+    while (!m_waiting.empty() && now >= m_waiting.front().first + maxWaitForView) {
+        m_waiting.pop_front();
+        effects.push_back(CountEvent { TransitCounter::PacketsDropped });
+    }
+    if (m_waiting.empty() || !m_fleet.view().hasConfiguration())
+        return;
+    auto waiting = std::move(m_waiting);
+    m_waiting.clear();
+    for (auto& [since, packet] : waiting)
+        handlePacket(std::move(packet), now, effects);
+}
+
+void TransitBalancer::sweepFlows(TimePoint now)
+{
+    std::erase_if(m_flows, [&](const auto& entry) { return now >= entry.second.usedAt + flowIdleLimit; });
+}
+
+void TransitBalancer::cacheHolder(const FlowTuple& flow, Holder holder, bool isOpening, TimePoint now)
+{
+    auto found = m_flows.find(flow);
+    if (found == m_flows.end()) {
+        if (m_flows.size() >= maxCachedFlows)
+            m_flows.erase(m_flows.begin());
+        m_flows[flow] = { .holder = holder, .second = {}, .usedAt = now };
+        return;
+    }
+    CachedFlow& cached = found->second;
+    cached.usedAt = now;
+    bool isOther = cached.holder.agent != holder.agent;
+    // A late answer to an opening packet must not hide the target that the caller may have chosen already.
+    if (isOpening && isOther)
+        cached.second = holder;
+    else
+        cached = { .holder = holder, .second = {}, .usedAt = now };
+}
+
+} // namespace hawthorncroft
--- /dev/null
+++ b/src/transit_balancer_locate.cpp
@@ -0,0 +1,206 @@
+#include "transit_balancer_base.h"
+
+#include "table/transit_limits.h"
+
+#include <algorithm>
+
+namespace hawthorncroft {
+
+namespace {
+
+    constexpr std::uint8_t locatorHops = 0; ///< The agent passes the packet on to the holder that it knows.
+    constexpr std::uint8_t finalHops = 1; ///< The agent answers for its own target only.
+
+    constexpr std::uint32_t mostAcknowledged = 1U << 28; ///< Bytes from a target in one flow; far above any answer.
+
+    bool acknowledges(const TransitPacket& packet, std::uint32_t targetSequence)
+    {
+        return targetSequence && packet.acknowledged - targetSequence < mostAcknowledged;
+    }
+
+}
+
+void TransitBalancer::forwardData(TransitPacket packet, TimePoint now, TransitEffects& effects)
+{
+    auto found = m_flows.find(packet.flow);
+    if (found == m_flows.end()) {
+        startLocate(std::move(packet), now, effects);
+        return;
+    }
+    CachedFlow& cached = found->second;
+    cached.usedAt = now;
+    if (cached.second.agent) {
+        // Two targets answered the opening packet; the caller acknowledges the one that it chose.
+        bool isSecond = acknowledges(packet, cached.second.targetSequence)
+            && !acknowledges(packet, cached.holder.targetSequence);
+        if (isSecond)
+            cached.holder = cached.second;
+        cached.second = {};
+    }
+    effects.push_back(
+        SendMessage { cached.holder.agent, ForwardMessage { .replyTo = m_fleet.self(), .packet = std::move(packet) } });
+}
+
+void TransitBalancer::startLocate(TransitPacket packet, TimePoint now, TransitEffects& effects)
+{
+    auto found = m_locates.find(packet.flow);
+    if (found != m_locates.end()) {
+        if (found->second.packets.size() < maxPacketsPerLocate)
+            found->second.packets.push_back(std::move(packet));
+        else
+            effects.push_back(CountEvent { TransitCounter::PacketsDropped });
+        return;
+    }
+    if (m_locates.size() >= maxLocates) {
+        effects.push_back(CountEvent { TransitCounter::PacketsDropped });
+        return;
+    }
+    FlowTuple flow = packet.flow;
+    Locate& locate = m_locates[flow];
+    locate.startedAt = now;
+    locate.packets.push_back(std::move(packet));
+    askLocators(flow, locate, now, effects);
+}
+
+void TransitBalancer::askLocators(const FlowTuple& flow, Locate& locate, TimePoint now, TransitEffects& effects)
+{
+    for (std::uint32_t address : m_locators.of(flow, locatorCount))
+        askAgent(agentOf(address), locate, locatorHops, effects);
+    if (locate.asked.empty())
+        broadcastLocate(locate, now, effects);
+}
+
+void TransitBalancer::askAgent(Endpoint agent, Locate& locate, std::uint8_t hops, TransitEffects& effects)
+{
+    locate.waitingFor.push_back(agent);
+    locate.asked.push_back(agent);
+    effects.push_back(SendMessage { agent,
+        ForwardMessage {
+            .replyTo = m_fleet.self(), .isLocating = true, .hops = hops, .packet = locate.packets.front() } });
+}
+
+std::vector<Endpoint> TransitBalancer::agentsThatMayHold(TimePoint now) const
+{
+    std::vector<Endpoint> agents;
+    for (const auto& [endpoint, target] : m_fleet.view().targets())
+        agents.push_back(agentOf(endpoint.address));
+    for (const auto& [endpoint, member] : m_fleet.members()) {
+        if (member.role == ProcessRole::Agent && m_fleet.isAlive(endpoint, now))
+            agents.push_back(endpoint);
+    }
+    std::sort(agents.begin(), agents.end());
+    agents.erase(std::unique(agents.begin(), agents.end()), agents.end());
+    return agents;
+}
+
+void TransitBalancer::broadcastLocate(Locate& locate, TimePoint now, TransitEffects& effects)
+{
+    locate.isBroadcast = true;
+    std::vector<Endpoint> answered;
+    for (Endpoint agent : locate.asked) {
+        bool isWaiting = std::find(locate.waitingFor.begin(), locate.waitingFor.end(), agent) != locate.waitingFor.end();
+        if (!isWaiting)
+            answered.push_back(agent);
+    }
+    locate.waitingFor.clear();
+    std::vector<Endpoint> agents = agentsThatMayHold(now);
+    locate.isComplete = !agents.empty() && agents.size() <= maxLocateBroadcast;
+    std::size_t sent = 0;
+    for (Endpoint agent : agents) {
+        if (std::find(answered.begin(), answered.end(), agent) != answered.end())
+            continue;
+        if (++sent > maxLocateBroadcast)
+            break;
+        askAgent(agent, locate, finalHops, effects);
+    }
+}
+
+void TransitBalancer::onNotHeld(Endpoint from, NotHeldMessage message, TimePoint now, TransitEffects& effects)
+{
+    FlowTuple flow = message.packet.flow;
+    auto cached = m_flows.find(flow);
+    if (cached != m_flows.end() && cached->second.holder.agent == from) {
+        effects.push_back(WriteLog { "flow_not_held",
+            { { "flow", toString(flow.caller) }, { "to", toString(flow.service) }, { "agent", toString(from) } } });
+        if (cached->second.second.agent) {
+            cached->second.holder = cached->second.second;
+            cached->second.second = {};
+        } else {
+            m_flows.erase(cached);
+        }
+    }
+    auto found = m_locates.find(flow);
+    if (found == m_locates.end()) {
+        if (!message.isLocating)
+            forwardData(std::move(message.packet), now, effects);
+        return;
+    }
+    Locate& locate = found->second;
+    std::erase(locate.waitingFor, from);
+    if (!message.isLocating && locate.packets.size() < maxPacketsPerLocate)
+        locate.packets.push_back(std::move(message.packet));
+    if (!locate.waitingFor.empty())
+        return;
+    if (!locate.isBroadcast)
+        broadcastLocate(locate, now, effects);
+    if (locate.waitingFor.empty() && locate.isBroadcast) {
+        Locate lost = std::move(locate);
+        m_locates.erase(found);
+        declareLost(flow, lost, now, effects);
+    }
+}
+
+void TransitBalancer::finishLocate(const FlowTuple& flow, Endpoint holder, TimePoint now, TransitEffects& effects)
+{
+    auto found = m_locates.find(flow);
+    Locate locate = std::move(found->second);
+    m_locates.erase(found);
+    effects.push_back(CountEvent { TransitCounter::FlowsLocated });
+    effects.push_back(RecordTime { TransitDistribution::LocateTime, now - locate.startedAt });
+    effects.push_back(WriteLog { "flow_located",
+        { { "flow", toString(flow.caller) }, { "to", toString(flow.service) }, { "agent", toString(holder) },
+            { "asked", static_cast<std::int64_t>(locate.asked.size()) },
+            { "took_us", (now - locate.startedAt).us } } });
+    // The first packet went with the question.
+    for (std::size_t i = 1; i < locate.packets.size(); ++i)
+        forwardData(std::move(locate.packets[i]), now, effects);
+}
+
+void TransitBalancer::declareLost(const FlowTuple& flow, const Locate& locate, TimePoint now, TransitEffects& effects)
+{
+    const TransitPacket& packet = locate.packets.front();
+    effects.push_back(WriteLog { locate.isComplete ? "flow_lost" : "locate_incomplete",
+        { { "flow", toString(flow.caller) }, { "to", toString(flow.service) },
+            { "asked", static_cast<std::int64_t>(locate.asked.size()) },
+            { "revision", static_cast<std::int64_t>(m_fleet.view().through().value) },
+            { "took_us", (now - locate.startedAt).us } } });
+    if (!locate.isComplete || packet.flags.isReset) {
+        effects.push_back(CountEvent { TransitCounter::LocatesUnanswered });
+        return;
+    }
+    // Every target that could hold the flow said that it does not, so that the caller need not wait.
+    effects.push_back(CountEvent { TransitCounter::FlowsLost });
+    effects.push_back(ResetCaller { flow, locate.packets.back().acknowledged });
+}
+
+void TransitBalancer::tickLocates(TimePoint now, TransitEffects& effects)
+{
+    for (auto entry = m_locates.begin(); entry != m_locates.end();) {
+        Locate& locate = entry->second;
+        if (!locate.isBroadcast && now >= locate.startedAt + locateBroadcastAfter)
+            broadcastLocate(locate, now, effects);
+        if (now < locate.startedAt + locateTimeout) {
+            ++entry;
+            continue;
+        }
+        effects.push_back(CountEvent { TransitCounter::LocatesUnanswered });
+        effects.push_back(WriteLog { "locate_unanswered",
+            { { "flow", toString(entry->first.caller) }, { "to", toString(entry->first.service) },
+                { "asked", static_cast<std::int64_t>(locate.asked.size()) },
+                { "silent", static_cast<std::int64_t>(locate.waitingFor.size()) },
+                { "first_silent", locate.waitingFor.empty() ? std::string() : toString(locate.waitingFor.front()) } } });
+        entry = m_locates.erase(entry);
+    }
+}
+
+} // namespace hawthorncroft
--- /dev/null
+++ b/src/transit_balancer_open.cpp
@@ -0,0 +1,176 @@
+#include "transit_balancer_base.h"
+
+#include "table/transit_limits.h"
+
+#include <algorithm>
+
+namespace hawthorncroft {
+
+namespace {
+
+    std::vector<std::uint32_t> addressesOf(const std::vector<Endpoint>& agents)
+    {
+        std::vector<std::uint32_t> addresses;
+        for (Endpoint agent : agents)
+            addresses.push_back(agent.address);
+        return addresses;
+    }
+
+}
+
+void TransitBalancer::openFlow(TransitPacket packet, const RouteRecord& route, TimePoint now, TransitEffects& effects)
+{
+    auto cached = m_flows.find(packet.flow);
+    if (cached != m_flows.end()) {
+        // The target took the flow already; it answers the copy as it answered the first packet.
+        cached->second.usedAt = now;
+        ForwardMessage forward { .replyTo = m_fleet.self(), .routeRevision = m_fleet.view().routeRevisionAt(packet.flow.service), .packet = std::move(packet) };
+        if (const std::string* service = serviceFor(route, forward.packet.flow))
+            forward.service = *service;
+        effects.push_back(SendMessage { cached->second.holder.agent, std::move(forward) });
+        return;
+    }
+    const std::string* service = serviceFor(route, packet.flow);
+    if (!service) {
+        refuseOpen(packet, "no_service", 0, now, effects);
+        return;
+    }
+    ForwardMessage forward {
+        .replyTo = m_fleet.self(),
+        .service = *service,
+        .routeRevision = m_fleet.view().routeRevisionAt(packet.flow.service),
+        .packet = std::move(packet),
+    };
+    auto pending = m_opens.find(forward.packet.flow);
+    if (pending != m_opens.end()) {
+        // A copy of a packet that nobody answered yet goes to an agent that was not asked.
+        forward.tried = pending->second.forward.tried;
+        m_opens.erase(pending);
+    }
+    sendOpen(std::move(forward), now, now, effects);
+}
+
+void TransitBalancer::sendOpen(ForwardMessage forward, TimePoint startedAt, TimePoint now, TransitEffects& effects)
+{
+    if (forward.tried.size() >= maxOpenAttempts) {
+        refuseOpen(forward.packet, "attempts_used", forward.tried.size(), now, effects);
+        return;
+    }
+    const ViewedTarget* target = m_placement.choose(
+        m_fleet.view(), forward.service, forward.packet.flow, addressesOf(forward.tried), now);
+    if (!target) {
+        refuseOpen(forward.packet, "no_target", forward.tried.size(), now, effects);
+        return;
+    }
+    std::uint32_t address = target->record.address.address;
+    Endpoint agent = agentOf(address);
+    effects.push_back(CountEvent { forward.tried.empty() ? TransitCounter::OpensForwarded : TransitCounter::OpensRepeated });
+    effects.push_back(WriteLog { "open_placed",
+        { { "flow", toString(forward.packet.flow.caller) }, { "to", toString(forward.packet.flow.service) },
+            { "target", target->record.id }, { "agent", toString(agent) },
+            { "attempt", static_cast<std::int64_t>(forward.tried.size()) },
+            { "load_percent", static_cast<std::int64_t>(100 * m_placement.loadOf(*target, now)) },
+            { "revision", static_cast<std::int64_t>(target->revision.value) },
+            { "view_age_ms", m_fleet.viewAge(now) ? m_fleet.viewAge(now)->us / 1000 : -1 } } });
+    m_placement.noteSent(address);
+    effects.push_back(SendMessage { agent, forward });
+    if (m_opens.size() >= maxPendingOpens)
+        return; // Not repeated; the caller sends a copy.
+    FlowTuple flow = forward.packet.flow;
+    TimePoint repeatAt = now + openRepeatAfter;
+    forward.tried.push_back(agent);
+    m_opens[flow] = { .forward = std::move(forward), .agent = agent, .startedAt = startedAt, .repeatAt = repeatAt };
+    m_openTimers.emplace_back(repeatAt, flow);
+}
+
+void TransitBalancer::refuseOpen(
+    const TransitPacket& packet, std::string_view reason, std::size_t tried, TimePoint now, TransitEffects& effects)
+{
+    if (packet.flags.isReset)
+        return;
+    effects.push_back(CountEvent { TransitCounter::OpensRefused });
+    effects.push_back(WriteLog { "flow_refused",
+        { { "flow", toString(packet.flow.caller) }, { "to", toString(packet.flow.service) },
+            { "reason", std::string(reason) }, { "tried", static_cast<std::int64_t>(tried) },
+            { "route_revision", static_cast<std::int64_t>(m_fleet.view().routeRevisionAt(packet.flow.service).value) },
+            { "revision", static_cast<std::int64_t>(m_fleet.view().through().value) },
+            { "view_age_ms", m_fleet.viewAge(now) ? m_fleet.viewAge(now)->us / 1000 : -1 } } });
+    effects.push_back(ResetCaller { packet.flow, packet.acknowledged });
+}
+
+void TransitBalancer::onHeld(Endpoint from, const HeldMessage& held, TimePoint now, TransitEffects& effects)
+{
+    m_placement.noteLoad(from.address, held.load, now);
+    if (!held.flow.service)
+        return; // A load report only.
+    auto pending = m_opens.find(held.flow);
+    if (pending != m_opens.end()) {
+        effects.push_back(CountEvent { TransitCounter::FlowsOpened });
+        effects.push_back(RecordTime { TransitDistribution::OpenTime, now - pending->second.startedAt });
+        m_opens.erase(pending);
+    }
+    cacheHolder(held.flow, { from, held.targetSequence }, held.isOpening, now);
+    if (m_locates.contains(held.flow))
+        finishLocate(held.flow, from, now, effects);
+}
+
+void TransitBalancer::onDeclined(Endpoint from, DeclinedMessage declined, TimePoint now, TransitEffects& effects)
+{
+    m_placement.noteLoad(from.address, declined.load, now);
+    ForwardMessage& forward = declined.forward;
+    const FlowTuple& flow = forward.packet.flow;
+    effects.push_back(CountEvent { TransitCounter::OpensDeclined });
+    effects.push_back(WriteLog { "open_declined",
+        { { "flow", toString(flow.caller) }, { "to", toString(flow.service) }, { "agent", toString(from) },
+            { "reason", std::string(nameOf(declined.reason)) },
+            { "busy", static_cast<std::int64_t>(declined.load.busy) } } });
+    if (declined.reason == DeclineReason::Silent || declined.reason == DeclineReason::Leaving)
+        m_placement.suspect(from.address, now);
+    auto pending = m_opens.find(flow);
+    if (pending == m_opens.end() || pending->second.agent != from)
+        return; // Another agent was asked since, or took the flow.
+    ForwardMessage again = std::move(pending->second.forward);
+    TimePoint startedAt = pending->second.startedAt;
+    m_opens.erase(pending);
+    sendOpen(std::move(again), startedAt, now, effects);
+}
+
+void TransitBalancer::repeatOpens(TimePoint now, TransitEffects& effects)
+{
+    while (!m_openTimers.empty() && m_openTimers.front().first <= now) {
+        FlowTuple flow = m_openTimers.front().second;
+        m_openTimers.pop_front();
+        auto pending = m_opens.find(flow);
+        if (pending == m_opens.end() || pending->second.repeatAt > now)
+            continue;
+        PendingOpen open = std::move(pending->second);
+        m_opens.erase(pending);
+        m_placement.suspect(open.agent.address, now);
+        effects.push_back(WriteLog { "agent_silent",
+            { { "flow", toString(flow.caller) }, { "to", toString(flow.service) }, { "agent", toString(open.agent) },
+                { "waited_ms", (now - open.repeatAt + openRepeatAfter).us / 1000 } } });
+        bool canRepeat = open.forward.tried.size() < maxOpenAttempts
+            && m_placement.choose(m_fleet.view(), open.forward.service, flow, addressesOf(open.forward.tried), now);
+        // An agent that did not answer may have taken the flow, so that nothing is refused here.
+        if (canRepeat)
+            sendOpen(std::move(open.forward), open.startedAt, now, effects);
+    }
+}
+
+const std::string* TransitBalancer::serviceFor(const RouteRecord& route, const FlowTuple& flow) const
+{
+    std::uint64_t total = 0;
+    for (const auto& share : route.shares)
+        total += share.weight;
+    if (!total)
+        return nullptr;
+    std::uint64_t at = mix64(hashOf(flow)) % total;
+    for (const auto& share : route.shares) {
+        if (at < share.weight)
+            return &share.service;
+        at -= share.weight;
+    }
+    return nullptr;
+}
+
+} // namespace hawthorncroft
--- /dev/null
+++ b/src/transit_codec_func.cpp
@@ -0,0 +1,403 @@
+#include "transit_codec_func.h"
+
+#include "generated/transit_generated.h"
+
+#include "table/transit_limits.h"
+
+#include <algorithm>
+
+namespace hawthorncroft {
+
+namespace wire = transit_wire;
+
+namespace {
+
+    /** Kind of a message; the index of its alternative in MessageBody. */
+    enum class Kind : std::uint8_t {
+        Forward,
+        Held,
+        Declined,
+        NotHeld,
+        Holder,
+        Stamp,
+        Delta,
+        Leaving,
+    };
+
+    constexpr std::uint8_t flagLocating = 1;
+    constexpr std::uint8_t flagOpening = 2;
+    constexpr std::uint8_t flagWantsReply = 4;
+    constexpr std::uint8_t flagFull = 8;
+
+    wire::Node nodeOf(Endpoint endpoint) { return { endpoint.address, endpoint.port }; }
+
+    Endpoint endpointOf(const wire::Node& node) { return { node.address(), node.port() }; }
+
+    template <typename Pointer> Endpoint endpointOf(const Pointer& node) { return node ? endpointOf(*node) : Endpoint {}; }
+
+    wire::Flow flowOf(const FlowTuple& flow) { return { nodeOf(flow.caller), nodeOf(flow.service) }; }
+
+    FlowTuple tupleOf(const wire::Flow& flow) { return { endpointOf(flow.caller()), endpointOf(flow.service()) }; }
+
+    void putLoad(wire::MessageT& out, const LoadReport& load)
+    {
+        out.load = std::make_unique<wire::Load>(load.busy, load.slots, load.flows);
+    }
+
+    LoadReport loadOf(const wire::MessageT& in)
+    {
+        return in.load ? LoadReport { in.load->busy(), in.load->slots(), in.load->flows() } : LoadReport {};
+    }
+
+    void putNodes(wire::MessageT& out, const std::vector<Endpoint>& endpoints)
+    {
+        for (Endpoint endpoint : endpoints)
+            out.nodes.push_back(nodeOf(endpoint));
+    }
+
+    std::vector<Endpoint> endpointsOf(const wire::MessageT& in)
+    {
+        std::vector<Endpoint> endpoints;
+        for (const auto& node : in.nodes)
+            endpoints.push_back(endpointOf(node));
+        return endpoints;
+    }
+
+    void putValue(wire::ItemT& out, const RouteRecord& route)
+    {
+        out.route = std::make_unique<wire::RouteT>();
+        out.route->address = std::make_unique<wire::Node>(nodeOf(route.address));
+        for (const auto& share : route.shares) {
+            auto item = std::make_unique<wire::ShareT>();
+            item->service = share.service;
+            item->weight = share.weight;
+            out.route->shares.push_back(std::move(item));
+        }
+        out.route->is_idempotent = route.isIdempotent;
+        out.route->priority = route.priority;
+        out.route->timeout_us = route.timeout.us;
+        out.route->objective_us = route.latencyObjective.us;
+    }
+
+    void putValue(wire::ItemT& out, const ServiceRecord& service)
+    {
+        out.service = std::make_unique<wire::ServiceT>();
+        out.service->name = service.name;
+        out.service->flow_limit = service.flowLimit;
+        out.service->warmup_us = service.warmup.us;
+        out.service->warmup_per_second = service.warmupPerSecond;
+    }
+
+    void putValue(wire::ItemT& out, const TargetRecord& target)
+    {
+        out.target = std::make_unique<wire::TargetT>();
+        out.target->id = target.id;
+        out.target->service = target.service;
+        out.target->address = std::make_unique<wire::Node>(nodeOf(target.address));
+        out.target->failure_domain = target.failureDomain;
+        out.target->slots = target.slots;
+        out.target->is_draining = target.isDraining;
+        out.target->cold_us = target.coldLeft.us;
+        out.target->started_at = target.startedAt;
+    }
+
+    void putValue(wire::ItemT& out, const EvacuationRecord& evacuation)
+    {
+        out.evacuated_domain = evacuation.failureDomain;
+    }
+
+    std::unique_ptr<wire::ItemT> wireItemOf(const ViewItem& item, TimePoint now)
+    {
+        auto out = std::make_unique<wire::ItemT>();
+        out->key = item.key;
+        out->revision = item.revision.value;
+        out->is_removed = item.isRemoved;
+        out->hold_us = std::max<std::int64_t>((item.heldUntil - now).us, 0);
+        out->age_us = std::max<std::int64_t>((now - item.receivedAt).us, 0);
+        if (item.value)
+            std::visit([&](const auto& value) { putValue(*out, value); }, *item.value);
+        return out;
+    }
+
+    RouteRecord routeOf(const wire::RouteT& in)
+    {
+        RouteRecord route {
+            .address = endpointOf(in.address),
+            .shares = {},
+            .isIdempotent = in.is_idempotent,
+            .priority = in.priority,
+            .timeout = { in.timeout_us },
+            .latencyObjective = { in.objective_us },
+        };
+        for (const auto& share : in.shares)
+            route.shares.push_back({ share->service, share->weight });
+        return route;
+    }
+
+    TargetRecord targetOf(const wire::TargetT& in)
+    {
+        return {
+            .id = in.id,
+            .service = in.service,
+            .address = endpointOf(in.address),
+            .failureDomain = in.failure_domain,
+            .slots = in.slots,
+            .isDraining = in.is_draining,
+            .coldLeft = { in.cold_us },
+            .startedAt = in.started_at,
+        };
+    }
+
+    ViewItem itemOf(const wire::ItemT& in, TimePoint now)
+    {
+        ViewItem item {
+            .key = in.key,
+            .revision = Revision(in.revision),
+            .isRemoved = in.is_removed,
+            .value = {},
+            .heldUntil = now + Duration { in.hold_us },
+            .receivedAt = now,
+        };
+        if (in.route)
+            item.value = routeOf(*in.route);
+        else if (in.service)
+            item.value = ServiceRecord { in.service->name, in.service->flow_limit, { in.service->warmup_us },
+                in.service->warmup_per_second };
+        else if (in.target) {
+            TargetRecord target = targetOf(*in.target);
+            // The time that the item spent at the sender is over for the receiver too.
+            target.coldLeft = std::max(target.coldLeft - Duration { in.age_us }, Duration {});
+            item.value = std::move(target);
+        } else if (!in.evacuated_domain.empty())
+            item.value = EvacuationRecord { in.evacuated_domain };
+        return item;
+    }
+
+    void putForward(wire::MessageT& out, const ForwardMessage& body)
+    {
+        out.reply_to = std::make_unique<wire::Node>(nodeOf(body.replyTo));
+        out.service = body.service;
+        out.route_revision = body.routeRevision.value;
+        out.flags |= body.isLocating ? flagLocating : 0;
+        out.hops = body.hops;
+        putNodes(out, body.tried);
+        out.packet = body.packet.bytes;
+    }
+
+    void putBody(wire::MessageT& out, const ForwardMessage& body, TimePoint) { putForward(out, body); }
+
+    void putBody(wire::MessageT& out, const HeldMessage& body, TimePoint)
+    {
+        out.flow = std::make_unique<wire::Flow>(flowOf(body.flow));
+        out.target_sequence = body.targetSequence;
+        out.flags |= body.isOpening ? flagOpening : 0;
+        putLoad(out, body.load);
+    }
+
+    void putBody(wire::MessageT& out, const DeclinedMessage& body, TimePoint)
+    {
+        putForward(out, body.forward);
+        out.reason = static_cast<std::uint8_t>(body.reason);
+        putLoad(out, body.load);
+    }
+
+    void putBody(wire::MessageT& out, const NotHeldMessage& body, TimePoint)
+    {
+        out.flags |= body.isLocating ? flagLocating : 0;
+        out.packet = body.packet.bytes;
+    }
+
+    void putBody(wire::MessageT& out, const HolderMessage& body, TimePoint)
+    {
+        for (const auto& flow : body.flows)
+            out.flows.push_back(flowOf(flow));
+    }
+
+    void putBody(wire::MessageT& out, const StampMessage& body, TimePoint)
+    {
+        out.role = static_cast<std::uint8_t>(body.role);
+        out.incarnation = body.incarnation;
+        out.age_us = body.age.us;
+        out.flags |= body.wantsReply ? flagWantsReply : 0;
+        putLoad(out, body.load);
+        putNodes(out, body.balancers);
+    }
+
+    void putBody(wire::MessageT& out, const DeltaMessage& body, TimePoint now)
+    {
+        out.age_us = body.age.us;
+        out.since = body.delta.since.value;
+        out.flags |= body.delta.isFull ? flagFull : 0;
+        for (const auto& item : body.delta.items)
+            out.items.push_back(wireItemOf(item, now));
+    }
+
+    void putBody(wire::MessageT& out, const LeavingMessage& body, TimePoint)
+    {
+        out.role = static_cast<std::uint8_t>(body.role);
+    }
+
+    std::optional<ForwardMessage> forwardOf(const wire::MessageT& in, const PacketFormat& format)
+    {
+        auto packet = format.decode(in.packet, false);
+        if (!packet || !in.reply_to)
+            return std::nullopt;
+        return ForwardMessage {
+            .replyTo = endpointOf(in.reply_to),
+            .service = in.service,
+            .routeRevision = Revision(in.route_revision),
+            .isLocating = (in.flags & flagLocating) != 0,
+            .hops = in.hops,
+            .tried = endpointsOf(in),
+            .packet = std::move(*packet),
+        };
+    }
+
+    std::optional<MessageBody> bodyOf(const wire::MessageT& in, const PacketFormat& format, TimePoint now)
+    {
+        switch (static_cast<Kind>(in.kind)) {
+        case Kind::Forward: {
+            auto forward = forwardOf(in, format);
+            return forward ? std::optional<MessageBody>(std::move(*forward)) : std::nullopt;
+        }
+        case Kind::Held:
+            return HeldMessage { in.flow ? tupleOf(*in.flow) : FlowTuple {}, in.target_sequence,
+                (in.flags & flagOpening) != 0, loadOf(in) };
+        case Kind::Declined: {
+            auto forward = forwardOf(in, format);
+            if (!forward || in.reason >= static_cast<std::uint8_t>(DeclineReason::End))
+                return std::nullopt;
+            return DeclinedMessage { static_cast<DeclineReason>(in.reason), std::move(*forward), loadOf(in) };
+        }
+        case Kind::NotHeld: {
+            auto packet = format.decode(in.packet, false);
+            if (!packet)
+                return std::nullopt;
+            return NotHeldMessage { (in.flags & flagLocating) != 0, std::move(*packet) };
+        }
+        case Kind::Holder: {
+            HolderMessage holder;
+            for (const auto& flow : in.flows)
+                holder.flows.push_back(tupleOf(flow));
+            return holder;
+        }
+        case Kind::Stamp:
+            if (in.role >= static_cast<std::uint8_t>(ProcessRole::End))
+                return std::nullopt;
+            return StampMessage { static_cast<ProcessRole>(in.role), in.incarnation, { in.age_us },
+                (in.flags & flagWantsReply) != 0, loadOf(in), endpointsOf(in) };
+        case Kind::Delta: {
+            DeltaMessage message { { in.age_us },
+                { Revision(in.since), Revision(in.through), (in.flags & flagFull) != 0, {} } };
+            for (const auto& item : in.items)
+                message.delta.items.push_back(itemOf(*item, now));
+            return message;
+        }
+        case Kind::Leaving:
+            if (in.role >= static_cast<std::uint8_t>(ProcessRole::End))
+                return std::nullopt;
+            return LeavingMessage { static_cast<ProcessRole>(in.role) };
+        }
+        return std::nullopt;
+    }
+
+    constexpr std::size_t fragmentHeaderSize = 8; ///< Message number, index and count, little-endian.
+
+    void putNumber(std::vector<std::uint8_t>& out, std::uint32_t value, std::size_t size)
+    {
+        for (std::size_t i = 0; i < size; ++i)
+            out.push_back(static_cast<std::uint8_t>(value >> (8 * i)));
+    }
+
+    std::uint32_t numberAt(std::span<const std::uint8_t> bytes, std::size_t at, std::size_t size)
+    {
+        std::uint32_t value = 0;
+        for (std::size_t i = 0; i < size; ++i)
+            value |= static_cast<std::uint32_t>(bytes[at + i]) << (8 * i);
+        return value;
+    }
+
+}
+
+std::vector<std::uint8_t> encodeMessage(const Message& message, TimePoint now)
+{
+    wire::MessageT out;
+    out.kind = static_cast<std::uint8_t>(message.body.index());
+    out.through = message.through.value;
+    std::visit([&](const auto& body) { putBody(out, body, now); }, message.body);
+    flatbuffers::FlatBufferBuilder builder(256);
+    builder.Finish(wire::Message::Pack(builder, &out));
+    return { builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize() };
+}
+
+std::optional<Message> decodeMessage(std::span<const std::uint8_t> bytes, const PacketFormat& format, TimePoint now)
+{
+    flatbuffers::Verifier verifier(bytes.data(), bytes.size());
+    if (!wire::VerifyMessageBuffer(verifier))
+        return std::nullopt;
+    wire::MessageT in;
+    wire::GetMessage(bytes.data())->UnPackTo(&in);
+    auto body = bodyOf(in, format, now);
+    if (!body)
+        return std::nullopt;
+    return Message { Revision(in.through), std::move(*body) };
+}
+
+std::vector<std::vector<std::uint8_t>> FragmentJoiner::split(const std::vector<std::uint8_t>& message)
+{
+    std::size_t count = std::max<std::size_t>(1, (message.size() + fragmentSize - 1) / fragmentSize);
+    std::vector<std::vector<std::uint8_t>> datagrams;
+    if (count > maxFragments)
+        return datagrams;
+    std::uint32_t number = ++m_lastNumber;
+    for (std::size_t i = 0; i < count; ++i) {
+        std::size_t begin = i * fragmentSize;
+        std::size_t end = std::min(begin + fragmentSize, message.size());
+        std::vector<std::uint8_t> datagram;
+        datagram.reserve(fragmentHeaderSize + end - begin);
+        putNumber(datagram, number, 4);
+        putNumber(datagram, static_cast<std::uint32_t>(i), 2);
+        putNumber(datagram, static_cast<std::uint32_t>(count), 2);
+        datagram.insert(datagram.end(), message.begin() + static_cast<std::ptrdiff_t>(begin),
+            message.begin() + static_cast<std::ptrdiff_t>(end));
+        datagrams.push_back(std::move(datagram));
+    }
+    return datagrams;
+}
+
+std::optional<std::vector<std::uint8_t>> FragmentJoiner::join(
+    Endpoint from, std::span<const std::uint8_t> datagram, TimePoint now)
+{
+    if (datagram.size() < fragmentHeaderSize)
+        return std::nullopt;
+    std::uint32_t number = numberAt(datagram, 0, 4);
+    std::size_t index = numberAt(datagram, 4, 2);
+    std::size_t count = numberAt(datagram, 6, 2);
+    auto content = datagram.subspan(fragmentHeaderSize);
+    if (!count || count > maxFragments || index >= count)
+        return std::nullopt;
+    if (count == 1)
+        return std::vector<std::uint8_t>(content.begin(), content.end());
+    while (!m_partials.empty()
+        && (m_partials.size() > maxPartialMessages || now >= m_partials.front().startedAt + fragmentLifetime))
+        m_partials.pop_front();
+    auto partial = std::find_if(m_partials.begin(), m_partials.end(),
+        [&](const Partial& p) { return p.from == from && p.number == number && p.parts.size() == count; });
+    if (partial == m_partials.end()) {
+        m_partials.push_back({ from, number, now, count, std::vector<std::vector<std::uint8_t>>(count) });
+        partial = std::prev(m_partials.end());
+    }
+    auto& part = partial->parts[index];
+    if (!part.empty() || content.empty())
+        return std::nullopt;
+    part.assign(content.begin(), content.end());
+    if (--partial->missing)
+        return std::nullopt;
+    std::vector<std::uint8_t> message;
+    for (const auto& piece : partial->parts)
+        message.insert(message.end(), piece.begin(), piece.end());
+    m_partials.erase(partial);
+    return message;
+}
+
+} // namespace hawthorncroft
--- /dev/null
+++ b/src/transit_fleet.cpp
@@ -0,0 +1,360 @@
+#include "transit_fleet_base.h"
+
+#include "table/transit_limits.h"
+
+#include <algorithm>
+
+namespace hawthorncroft {
+
+TransitFleet::TransitFleet(FleetOptions options)
+    : m_options(std::move(options))
+    , m_random(m_options.incarnation)
+{
+    for (Endpoint seed : m_options.seeds) {
+        if (seed != m_options.self)
+            m_members[seed].role = ProcessRole::Balancer;
+    }
+}
+
+void TransitFleet::onTick(TimePoint now, const LoadReport& load, TransitEffects& effects)
+{
+    m_load = load;
+    if (!m_startedAt) {
+        m_startedAt = now;
+        m_nextStampAt = now;
+    }
+    if (now >= m_nextStampAt) {
+        // A process without a view asks more often.
+        m_nextStampAt = now + (m_view.through() ? stampInterval : stampInterval / 10);
+        sendPeriodicStamps(now, effects);
+    }
+    if (now >= m_nextExpiryAt) {
+        m_nextExpiryAt = now + stampInterval;
+        expireMembers(now, effects);
+        m_view.expire(now);
+    }
+    bool isReader = isReaderTurn(now);
+    if (isReader != m_wasReader) {
+        m_wasReader = isReader;
+        effects.push_back(WriteLog { "store_reader",
+            { { "reads", static_cast<std::int64_t>(isReader) },
+                { "view_age_ms", viewAge(now) ? viewAge(now)->us / 1000 : -1 },
+                { "revision", static_cast<std::int64_t>(m_view.through().value) } } });
+    }
+    if (isReader && m_storeState == StoreState::Idle && now >= m_nextCallAt)
+        startStoreCall(effects);
+}
+
+void TransitFleet::noteMessage(Endpoint from, Revision through, TimePoint now, TransitEffects& effects)
+{
+    Member* known = memberAt(from);
+    if (!known)
+        return;
+    Member& member = *known;
+    member.heardAt = now;
+    member.through = std::max(member.through, through);
+    if (through > m_view.through() && now >= member.stampedAt + stampReplyGap)
+        sendStamp(from, member, true, now, effects);
+}
+
+bool TransitFleet::onStamp(
+    Endpoint from, Revision through, const StampMessage& stamp, TimePoint now, TransitEffects& effects)
+{
+    Member* known = memberAt(from);
+    if (!known)
+        return false;
+    Member& member = *known;
+    bool isNew = member.incarnation != stamp.incarnation;
+    member.role = stamp.role;
+    member.incarnation = stamp.incarnation;
+    member.load = stamp.load;
+    member.through = through; // The process may have started again with less than before.
+    for (Endpoint balancer : stamp.balancers)
+        addMember(balancer, ProcessRole::Balancer, now);
+    if (stamp.age.us >= 0 && through <= m_view.through())
+        confirm(now - stamp.age);
+    if (through < m_view.through()) {
+        if (stamp.wantsReply || isNew)
+            sendDelta(from, through, now, effects);
+    } else if (isNew && m_view.through() <= through) {
+        // Tells a process that just started that this one exists.
+        sendStamp(from, m_members[from], false, now, effects);
+    }
+    return isNew;
+}
+
+bool TransitFleet::onDelta(Endpoint from, const DeltaMessage& message, TimePoint now, TransitEffects& effects)
+{
+    Revision before = m_view.through();
+    bool hasChanged = m_view.applyDelta(message.delta, now);
+    if (m_view.through() > before) {
+        effects.push_back(WriteLog { "view_from_peer",
+            { { "peer", toString(from) }, { "from_revision", static_cast<std::int64_t>(before.value) },
+                { "revision", static_cast<std::int64_t>(m_view.through().value) },
+                { "items", static_cast<std::int64_t>(message.delta.items.size()) },
+                { "age_ms", message.age.us / 1000 } } });
+        spreadNews(now, effects);
+    }
+    if (message.age.us >= 0 && message.delta.through <= m_view.through())
+        confirm(now - message.age);
+    return hasChanged;
+}
+
+void TransitFleet::onLeaving(Endpoint from, TimePoint now, TransitEffects& effects)
+{
+    auto found = m_members.find(from);
+    if (found == m_members.end())
+        return;
+    // The process may start again at the same endpoint, so that it stays known.
+    found->second.heardAt = now - memberLifetime - milliseconds(1);
+    found->second.incarnation = 0;
+    effects.push_back(WriteLog {
+        "member_left", { { "peer", toString(from) }, { "role", std::string(nameOf(found->second.role)) } } });
+}
+
+bool TransitFleet::onStorePage(std::vector<StoreChange> changes, Revision asOf, const std::string& nextAfter,
+    TimePoint now, TransitEffects& effects)
+{
+    if (m_pages.empty() && !m_firstPageAt)
+        m_firstPageAt = asOf;
+    std::move(changes.begin(), changes.end(), std::back_inserter(m_pages));
+    if (!nextAfter.empty()) {
+        effects.push_back(ReadStore { nextAfter, readTimeout });
+        return false;
+    }
+    noteStoreAnswer(now, effects);
+    m_needsFullRead = false;
+    Revision before = m_view.through();
+    bool hasChanged = m_view.applySnapshot(m_pages, m_firstPageAt, now, holdRemovedUntil(now));
+    effects.push_back(WriteLog { "view_from_store",
+        { { "call", std::string("read") }, { "from_revision", static_cast<std::int64_t>(before.value) },
+            { "revision", static_cast<std::int64_t>(m_view.through().value) },
+            { "items", static_cast<std::int64_t>(m_pages.size()) } } });
+    m_pages = {};
+    m_firstPageAt = {};
+    if (m_view.through() > before)
+        spreadNews(now, effects);
+    return hasChanged;
+}
+
+bool TransitFleet::onStoreChanges(
+    const std::vector<StoreChange>& changes, Revision asOf, TimePoint now, TransitEffects& effects)
+{
+    noteStoreAnswer(now, effects);
+    Revision before = m_view.through();
+    bool hasChanged = m_view.applyChanges(changes, asOf, now, holdRemovedUntil(now));
+    if (!changes.empty()) {
+        effects.push_back(WriteLog { "view_from_store",
+            { { "call", std::string("watch") }, { "from_revision", static_cast<std::int64_t>(before.value) },
+                { "revision", static_cast<std::int64_t>(m_view.through().value) },
+                { "items", static_cast<std::int64_t>(changes.size()) } } });
+    }
+    if (m_view.through() > before)
+        spreadNews(now, effects);
+    return hasChanged;
+}
+
+void TransitFleet::onStoreFailure(StoreFailure failure, TimePoint now, TransitEffects& effects)
+{
+    m_storeState = StoreState::Idle;
+    m_pages = {};
+    m_firstPageAt = {};
+    if (failure == StoreFailure::HistoryGone) {
+        m_needsFullRead = true;
+        m_nextCallAt = now;
+    } else {
+        Duration backoff = storeBackoffMin * (std::int64_t { 1 } << std::min<std::uint32_t>(m_failures, 6));
+        backoff = std::min(backoff, storeBackoffMax);
+        m_nextCallAt = now + backoff / 2 + microseconds(static_cast<std::int64_t>(nextRandom() % static_cast<std::uint64_t>(backoff.us)));
+        ++m_failures;
+    }
+    effects.push_back(CountEvent { TransitCounter::StoreFailures });
+    effects.push_back(WriteLog { m_failures == 1 ? "store_lost" : "store_call_failed",
+        { { "reason", std::string(nameOf(failure)) }, { "failures", static_cast<std::int64_t>(m_failures) },
+            { "view_age_ms", viewAge(now) ? viewAge(now)->us / 1000 : -1 },
+            { "revision", static_cast<std::int64_t>(m_view.through().value) } } });
+}
+
+void TransitFleet::announceLeaving(TransitEffects& effects)
+{
+    for (const auto& [endpoint, member] : m_members)
+        effects.push_back(SendMessage { endpoint, LeavingMessage { m_options.role } });
+}
+
+void TransitFleet::addMember(Endpoint endpoint, ProcessRole role, TimePoint now)
+{
+    if (endpoint == m_options.self || m_members.contains(endpoint) || m_members.size() >= maxMembers)
+        return;
+    Member& member = m_members[endpoint];
+    member.role = role;
+    member.heardAt = now - memberLifetime; // Known, but not heard.
+    m_nextStampAt = std::min(m_nextStampAt, now);
+}
+
+void TransitFleet::spreadNews(TimePoint now, TransitEffects& effects)
+{
+    m_nextStampAt = now + stampInterval;
+    sendPeriodicStamps(now, effects);
+}
+
+bool TransitFleet::isAlive(Endpoint endpoint, TimePoint now) const
+{
+    auto found = m_members.find(endpoint);
+    return found != m_members.end() && found->second.incarnation && now < found->second.heardAt + memberLifetime;
+}
+
+std::optional<Duration> TransitFleet::viewAge(TimePoint now) const
+{
+    if (!m_confirmedAt)
+        return std::nullopt;
+    return now - *m_confirmedAt;
+}
+
+bool TransitFleet::isBaseReader(TimePoint now) const
+{
+    return m_options.role == ProcessRole::Balancer && rankAmong(ProcessRole::Balancer, false, now) < baseStoreReaders;
+}
+
+StampMessage TransitFleet::makeStamp(TimePoint now, bool wantsReply) const
+{
+    auto age = viewAge(now);
+    StampMessage stamp {
+        .role = m_options.role,
+        .incarnation = m_options.incarnation,
+        .age = age.value_or(Duration { -1 }),
+        .wantsReply = wantsReply,
+        .load = m_load,
+        .balancers = {},
+    };
+    for (const auto& [endpoint, member] : m_members) {
+        if (stamp.balancers.size() >= maxBalancersInStamp)
+            break;
+        if (member.role == ProcessRole::Balancer && isAlive(endpoint, now))
+            stamp.balancers.push_back(endpoint);
+    }
+    return stamp;
+}
+
+void TransitFleet::sendStamp(Endpoint to, Member& member, bool wantsReply, TimePoint now, TransitEffects& effects)
+{
+    member.stampedAt = now;
+    effects.push_back(SendMessage { to, makeStamp(now, wantsReply) });
+}
+
+void TransitFleet::sendDelta(Endpoint to, Revision since, TimePoint now, TransitEffects& effects)
+{
+    auto age = viewAge(now);
+    effects.push_back(SendMessage { to, DeltaMessage { age.value_or(Duration { -1 }), m_view.deltaSince(since) } });
+}
+
+void TransitFleet::sendPeriodicStamps(TimePoint now, TransitEffects& effects)
+{
+    std::size_t sent = 0;
+    std::size_t skip = m_members.size() <= maxStampsToAll ? 0 : nextRandom() % m_members.size();
+    std::size_t most = m_members.size() <= maxStampsToAll ? m_members.size() : stampFanout;
+    // Starts at a random member and goes round, so that every member gets its turn.
+    for (int round = 0; round < 2 && sent < most; ++round) {
+        std::size_t index = 0;
+        for (auto& [endpoint, member] : m_members) {
+            bool isInRound = round == 0 ? index >= skip : index < skip;
+            ++index;
+            if (!isInRound || sent >= most)
+                continue;
+            ++sent;
+            sendStamp(endpoint, member, !m_view.through(), now, effects);
+        }
+    }
+}
+
+Member* TransitFleet::memberAt(Endpoint endpoint)
+{
+    if (m_members.size() >= maxMembers && !m_members.contains(endpoint))
+        return nullptr; // Others tell of this process when it matters.
+    return &m_members[endpoint];
+}
+
+void TransitFleet::expireMembers(TimePoint now, TransitEffects& effects)
+{
+    for (auto entry = m_members.begin(); entry != m_members.end();) {
+        Member& member = entry->second;
+        bool isSeed = std::find(m_options.seeds.begin(), m_options.seeds.end(), entry->first) != m_options.seeds.end();
+        bool isSilent = now >= member.heardAt + memberLifetime;
+        if (isSilent && member.incarnation) {
+            effects.push_back(WriteLog { "member_lost",
+                { { "peer", toString(entry->first) }, { "role", std::string(nameOf(member.role)) },
+                    { "silent_ms", (now - member.heardAt).us / 1000 } } });
+            member.incarnation = 0;
+        }
+        if (now >= member.heardAt + memberForgotten && !isSeed)
+            entry = m_members.erase(entry);
+        else
+            ++entry;
+    }
+}
+
+void TransitFleet::confirm(TimePoint at)
+{
+    if (!m_confirmedAt || at > *m_confirmedAt)
+        m_confirmedAt = at;
+}
+
+bool TransitFleet::isReaderTurn(TimePoint now) const
+{
+    if (!m_view.through() || isBaseReader(now))
+        return true;
+    std::size_t rank = rankAmong(m_options.role, true, now);
+    auto age = viewAge(now);
+    return !age || *age > viewAgeLimit + viewAgeStep * static_cast<std::int64_t>(rank);
+}
+
+std::size_t TransitFleet::rankAmong(ProcessRole role, bool isAnyRole, TimePoint now) const
+{
+    std::hash<Endpoint> hash;
+    std::uint64_t own = hash(m_options.self);
+    std::size_t rank = 0;
+    for (const auto& [endpoint, member] : m_members) {
+        if ((isAnyRole || member.role == role) && isAlive(endpoint, now) && hash(endpoint) < own)
+            ++rank;
+    }
+    return rank;
+}
+
+void TransitFleet::startStoreCall(TransitEffects& effects)
+{
+    effects.push_back(CountEvent { TransitCounter::StoreCalls });
+    if (m_needsFullRead || !m_view.through()) {
+        m_storeState = StoreState::Reading;
+        effects.push_back(ReadStore { {}, readTimeout });
+        return;
+    }
+    m_storeState = StoreState::Watching;
+    effects.push_back(WatchStore { m_view.through(), watchWait, watchWait + watchGrace });
+}
+
+void TransitFleet::noteStoreAnswer(TimePoint now, TransitEffects& effects)
+{
+    m_storeState = StoreState::Idle;
+    m_nextCallAt = now;
+    m_nextStampAt = now; // Others learn that the view is confirmed.
+    if (m_failures) {
+        m_storeReturnedAt = now;
+        effects.push_back(WriteLog { "store_regained", { { "failures", static_cast<std::int64_t>(m_failures) } } });
+    }
+    m_failures = 0;
+    confirm(now);
+}
+
+TimePoint TransitFleet::holdRemovedUntil(TimePoint now) const
+{
+    if (!m_storeReturnedAt || now >= *m_storeReturnedAt + registrationReturn)
+        return now;
+    return *m_storeReturnedAt + registrationReturn;
+}
+
+std::uint64_t TransitFleet::nextRandom()
+{
+    m_random = mix64(m_random);
+    return m_random;
+}
+
+} // namespace hawthorncroft
--- /dev/null
+++ b/src/transit_message_type.h
@@ -0,0 +1,81 @@
+/**
+ * @file transit_message_type.h
+ * Messages between the processes that carry transparent flows. A process is known by the endpoint that it sends from.
+ */
+#pragma once
+
+#include "transit_view_type.h"
+
+#include <variant>
+#include <vector>
+
+namespace hawthorncroft {
+
+/** A caller's packet on its way to an agent. From a balancer, or from an agent that knows the flow's holder. */
+struct ForwardMessage {
+    Endpoint replyTo; ///< Balancer that the caller's packet reached.
+    std::string service; ///< Opening packets: service that the balancer chose.
+    Revision routeRevision; ///< Opening packets: revision of the route by which it was chosen.
+    bool isLocating {}; ///< The balancer does not know the holder and asks several agents.
+    std::uint8_t hops {}; ///< Agents that passed the packet on.
+    std::vector<Endpoint> tried; ///< Opening packets: agents that did not take it.
+    TransitPacket packet;
+};
+
+/** The sender's target holds the flow. Sent to the balancer that forwarded the packet; without a flow a load report. */
+struct HeldMessage {
+    FlowTuple flow;
+    std::uint32_t targetSequence {}; ///< First sequence number of the target; zero when it was not seen.
+    bool isOpening {}; ///< Answers an opening packet; the caller has not chosen this target yet.
+    LoadReport load;
+};
+
+/** The sender's target did not take an opening packet, which was not run. */
+struct DeclinedMessage {
+    DeclineReason reason {};
+    ForwardMessage forward; ///< What was declined.
+    LoadReport load;
+};
+
+/** The sender's target does not hold the flow of this packet. */
+struct NotHeldMessage {
+    bool isLocating {}; ///< Answers a locating packet.
+    TransitPacket packet;
+};
+
+/** Flows that the sender's target holds, sent to the agents that are asked for them. */
+struct HolderMessage {
+    std::vector<FlowTuple> flows;
+};
+
+/** What a process holds and knows. Sent at intervals and with news. */
+struct StampMessage {
+    ProcessRole role {};
+    std::uint64_t incarnation {}; ///< Random number of the process.
+    Duration age; ///< Time since the store confirmed the view, directly or through others; negative when never.
+    bool wantsReply {};
+    LoadReport load; ///< Agents only.
+    std::vector<Endpoint> balancers; ///< Some balancers that the sender heard of lately.
+};
+
+/** Part of the view that the receiver does not have. */
+struct DeltaMessage {
+    Duration age; ///< As in StampMessage.
+    ViewDelta delta;
+};
+
+/** The sender ends and takes nothing more. */
+struct LeavingMessage {
+    ProcessRole role {};
+};
+
+using MessageBody = std::variant<ForwardMessage, HeldMessage, DeclinedMessage, NotHeldMessage, HolderMessage,
+    StampMessage, DeltaMessage, LeavingMessage>;
+
+/** A message with the sender's revision, so that news travels on every datagram. */
+struct Message {
+    Revision through; ///< The sender holds everything up to this revision.
+    MessageBody body;
+};
+
+} // namespace hawthorncroft
--- /dev/null
+++ b/src/transit_names.cpp
@@ -0,0 +1,15 @@
+#include "table/transit_names.h"
+
+namespace hawthorncroft {
+
+std::string_view nameOf(ProcessRole role) { return lookUpName(processRoleNames, role); }
+
+std::string_view nameOf(DeclineReason reason) { return lookUpName(declineReasonNames, reason); }
+
+std::string_view nameOf(StoreFailure failure) { return lookUpName(storeFailureNames, failure); }
+
+std::string_view nameOf(TransitCounter counter) { return lookUpName(transitCounterNames, counter); }
+
+std::string_view nameOf(TransitDistribution distribution) { return lookUpName(transitDistributionNames, distribution); }
+
+} // namespace hawthorncroft
--- /dev/null
+++ b/src/transit_placement.cpp
@@ -0,0 +1,94 @@
+#include "transit_placement_base.h"
+
+#include "table/transit_limits.h"
+
+#include <algorithm>
+
+namespace hawthorncroft {
+
+TransitPlacement::TransitPlacement(std::string failureDomain)
+    : m_failureDomain(std::move(failureDomain))
+{
+}
+
+const ViewedTarget* TransitPlacement::choose(const TransitView& view, const std::string& service,
+    const FlowTuple& flow, const std::vector<std::uint32_t>& tried, TimePoint now) const
+{
+    const auto& targets = view.targetsOf(service);
+    if (targets.empty())
+        return nullptr;
+    std::uint64_t hash = hashOf(flow);
+    const ViewedTarget* best = nullptr;
+    double bestScore = 0;
+    std::size_t compared = 0;
+    // In a large service only some targets are compared, starting at a place that depends on the flow.
+    for (std::size_t i = 0; i < targets.size() && compared < maxCandidates; ++i) {
+        const ViewedTarget& target = *targets[(hash + i) % targets.size()];
+        if (!isEligible(view, target, tried))
+            continue;
+        ++compared;
+        double score = loadOf(target, now);
+        if (isSuspected(target.record.address.address, now))
+            score += 100; // Only when all others are suspected too.
+        if (!best || score < bestScore) {
+            best = &target;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+void TransitPlacement::noteSent(std::uint32_t address) { ++m_estimates[address].sentSince; }
+
+void TransitPlacement::noteLoad(std::uint32_t address, const LoadReport& load, TimePoint now)
+{
+    Estimate& estimate = m_estimates[address];
+    estimate.load = load;
+    estimate.reportedAt = now;
+    estimate.sentSince = 0;
+    estimate.suspectedUntil = {};
+}
+
+void TransitPlacement::suspect(std::uint32_t address, TimePoint now)
+{
+    m_estimates[address].suspectedUntil = now + suspicionTime;
+}
+
+void TransitPlacement::clearSuspicion(std::uint32_t address)
+{
+    auto found = m_estimates.find(address);
+    if (found != m_estimates.end())
+        found->second.suspectedUntil = {};
+}
+
+double TransitPlacement::loadOf(const ViewedTarget& target, TimePoint now) const
+{
+    double load = 0;
+    auto found = m_estimates.find(target.record.address.address);
+    if (found != m_estimates.end()) {
+        const Estimate& estimate = found->second;
+        load = (estimate.load.busy + estimate.sentSince + flowWeight * estimate.load.flows)
+            / std::max<std::uint32_t>(target.record.slots, 1);
+    }
+    if (target.record.failureDomain != m_failureDomain)
+        load += remoteWeight;
+    if (now < target.receivedAt + target.record.coldLeft)
+        load += coldWeight;
+    return load;
+}
+
+bool TransitPlacement::isSuspected(std::uint32_t address, TimePoint now) const
+{
+    auto found = m_estimates.find(address);
+    return found != m_estimates.end() && now < found->second.suspectedUntil;
+}
+
+bool TransitPlacement::isEligible(
+    const TransitView& view, const ViewedTarget& target, const std::vector<std::uint32_t>& tried) const
+{
+    if (target.record.isDraining || view.isEvacuated(target.record.failureDomain))
+        return false;
+    return std::find(tried.begin(), tried.end(), target.record.address.address) == tried.end();
+}
+
+} // namespace hawthorncroft
--- /dev/null
+++ b/src/transit_placement_base.h
@@ -0,0 +1,65 @@
+/**
+ * @file transit_placement_base.h
+ * Choice of a target for a new flow at a balancer. It answers three loads: a steady one, where all targets are to be
+ * equally busy; a herd, where many balancers see the same idle target; and targets that are slow, cold or silent.
+ */
+#pragma once
+
+#include "transit_view_base.h"
+
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace hawthorncroft {
+
+/** Loads of targets as one balancer believes them, and the choice among targets. Pure. */
+class TransitPlacement {
+public:
+    /** @param failureDomain Failure domain of the balancer; preferred at equal load. */
+    explicit TransitPlacement(std::string failureDomain);
+
+    /**
+     * Chooses a target.
+     * @param view The view.
+     * @param service Service that the flow goes to.
+     * @param flow The flow; breaks ties.
+     * @param tried Addresses of targets that did not take the flow.
+     * @param now Current time.
+     * @return The target, or null when none is left.
+     */
+    const ViewedTarget* choose(const TransitView& view, const std::string& service, const FlowTuple& flow,
+        const std::vector<std::uint32_t>& tried, TimePoint now) const;
+
+    /** Notes that an opening packet was sent to a target. */
+    void noteSent(std::uint32_t address);
+
+    /** Notes a load report; it contains everything that the target's agent got before. */
+    void noteLoad(std::uint32_t address, const LoadReport& load, TimePoint now);
+
+    /** Notes that an agent left an opening packet unanswered; it is avoided for a time. */
+    void suspect(std::uint32_t address, TimePoint now);
+
+    /** Notes a sign of life of an agent. */
+    void clearSuspicion(std::uint32_t address);
+
+    /** @return Load of a target in shares of its slots, as this balancer sees it. */
+    double loadOf(const ViewedTarget& target, TimePoint now) const;
+
+    bool isSuspected(std::uint32_t address, TimePoint now) const;
+
+private:
+    struct Estimate {
+        LoadReport load;
+        TimePoint reportedAt {};
+        std::uint32_t sentSince {}; ///< Opening packets that the last report does not contain.
+        TimePoint suspectedUntil {};
+    };
+
+    bool isEligible(const TransitView& view, const ViewedTarget& target, const std::vector<std::uint32_t>& tried) const;
+
+    std::string m_failureDomain;
+    std::unordered_map<std::uint32_t, Estimate> m_estimates; ///< By address; as many as there are targets.
+};
+
+} // namespace hawthorncroft
--- /dev/null
+++ b/src/transit_shell.cpp
@@ -0,0 +1,208 @@
+#include "transit_shell.h"
+
+#include "clock_func.h"
+#include "table/transit_limits.h"
+
+#include <csignal>
+#include <unistd.h>
+
+namespace hawthorncroft {
+
+TransitShell::TransitShell(TransitShellOptions options, boost::asio::io_context& context, TransitCore& core,
+    const PacketFormat& format, StoreClient& store)
+    : m_options(std::move(options))
+    , m_context(context)
+    , m_core(core)
+    , m_format(format)
+    , m_store(store)
+    , m_log(STDOUT_FILENO, m_options.part, m_options.vm)
+    , m_packets(context)
+    , m_fleet(context)
+    , m_timer(context)
+    , m_signals(context, SIGTERM, SIGINT, SIGHUP)
+{
+}
+
+std::string TransitShell::start()
+{
+    std::string error = m_packets.open(m_options.packets);
+    if (!error.empty())
+        return toString(m_options.packets) + ": " + error;
+    error = m_fleet.open(m_options.fleet);
+    if (!error.empty())
+        return toString(m_options.fleet) + ": " + error;
+    error = m_status.open(m_context, m_options.status, [this](const std::string& path) { return answer(path); });
+    if (!error.empty())
+        return toString(m_options.status) + ": " + error;
+    m_packets.start([this](Endpoint, std::span<const std::uint8_t> bytes) { onPacket(bytes); });
+    m_fleet.start([this](Endpoint from, std::span<const std::uint8_t> bytes) { onDatagram(from, bytes); });
+    waitForSignal();
+    log({ "started",
+        { { "packets", toString(m_options.packets) }, { "fleet", toString(m_options.fleet) },
+            { "status", toString(m_options.status) } } });
+    tick();
+    return {};
+}
+
+void TransitShell::log(const WriteLog& line) { m_log.write(line, monotonicNow()); }
+
+void TransitShell::onPacket(std::span<const std::uint8_t> bytes)
+{
+    bool isFromTarget = static_cast<bool>(m_options.target);
+    auto packet = m_format.decode(bytes, isFromTarget);
+    if (!packet) {
+        m_metrics.add(TransitCounter::Malformed);
+        log({ "malformed_packet", { { "size", static_cast<std::int64_t>(bytes.size()) } } });
+        return;
+    }
+    m_core.onPacket(std::move(*packet), monotonicNow(), m_effects);
+    carryOut();
+}
+
+void TransitShell::onDatagram(Endpoint from, std::span<const std::uint8_t> bytes)
+{
+    TimePoint now = monotonicNow();
+    auto whole = m_joiner.join(from, bytes, now);
+    if (!whole)
+        return;
+    auto message = decodeMessage(*whole, m_format, now);
+    if (!message) {
+        m_metrics.add(TransitCounter::Malformed);
+        log({ "malformed_message", { { "peer", toString(from) }, { "size", static_cast<std::int64_t>(whole->size()) } } });
+        return;
+    }
+    m_core.onMessage(from, std::move(*message), now, m_effects);
+    carryOut();
+}
+
+void TransitShell::onSignal(int number)
+{
+    if (number == SIGHUP) {
+        m_options.reload();
+        return;
+    }
+    m_core.onStop(monotonicNow(), m_effects);
+    carryOut();
+}
+
+void TransitShell::onStoreOutcome(StoreOutcome outcome)
+{
+    TimePoint now = monotonicNow();
+    if (auto* page = std::get_if<StorePage>(&outcome))
+        m_core.onStorePage(std::move(page->changes), page->asOf, page->nextAfter, now, m_effects);
+    else if (auto* changes = std::get_if<StoreChanges>(&outcome))
+        m_core.onStoreChanges(changes->changes, changes->asOf, now, m_effects);
+    else
+        m_core.onStoreFailure(std::get<StoreFailure>(outcome), now, m_effects);
+    carryOut();
+}
+
+void TransitShell::tick()
+{
+    TimePoint now = monotonicNow();
+    m_timerAt = {};
+    m_core.onTick(now, m_effects);
+    carryOut();
+    if (m_core.isFinished(now)) {
+        log({ "stopped", {} });
+        m_context.stop();
+    }
+}
+
+void TransitShell::armTimer()
+{
+    TimePoint now = monotonicNow();
+    TimePoint wanted = now + (m_core.isBusy() ? tickInterval : idleTickInterval);
+    if (m_timerAt.us && m_timerAt <= wanted)
+        return;
+    m_timerAt = wanted;
+    m_timer.expires_after(std::chrono::microseconds((wanted - now).us));
+    m_timer.async_wait([this](boost::system::error_code error) {
+        if (!error)
+            tick();
+    });
+}
+
+void TransitShell::carryOut()
+{
+    // An effect never leads to another event at once, so that the list does not grow meanwhile.
+    for (auto& effect : m_effects)
+        std::visit([this](auto& kind) { carryOut(kind); }, effect);
+    m_effects.clear();
+    armTimer();
+}
+
+void TransitShell::carryOut(SendMessage& effect)
+{
+    m_metrics.add(TransitCounter::MessagesOut);
+    Message message { m_core.fleet().view().through(), std::move(effect.body) };
+    auto datagrams = m_joiner.split(encodeMessage(message, monotonicNow()));
+    if (datagrams.empty())
+        log({ "message_too_long", { { "peer", toString(effect.to) } } });
+    for (const auto& datagram : datagrams)
+        m_fleet.send(effect.to, datagram);
+}
+
+void TransitShell::carryOut(HandToTarget& effect)
+{
+    m_format.setTag(effect.packet, effect.tag);
+    m_packets.send(m_options.target, effect.packet.bytes);
+}
+
+void TransitShell::carryOut(HandToCaller& effect)
+{
+    m_packets.send({ effect.packet.flow.caller.address, m_options.callerPort }, effect.packet.bytes);
+}
+
+void TransitShell::carryOut(ResetCaller& effect)
+{
+    m_packets.send(
+        { effect.flow.caller.address, m_options.callerPort }, m_format.makeReset(effect.flow, effect.sequence));
+}
+
+void TransitShell::carryOut(ReadStore& effect)
+{
+    m_store.read(effect, [this](StoreOutcome outcome) { onStoreOutcome(std::move(outcome)); });
+}
+
+void TransitShell::carryOut(WatchStore& effect)
+{
+    m_store.watch(effect, [this](StoreOutcome outcome) { onStoreOutcome(std::move(outcome)); });
+}
+
+void TransitShell::carryOut(WriteLog& effect) { log(effect); }
+
+void TransitShell::carryOut(CountEvent& effect) { m_metrics.add(effect.counter, effect.amount); }
+
+void TransitShell::carryOut(RecordTime& effect) { m_metrics.record(effect.distribution, effect.time); }
+
+HttpReply TransitShell::answer(const std::string& path)
+{
+    if (path == m_options.readyPath)
+        return m_core.isReady() ? HttpReply { 200, "ready\n" } : HttpReply { 503, "not ready\n" };
+    if (path != m_options.metricsPath)
+        return { 404, "no such page\n" };
+    const TransitFleet& fleet = m_core.fleet();
+    auto age = fleet.viewAge(monotonicNow());
+    return { 200,
+        m_metrics.text({
+            { "view_revision", static_cast<std::int64_t>(fleet.view().through().value) },
+            { "view_age_us", age ? age->us : -1 },
+            { "members", static_cast<std::int64_t>(fleet.members().size()) },
+            { "targets", static_cast<std::int64_t>(fleet.view().targets().size()) },
+            { "datagrams_not_taken", static_cast<std::int64_t>(m_packets.dropped() + m_fleet.dropped()) },
+            { "log_lines_left_out", static_cast<std::int64_t>(m_log.dropped()) },
+        }) };
+}
+
+void TransitShell::waitForSignal()
+{
+    m_signals.async_wait([this](boost::system::error_code error, int number) {
+        if (error)
+            return;
+        onSignal(number);
+        waitForSignal();
+    });
+}
+
+} // namespace hawthorncroft
--- /dev/null
+++ b/src/transit_shell.h
@@ -0,0 +1,91 @@
+/**
+ * @file transit_shell.h
+ * Carries out the effects of a core for transparent flows: sockets, timers, store calls, logs and metrics, all in one
+ * loop on one thread, as the processes share a small part of one processor (docs/decisions/0014).
+ */
+#pragma once
+
+#include "transit_codec_func.h"
+#include "transit_core_base.h"
+#include "transit_http_base.h"
+#include "transit_log_base.h"
+#include "transit_metrics_base.h"
+#include "transit_store_base.h"
+#include "udp_base.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+
+namespace hawthorncroft {
+
+/** Addresses and paths of a process. */
+struct TransitShellOptions {
+    std::string part; ///< Name of the program's part in logs.
+    std::string vm;
+    Endpoint packets; ///< Where packets of callers (balancer) or of the target (agent) arrive.
+    Endpoint fleet; ///< Where messages of other processes arrive.
+    Endpoint status; ///< Where readiness and metrics are served.
+    Endpoint target; ///< Agent: where the target takes packets.
+    std::uint16_t callerPort {}; ///< Port of callers' addresses.
+    std::string readyPath;
+    std::string metricsPath;
+    std::function<void()> reload; ///< Called for SIGHUP; reads the settings again.
+};
+
+/** Runs one core. */
+class TransitShell {
+public:
+    TransitShell(TransitShellOptions options, boost::asio::io_context& context, TransitCore& core,
+        const PacketFormat& format, StoreClient& store);
+
+    /**
+     * Opens all sockets and starts.
+     * @return Empty on success, otherwise what could not be opened.
+     */
+    std::string start();
+
+    /** Writes a log line of the program itself. */
+    void log(const WriteLog& line);
+
+    const TransitMetrics& metrics() const { return m_metrics; }
+
+private:
+    void onPacket(std::span<const std::uint8_t> bytes);
+    void onDatagram(Endpoint from, std::span<const std::uint8_t> bytes);
+    void onSignal(int number);
+    void onStoreOutcome(StoreOutcome outcome);
+    void tick();
+    void armTimer();
+    void carryOut();
+    void carryOut(SendMessage& effect);
+    void carryOut(HandToTarget& effect);
+    void carryOut(HandToCaller& effect);
+    void carryOut(ResetCaller& effect);
+    void carryOut(ReadStore& effect);
+    void carryOut(WatchStore& effect);
+    void carryOut(WriteLog& effect);
+    void carryOut(CountEvent& effect);
+    void carryOut(RecordTime& effect);
+    HttpReply answer(const std::string& path);
+    void waitForSignal();
+
+    TransitShellOptions m_options;
+    boost::asio::io_context& m_context;
+    TransitCore& m_core;
+    const PacketFormat& m_format;
+    StoreClient& m_store;
+    TransitLog m_log;
+    TransitMetrics m_metrics;
+    UdpSocket m_packets;
+    UdpSocket m_fleet;
+    FragmentJoiner m_joiner;
+    TransitHttpServer m_status;
+    boost::asio::steady_timer m_timer;
+    boost::asio::signal_set m_signals;
+    TransitEffects m_effects;
+    TimePoint m_timerAt;
+};
+
+} // namespace hawthorncroft
--- /dev/null
+++ b/src/transit_view_base.h
@@ -0,0 +1,110 @@
+/**
+ * @file transit_view_base.h
+ * Replica of the platform's keys in one process. Each key only moves to newer revisions. Pure.
+ */
+#pragma once
+
+#include "transit_view_type.h"
+
+#include <map>
+#include <set>
+#include <unordered_map>
+
+namespace hawthorncroft {
+
+/** A target that the view names, with the revision of its record. */
+struct ViewedTarget {
+    TargetRecord record;
+    Revision revision;
+    TimePoint receivedAt; ///< When this process learned of the record.
+    TimePoint lifetimeSeenAt; ///< When this process learned of the lifetime.
+};
+
+/**
+ * Keys with their revisions, and indexes by route address, service and target address.
+ * `through` states that everything up to that revision is held.
+ */
+class TransitView {
+public:
+    /**
+     * Takes all that the store holds.
+     * @param changes Everything in the store.
+     * @param asOf Revision at which the reading began.
+     * @param now Current time.
+     * @param holdRemovedUntil Targets that the store no longer holds are used until then.
+     * @return Whether anything changed.
+     */
+    bool applySnapshot(const std::vector<StoreChange>& changes, Revision asOf, TimePoint now, TimePoint holdRemovedUntil);
+
+    /**
+     * Takes changes that the store reported.
+     * @param changes Changes after `through`, in order.
+     * @param asOf Revision up to which nothing is missing.
+     * @param now Current time.
+     * @param holdRemovedUntil As for applySnapshot.
+     * @return Whether anything changed.
+     */
+    bool applyChanges(const std::vector<StoreChange>& changes, Revision asOf, TimePoint now, TimePoint holdRemovedUntil);
+
+    /**
+     * Takes a delta of another process.
+     * @param delta The delta; ignored when it starts above `through` or ends at or below it.
+     * @param now Current time.
+     * @return Whether anything changed.
+     */
+    bool applyDelta(const ViewDelta& delta, TimePoint now);
+
+    /** Forgets held targets whose time is over and old removals. */
+    void expire(TimePoint now);
+
+    /** @return Everything up to this revision is held; zero before the first reading. */
+    Revision through() const { return m_through; }
+
+    /** @return Whether a configuration is held. */
+    bool hasConfiguration() const { return m_hasConfiguration; }
+
+    /** @return Changes above a revision, or everything when the removals since then are no longer known. */
+    ViewDelta deltaSince(Revision since) const;
+
+    /** @return The route of an address, or null. */
+    const RouteRecord* routeAt(Endpoint address) const;
+
+    /** @return Revision of the route of an address; zero when there is none. */
+    Revision routeRevisionAt(Endpoint address) const;
+
+    /** @return The service, or null. */
+    const ServiceRecord* serviceNamed(const std::string& name) const;
+
+    /** @return The targets of a service, by address. */
+    const std::vector<const ViewedTarget*>& targetsOf(const std::string& service) const;
+
+    /** @return The target at an address, or null. */
+    const ViewedTarget* targetAt(Endpoint address) const;
+
+    /** @return All targets by address. */
+    const std::map<Endpoint, ViewedTarget>& targets() const { return m_targets; }
+
+    bool isEvacuated(const std::string& failureDomain) const { return m_evacuated.contains(failureDomain); }
+
+private:
+    bool apply(ViewItem item);
+    bool applyOne(const StoreChange& change, TimePoint now, TimePoint holdRemovedUntil, std::set<std::string>* seen);
+    bool applyConfiguration(const ConfigurationChange& change, TimePoint now, std::set<std::string>* seen);
+    bool removeKey(const std::string& key, Revision revision, TimePoint now, TimePoint holdUntil);
+    bool removeMissing(const std::set<std::string>& seen, Revision asOf, TimePoint now, TimePoint holdUntil);
+    void reindex(const std::string& key, const ViewItem* before, const ViewItem& after);
+    void reindexTarget(Endpoint address);
+    void advance(Revision through);
+
+    std::unordered_map<std::string, ViewItem> m_items;
+    std::map<Endpoint, std::set<std::string>> m_keysByAddress; ///< Keys of targets that share an address.
+    std::unordered_map<Endpoint, std::string> m_routeKeys;
+    std::map<Endpoint, ViewedTarget> m_targets; ///< Newest lifetime at each address.
+    std::unordered_map<std::string, std::vector<const ViewedTarget*>> m_byService;
+    std::set<std::string> m_evacuated;
+    Revision m_through;
+    Revision m_historyFloor; ///< Removals above this revision are still known.
+    bool m_hasConfiguration {};
+};
+
+} // namespace hawthorncroft
--- /dev/null
+++ b/src/transit_view_cmd.cpp
@@ -0,0 +1,258 @@
+#include "transit_view_base.h"
+
+#include "table/transit_limits.h"
+
+#include <algorithm>
+
+namespace hawthorncroft {
+
+namespace {
+
+    constexpr std::string_view routePrefix = "route/";
+    constexpr std::string_view servicePrefix = "service/";
+    constexpr std::string_view targetPrefix = "target/";
+    constexpr std::string_view evacuationPrefix = "evacuation/";
+
+    std::string keyOf(std::string_view prefix, const std::string& name) { return std::string(prefix) + name; }
+
+    bool isConfigurationKey(const std::string& key)
+    {
+        return key.starts_with(routePrefix) || key.starts_with(servicePrefix);
+    }
+
+    const TargetRecord* targetOf(const ViewItem* item)
+    {
+        return item && item->value ? std::get_if<TargetRecord>(&*item->value) : nullptr;
+    }
+
+}
+
+bool TransitView::applySnapshot(
+    const std::vector<StoreChange>& changes, Revision asOf, TimePoint now, TimePoint holdRemovedUntil)
+{
+    std::set<std::string> seen;
+    bool hasChanged = false;
+    for (const auto& change : changes)
+        hasChanged |= applyOne(change, now, holdRemovedUntil, &seen);
+    hasChanged |= removeMissing(seen, asOf, now, holdRemovedUntil);
+    if (!m_through)
+        m_historyFloor = asOf;
+    advance(asOf);
+    return hasChanged;
+}
+
+bool TransitView::applyChanges(
+    const std::vector<StoreChange>& changes, Revision asOf, TimePoint now, TimePoint holdRemovedUntil)
+{
+    bool hasChanged = false;
+    for (const auto& change : changes)
+        hasChanged |= applyOne(change, now, holdRemovedUntil, nullptr);
+    advance(asOf);
+    return hasChanged;
+}
+
+bool TransitView::applyDelta(const ViewDelta& delta, TimePoint now)
+{
+    if (delta.through <= m_through || (!delta.isFull && delta.since > m_through))
+        return false;
+    bool hasChanged = false;
+    std::set<std::string> seen;
+    for (ViewItem item : delta.items) {
+        item.receivedAt = now;
+        seen.insert(item.key);
+        hasChanged |= apply(std::move(item));
+    }
+    if (delta.isFull) {
+        hasChanged |= removeMissing(seen, delta.through, now, now);
+        m_historyFloor = delta.through;
+    }
+    advance(delta.through);
+    return hasChanged;
+}
+
+void TransitView::expire(TimePoint now)
+{
+    std::vector<Endpoint> touched;
+    std::size_t removed = 0;
+    for (auto& [key, item] : m_items) {
+        if (!item.isRemoved)
+            continue;
+        ++removed;
+        const TargetRecord* target = targetOf(&item);
+        if (!target || now < item.heldUntil)
+            continue;
+        Endpoint address = target->address;
+        m_keysByAddress[address].erase(key);
+        item.value.reset();
+        touched.push_back(address);
+    }
+    for (Endpoint address : touched)
+        reindexTarget(address);
+    if (removed <= maxRemovedItems)
+        return;
+    std::erase_if(m_items, [](const auto& entry) { return entry.second.isRemoved && !entry.second.value; });
+    m_historyFloor = m_through;
+}
+
+bool TransitView::applyOne(
+    const StoreChange& change, TimePoint now, TimePoint holdRemovedUntil, std::set<std::string>* seen)
+{
+    if (const auto* configuration = std::get_if<ConfigurationChange>(&change))
+        return applyConfiguration(*configuration, now, seen);
+    if (const auto* removal = std::get_if<TargetRemoval>(&change))
+        return removeKey(keyOf(targetPrefix, removal->id), removal->revision, now, holdRemovedUntil);
+    if (const auto* end = std::get_if<EvacuationEnd>(&change))
+        return removeKey(keyOf(evacuationPrefix, end->failureDomain), end->revision, now, now);
+    ViewItem item { .receivedAt = now };
+    if (const auto* target = std::get_if<TargetChange>(&change)) {
+        item.key = keyOf(targetPrefix, target->target.id);
+        item.revision = target->revision;
+        item.value = target->target;
+    } else if (const auto* evacuation = std::get_if<EvacuationChange>(&change)) {
+        item.key = keyOf(evacuationPrefix, evacuation->failureDomain);
+        item.revision = evacuation->revision;
+        item.value = EvacuationRecord { evacuation->failureDomain };
+    }
+    if (seen)
+        seen->insert(item.key);
+    return apply(std::move(item));
+}
+
+bool TransitView::applyConfiguration(const ConfigurationChange& change, TimePoint now, std::set<std::string>* seen)
+{
+    std::set<std::string> written;
+    bool hasChanged = false;
+    auto put = [&](std::string key, ViewValue value) {
+        written.insert(key);
+        auto found = m_items.find(key);
+        bool isSame = found != m_items.end() && !found->second.isRemoved && found->second.value == value;
+        // An unchanged record keeps its revision, so that a delta holds only what changed.
+        if (!isSame)
+            hasChanged |= apply({ .key = std::move(key), .revision = change.revision, .value = std::move(value), .receivedAt = now });
+    };
+    for (const auto& route : change.routes)
+        put(keyOf(routePrefix, toString(route.address)), route);
+    for (const auto& service : change.services)
+        put(keyOf(servicePrefix, service.name), service);
+    std::vector<std::string> dropped;
+    for (const auto& [key, item] : m_items) {
+        if (isConfigurationKey(key) && !item.isRemoved && !written.contains(key))
+            dropped.push_back(key);
+    }
+    for (const auto& key : dropped)
+        hasChanged |= removeKey(key, change.revision, now, now);
+    if (seen)
+        seen->merge(written);
+    return hasChanged;
+}
+
+bool TransitView::removeKey(const std::string& key, Revision revision, TimePoint now, TimePoint holdUntil)
+{
+    ViewItem item { .key = key, .revision = revision, .isRemoved = true, .heldUntil = holdUntil, .receivedAt = now };
+    auto found = m_items.find(key);
+    if (found != m_items.end() && targetOf(&found->second) && holdUntil > now)
+        item.value = found->second.value;
+    return apply(std::move(item));
+}
+
+bool TransitView::removeMissing(
+    const std::set<std::string>& seen, Revision asOf, TimePoint now, TimePoint holdUntil)
+{
+    std::vector<std::string> missing;
+    for (const auto& [key, item] : m_items) {
+        if (!item.isRemoved && item.revision <= asOf && !seen.contains(key))
+            missing.push_back(key);
+    }
+    for (const auto& key : missing)
+        removeKey(key, asOf, now, key.starts_with(targetPrefix) ? holdUntil : now);
+    return !missing.empty();
+}
+
+bool TransitView::apply(ViewItem item)
+{
+    auto found = m_items.find(item.key);
+    if (found != m_items.end() && found->second.revision >= item.revision)
+        return false;
+    std::string key = item.key;
+    std::optional<ViewItem> before;
+    if (found != m_items.end())
+        before = std::move(found->second);
+    ViewItem& stored = m_items[key] = std::move(item);
+    reindex(key, before ? &*before : nullptr, stored);
+    return true;
+}
+
+void TransitView::reindex(const std::string& key, const ViewItem* before, const ViewItem& after)
+{
+    if (key.starts_with(targetPrefix)) {
+        std::optional<Endpoint> oldAddress;
+        if (const TargetRecord* target = targetOf(before)) {
+            oldAddress = target->address;
+            m_keysByAddress[*oldAddress].erase(key);
+        }
+        const TargetRecord* target = targetOf(&after);
+        if (target)
+            m_keysByAddress[target->address].insert(key);
+        if (oldAddress)
+            reindexTarget(*oldAddress);
+        if (target)
+            reindexTarget(target->address);
+        return;
+    }
+    if (key.starts_with(evacuationPrefix)) {
+        std::string domain = key.substr(evacuationPrefix.size());
+        if (after.isRemoved)
+            m_evacuated.erase(domain);
+        else
+            m_evacuated.insert(domain);
+        return;
+    }
+    m_hasConfiguration = true;
+    if (!key.starts_with(routePrefix))
+        return;
+    Endpoint address;
+    if (!parseEndpoint(key.substr(routePrefix.size()), address))
+        return; // Keys of routes are made by toString, so that this does not happen.
+    if (after.isRemoved)
+        m_routeKeys.erase(address);
+    else
+        m_routeKeys[address] = key;
+}
+
+void TransitView::reindexTarget(Endpoint address)
+{
+    const ViewItem* newest = nullptr;
+    for (const auto& key : m_keysByAddress[address]) {
+        const ViewItem& item = m_items[key];
+        const TargetRecord* candidate = targetOf(&item);
+        const TargetRecord* best = targetOf(newest);
+        // A record that the store still holds goes before one that is only held over.
+        auto order = [](const ViewItem& i, const TargetRecord& t) {
+            return std::tuple(!i.isRemoved, t.startedAt, i.revision);
+        };
+        if (candidate && (!best || order(item, *candidate) > order(*newest, *best)))
+            newest = &item;
+    }
+    auto found = m_targets.find(address);
+    if (found != m_targets.end()) {
+        std::erase(m_byService[found->second.record.service], &found->second);
+        if (!newest)
+            m_targets.erase(found);
+    }
+    if (!newest) {
+        m_keysByAddress.erase(address);
+        return;
+    }
+    const TargetRecord& record = *targetOf(newest);
+    ViewedTarget& viewed = m_targets[address];
+    if (viewed.record.id != record.id || viewed.record.startedAt != record.startedAt)
+        viewed.lifetimeSeenAt = newest->receivedAt;
+    viewed.record = record;
+    viewed.revision = newest->revision;
+    viewed.receivedAt = newest->receivedAt;
+    m_byService[record.service].push_back(&viewed);
+}
+
+void TransitView::advance(Revision through) { m_through = std::max(m_through, through); }
+
+} // namespace hawthorncroft
--- /dev/null
+++ b/src/transit_view_query.cpp
@@ -0,0 +1,51 @@
+#include "transit_view_base.h"
+
+namespace hawthorncroft {
+
+ViewDelta TransitView::deltaSince(Revision since) const
+{
+    ViewDelta delta { .since = since, .through = m_through, .isFull = since < m_historyFloor };
+    for (const auto& [key, item] : m_items) {
+        bool isWanted = delta.isFull ? !item.isRemoved || item.value : item.revision > since;
+        if (isWanted)
+            delta.items.push_back(item);
+    }
+    return delta;
+}
+
+const RouteRecord* TransitView::routeAt(Endpoint address) const
+{
+    auto key = m_routeKeys.find(address);
+    if (key == m_routeKeys.end())
+        return nullptr;
+    return std::get_if<RouteRecord>(&*m_items.at(key->second).value);
+}
+
+Revision TransitView::routeRevisionAt(Endpoint address) const
+{
+    auto key = m_routeKeys.find(address);
+    return key == m_routeKeys.end() ? Revision() : m_items.at(key->second).revision;
+}
+
+const ServiceRecord* TransitView::serviceNamed(const std::string& name) const
+{
+    auto found = m_items.find("service/" + name);
+    if (found == m_items.end() || !found->second.value)
+        return nullptr;
+    return std::get_if<ServiceRecord>(&*found->second.value);
+}
+
+const std::vector<const ViewedTarget*>& TransitView::targetsOf(const std::string& service) const
+{
+    static const std::vector<const ViewedTarget*> none;
+    auto found = m_byService.find(service);
+    return found == m_byService.end() ? none : found->second;
+}
+
+const ViewedTarget* TransitView::targetAt(Endpoint address) const
+{
+    auto found = m_targets.find(address);
+    return found == m_targets.end() ? nullptr : &found->second;
+}
+
+} // namespace hawthorncroft
