Let requests wait at the agent, those that can be in time first

Cause: after a power loss some hundreds of callers repeat requests that are late already, and the target's queue is first come, first served, so that new requests become late too. Change: a request is handed over when a slot is free; waiting requests that can still be in time go first.

--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -109,6 +109,7 @@
     src/transit_admission.cpp
     src/transit_agent_cmd.cpp
     src/transit_agent_message.cpp
+    src/transit_agent_queue.cpp
     src/transit_agent_target.cpp
     src/transit_balancer_cmd.cpp
     src/transit_balancer_locate.cpp
@@ -121,6 +122,7 @@
     src/transit_metrics.cpp
     src/transit_names.cpp
     src/transit_placement.cpp
+    src/transit_queue.cpp
     src/transit_shell.cpp
     src/transit_view_cmd.cpp
     src/transit_view_query.cpp
--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -64,6 +64,12 @@
 inline constexpr std::size_t maxHeldFlows = 20000; ///< Flows that one agent remembers.
 inline constexpr std::size_t maxNotedFlows = 100000; ///< Flows of other agents that one agent remembers.
 inline constexpr Duration flowLifetime = seconds(60); ///< Flows older than this may be discarded.
+inline constexpr std::size_t maxQueuedRequests = 512; ///< Requests that wait for a slot; far above what is answered in time.
+inline constexpr std::uint32_t slotsInAdvance = 1; ///< Requests handed over beyond the slots, to keep all slots busy.
+inline constexpr Duration serviceReserve = milliseconds(40); ///< Left of the objective for the work and the way back.
+inline constexpr Duration copyInterval = milliseconds(200); ///< Age of the first copy of a caller's opening packet.
+inline constexpr Duration secondCopyInterval = milliseconds(600); ///< Age of the second.
+inline constexpr Duration slotLeak = milliseconds(400); ///< Without any answer for this time, slots are not believed to be busy.
 inline constexpr Duration finishTime = milliseconds(1500); ///< Longest wait for running requests when an agent ends.
 
 // Shell.
@@ -73,6 +79,6 @@
 inline constexpr Duration fragmentLifetime = seconds(1); ///< Incomplete messages are dropped after it.
 inline constexpr std::size_t maxFragments = 2048; ///< Fragments of one message.
 inline constexpr std::size_t maxPartialMessages = 64; ///< Incomplete messages.
-inline constexpr std::uint32_t maxLogLinesPerSecond = 60; ///< Lines of one kind that a process writes in a second.
+inline constexpr std::uint32_t maxLogLinesPerSecond = 60000; ///< Lines of one kind that a process writes in a second.
 
 } // namespace hawthorncroft
--- a/src/table/transit_names.h
+++ b/src/table/transit_names.h
@@ -45,6 +45,7 @@
     "flows_lost",
     "locates_unanswered",
     "packets_dropped",
+    "requests_queued",
     "packets_returned",
     "no_route",
     "malformed",
@@ -58,6 +59,7 @@
 inline constexpr NameTable<TransitDistribution> transitDistributionNames = {
     "open_us",
     "locate_us",
+    "queue_us",
     "request_us",
 };
 
--- a/src/transit_agent_base.h
+++ b/src/transit_agent_base.h
@@ -8,6 +8,7 @@
 #include "transit_admission_base.h"
 #include "transit_core_base.h"
 #include "transit_locator_base.h"
+#include "transit_queue_base.h"
 
 #include <deque>
 #include <unordered_map>
@@ -45,7 +46,7 @@
     /** @return Whether the planned end is over. */
     bool isFinished(TimePoint now) const override;
 
-    bool isBusy() const override { return !m_opens.empty() || m_expected || !m_waiting.empty(); }
+    bool isBusy() const override { return !m_opens.empty() || m_expected || !m_waiting.empty() || !m_queue.empty(); }
 
     /** @return Load of the target as the agent sees it. */
     LoadReport load() const;
@@ -71,6 +72,9 @@
         TimePoint usedAt;
         std::optional<TimePoint> requestAt; ///< A request is under way since then.
         std::string requestId;
+        TimePoint startedAt; ///< When the caller first asked for the flow, as far as the agent knows.
+        bool isFirstRequest {}; ///< The first request of the flow began when the flow was asked for.
+        std::vector<ForwardMessage> waiting; ///< Packets of a request that waits for a slot.
         bool isExpected {}; ///< Counted in m_expected.
         bool hasCallerEnded {};
         bool hasTargetEnded {};
@@ -103,6 +107,13 @@
     void learnFlow(const TransitPacket& packet, TimePoint now, TransitEffects& effects);
     void noteFromTarget(HeldFlow& flow, const TransitPacket& packet, TimePoint now, TransitEffects& effects);
     void noteFromCaller(HeldFlow& flow, const TransitPacket& packet, TimePoint now, TransitEffects& effects);
+
+    // Requests that wait for a slot, in transit_agent_queue.cpp.
+    void passToTarget(HeldFlow& flow, ForwardMessage forward, TimePoint now, TransitEffects& effects);
+    bool hasFreeSlot(TimePoint now) const;
+    bool queueRequest(HeldFlow& flow, ForwardMessage& forward, TimePoint now, TransitEffects& effects);
+    void releaseRequests(TimePoint now, TransitEffects& effects);
+    void releaseRequest(const WaitingRequest& request, TimePoint now, TransitEffects& effects);
     void endRequest(HeldFlow& flow);
     void endFlow(HeldFlow& flow);
     void forgetFlow(const FlowTuple& flow);
@@ -110,6 +121,7 @@
     // In transit_agent_cmd.cpp.
     void onViewChanged(TimePoint now, TransitEffects& effects) override;
     void onLifetimeChanged(const ViewedTarget& own, TransitEffects& effects);
+    std::int64_t coldLimit() const;
     void noteLocators(const FlowTuple& flow, TransitEffects& effects);
     void noteChangedLocators(const TransitLocators& before, TransitEffects& effects);
     void noteRestartedAgent(Endpoint agent, TransitEffects& effects);
@@ -138,7 +150,9 @@
         LoadReport reported;
     };
     std::unordered_map<Endpoint, Interest> m_interested; ///< Balancers that get load reports.
-    std::uint32_t m_busy {}; ///< Flows with a request under way.
+    TransitQueue m_queue;
+    TimePoint m_answeredAt; ///< When the target last answered a request, or got one while none was under way.
+    std::uint32_t m_busy {}; ///< Flows with a request under way at the target.
     std::uint32_t m_ended {}; ///< Flows in m_flows that ended.
     std::uint32_t m_expected {}; ///< Flows that opened and have not brought their first request.
     bool m_knowsAllFlows {}; ///< The agent saw every flow of this lifetime of its target.
--- a/src/transit_agent_cmd.cpp
+++ b/src/transit_agent_cmd.cpp
@@ -28,6 +28,7 @@
     m_fleet.onTick(now, load(), effects);
     expireOpens(now, effects);
     expireExpected(now);
+    releaseRequests(now, effects);
     while (!m_waiting.empty() && now >= m_waiting.front().first + maxWaitForView) {
         ForwardMessage forward = std::move(m_waiting.front().second);
         m_waiting.pop_front();
@@ -74,14 +75,14 @@
 
 bool TransitAgent::isFinished(TimePoint now) const
 {
-    return m_stoppedAt && (!m_busy || now >= *m_stoppedAt + finishTime);
+    return m_stoppedAt && ((!m_busy && m_queue.empty()) || now >= *m_stoppedAt + finishTime);
 }
 
 LoadReport TransitAgent::load() const
 {
     const ViewedTarget* own = m_admission.ownRecord(m_fleet.view());
     return {
-        .busy = m_busy + m_expected,
+        .busy = m_busy + m_expected + static_cast<std::uint32_t>(m_queue.size()),
         .slots = own ? own->record.slots : 0,
         .flows = static_cast<std::uint32_t>(m_flows.size()) - m_ended,
     };
@@ -125,11 +126,17 @@
     effects.push_back(WriteLog { "target_lifetime",
         { { "target", own.record.id }, { "started_at", static_cast<std::int64_t>(own.record.startedAt) },
             { "revision", static_cast<std::int64_t>(own.revision.value) },
-            { "cold_ms", own.record.coldLeft.us / 1000 }, { "flows_before", static_cast<std::int64_t>(m_flows.size()) } } });
+            { "cold_ms", own.record.coldLeft.us / 1000 }, { "cold_limit_per_s", coldLimit() }, { "flows_before", static_cast<std::int64_t>(m_flows.size()) } } });
     m_targetId = own.record.id;
     m_targetStartedAt = own.record.startedAt;
 }
 
+std::int64_t TransitAgent::coldLimit() const
+{
+    const ServiceRecord* service = m_fleet.view().serviceNamed(m_options.admission.service);
+    return service ? static_cast<std::int64_t>(service->warmupPerSecond) : -1;
+}
+
 void TransitAgent::noteLocators(const FlowTuple& flow, TransitEffects& effects)
 {
     for (std::uint32_t address : m_locators.of(flow, locatorCount)) {
--- a/src/transit_agent_message.cpp
+++ b/src/transit_agent_message.cpp
@@ -8,6 +8,14 @@
 
     constexpr std::uint32_t mostAcknowledged = 1U << 28; ///< Bytes from a target in one flow; far above any answer.
 
+    /** Age of an opening packet; callers number its copies where other packets have an acknowledgement. */
+    Duration ageOfCopy(std::uint32_t copy)
+    {
+        if (!copy)
+            return {};
+        return copy == 1 ? copyInterval : secondCopyInterval;
+    }
+
 }
 
 void TransitAgent::onForward(ForwardMessage forward, TimePoint now, TransitEffects& effects)
@@ -48,6 +56,8 @@
     forgetFlow(flow);
     HeldFlow& held = m_flows[flow];
     held = { .state = FlowState::Opening, .openedAt = now, .usedAt = now, .isExpected = true };
+    held.startedAt = now - ageOfCopy(forward.packet.acknowledged);
+    held.isFirstRequest = true;
     ++m_expected;
     m_expectedTimers.emplace_back(now + expectedRequestTime, flow);
     m_openTimers.emplace_back(now + targetAnswerTime, flow);
@@ -77,8 +87,7 @@
     if (forward.isLocating)
         effects.push_back(SendMessage { forward.replyTo,
             HeldMessage { .flow = forward.packet.flow, .targetSequence = held.targetSequence, .load = load() } });
-    noteFromCaller(held, forward.packet, now, effects);
-    handToTarget(forward, effects);
+    passToTarget(held, std::move(forward), now, effects);
 }
 
 void TransitAgent::onUnknownData(ForwardMessage forward, TimePoint now, TransitEffects& effects)
--- /dev/null
+++ b/src/transit_agent_queue.cpp
@@ -0,0 +1,96 @@
+#include "transit_agent_base.h"
+
+#include "table/transit_limits.h"
+
+#include <algorithm>
+
+namespace hawthorncroft {
+
+void TransitAgent::passToTarget(HeldFlow& flow, ForwardMessage forward, TimePoint now, TransitEffects& effects)
+{
+    flow.usedAt = now;
+    bool isEnding = forward.packet.flags.isReset || forward.packet.flags.isFinal;
+    if (isEnding && !flow.waiting.empty()) {
+        // The caller gives up; what waits goes first, so that the target sees the flow in order.
+        auto waiting = std::move(flow.waiting);
+        flow.waiting.clear();
+        m_queue.remove(forward.packet.flow);
+        for (auto& earlier : waiting)
+            handToTarget(earlier, effects);
+    }
+    bool startsRequest = forward.packet.dataSize && !flow.requestAt && flow.state == FlowState::Open;
+    if (startsRequest && queueRequest(flow, forward, now, effects))
+        return;
+    noteFromCaller(flow, forward.packet, now, effects);
+    handToTarget(forward, effects);
+}
+
+bool TransitAgent::hasFreeSlot(TimePoint now) const
+{
+    std::uint32_t slots = load().slots;
+    if (!slots || m_busy < slots + slotsInAdvance)
+        return true;
+    // Requests whose end was not seen must not stop the others.
+    return now >= m_answeredAt + slotLeak;
+}
+
+bool TransitAgent::queueRequest(HeldFlow& flow, ForwardMessage& forward, TimePoint now, TransitEffects& effects)
+{
+    if (!flow.waiting.empty()) {
+        bool isCopy = std::any_of(flow.waiting.begin(), flow.waiting.end(),
+            [&](const ForwardMessage& earlier) { return earlier.packet.sequence == forward.packet.sequence; });
+        if (!isCopy && flow.waiting.size() < maxPacketsPerLocate)
+            flow.waiting.push_back(std::move(forward));
+        return true;
+    }
+    if (m_queue.empty() && hasFreeSlot(now))
+        return false;
+    const RouteRecord* route = m_fleet.view().routeAt(forward.packet.flow.service);
+    WaitingRequest request { .flow = forward.packet.flow, .startedAt = flow.isFirstRequest ? flow.startedAt : now };
+    if (route) {
+        request.priority = route->priority;
+        request.latencyObjective = route->latencyObjective;
+        request.timeout = route->timeout;
+    }
+    if (!m_queue.push(request))
+        return false;
+    effects.push_back(CountEvent { TransitCounter::RequestsQueued });
+    flow.waiting.push_back(std::move(forward));
+    return true;
+}
+
+void TransitAgent::releaseRequests(TimePoint now, TransitEffects& effects)
+{
+    while (auto expired = m_queue.popExpired(now)) {
+        effects.push_back(WriteLog { "request_expired",
+            { { "flow", toString(expired->flow.caller) }, { "to", toString(expired->flow.service) },
+                { "waited_ms", (now - expired->startedAt).us / 1000 }, { "busy", static_cast<std::int64_t>(m_busy) } } });
+        auto found = m_flows.find(expired->flow);
+        if (found != m_flows.end())
+            found->second.waiting.clear(); // The caller's time budget is over and it asks no more.
+    }
+    while (!m_queue.empty() && hasFreeSlot(now)) {
+        auto request = m_queue.pop(now);
+        releaseRequest(*request, now, effects);
+    }
+}
+
+void TransitAgent::releaseRequest(const WaitingRequest& request, TimePoint now, TransitEffects& effects)
+{
+    auto found = m_flows.find(request.flow);
+    if (found == m_flows.end())
+        return;
+    HeldFlow& flow = found->second;
+    auto waiting = std::move(flow.waiting);
+    flow.waiting.clear();
+    effects.push_back(RecordTime { TransitDistribution::QueueTime, now - request.startedAt });
+    for (auto& forward : waiting) {
+        noteFromCaller(flow, forward.packet, now, effects);
+        handToTarget(forward, effects);
+    }
+    if (!flow.requestAt)
+        return;
+    m_answeredAt = std::max(m_answeredAt, now - slotLeak + tickInterval); // One more for each tick when answers are missing.
+}
+
+} // namespace hawthorncroft
--- a/src/transit_agent_target.cpp
+++ b/src/transit_agent_target.cpp
@@ -19,6 +19,7 @@
     if (found != m_flows.end())
         noteFromTarget(found->second, packet, now, effects);
     effects.push_back(HandToCaller { std::move(packet) });
+    releaseRequests(now, effects);
 }
 
 void TransitAgent::onReturned(TransitPacket packet, TransitEffects& effects)
@@ -96,6 +97,7 @@
             { { "request", flow.requestId }, { "flow", toString(packet.flow.caller) },
                 { "to", toString(packet.flow.service) }, { "target", m_targetId },
                 { "took_us", (now - *flow.requestAt).us }, { "busy", static_cast<std::int64_t>(m_busy) } } });
+        m_answeredAt = now;
         endRequest(flow);
     }
     if (packet.flags.isFinal)
@@ -114,6 +116,9 @@
             --m_expected;
         }
         flow.requestAt = now;
+        flow.isFirstRequest = false;
+        if (!m_busy)
+            m_answeredAt = now;
         ++m_busy;
     }
     if (!packet.requestId.empty() && packet.requestId != flow.requestId) {
@@ -138,6 +143,7 @@
     if (flow.isExpected)
         --m_expected;
     flow.isExpected = false;
+    flow.waiting.clear();
 }
 
 void TransitAgent::endFlow(HeldFlow& flow)
@@ -153,6 +159,7 @@
     auto found = m_flows.find(flow);
     if (found == m_flows.end())
         return;
+    m_queue.remove(flow);
     endFlow(found->second);
     --m_ended;
     m_flows.erase(found);
--- a/src/transit_balancer_open.cpp
+++ b/src/transit_balancer_open.cpp
@@ -69,6 +69,7 @@
         { { "flow", toString(forward.packet.flow.caller) }, { "to", toString(forward.packet.flow.service) },
             { "target", target->record.id }, { "agent", toString(agent) },
             { "attempt", static_cast<std::int64_t>(forward.tried.size()) },
+            { "copy", static_cast<std::int64_t>(forward.packet.acknowledged) },
             { "load_percent", static_cast<std::int64_t>(100 * m_placement.loadOf(*target, now)) },
             { "revision", static_cast<std::int64_t>(target->revision.value) },
             { "view_age_ms", m_fleet.viewAge(now) ? m_fleet.viewAge(now)->us / 1000 : -1 } } });
--- a/src/transit_effect_type.h
+++ b/src/transit_effect_type.h
@@ -74,6 +74,7 @@
     FlowsLost, ///< No agent holds the flow; reset.
     LocatesUnanswered, ///< Not every agent answered in time; nothing is sent to the caller.
     PacketsDropped, ///< A bounded queue was full or a packet waited too long.
+    RequestsQueued, ///< Waited for a slot of the target.
     PacketsReturned, ///< The target returned the packet.
     NoRoute,
     Malformed,
@@ -95,6 +96,7 @@
 enum class TransitDistribution : std::uint8_t {
     OpenTime, ///< From an opening packet at the balancer to the word of the agent that took it.
     LocateTime, ///< From a packet of an unknown flow to the word of its holder.
+    QueueTime, ///< At the agent, from when the caller sent a request until the target got it; queued requests only.
     RequestTime, ///< At the agent, from the first data of a request to the first data of its answer.
     End,
 };
