Ask agents for several flows at once and blame nobody for an own late tick

Cause: after a power loss the first balancer that is up gets all packets, asks ten agents for each unknown flow one by one, and its share of a processor is used up; it then repeats openings because it has not read the answers.

--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -36,6 +36,8 @@
 inline constexpr std::size_t maxOpenAttempts = 5; ///< Agents that one opening packet is sent to.
 inline constexpr Duration suspicionTime = milliseconds(1000); ///< Agents that left an opening packet unanswered.
 inline constexpr Duration locateBroadcastAfter = milliseconds(30); ///< Locators answer in a few ms.
+inline constexpr Duration lateTick = milliseconds(30); ///< A tick this late means that answers wait in the sockets, unread.
+inline constexpr std::size_t maxFlowsInQuestion = 24; ///< Flows in one message to an agent; some datagrams.
 inline constexpr Duration locateTimeout = milliseconds(400); ///< After it the caller's next copy starts again.
 inline constexpr std::size_t locatorCount = 2; ///< Agents told of a flow that they do not hold.
 inline constexpr std::size_t maxLocateBroadcast = 128; ///< Agents asked when the locators do not know.
@@ -57,7 +59,7 @@
 inline constexpr Duration coldMargin = milliseconds(500); ///< A record's remaining cold time may be understated by its way here.
 inline constexpr Duration targetAnswerTime = milliseconds(60); ///< The target is on the same machine and answers at once.
 inline constexpr Duration expectedRequestTime = milliseconds(60); ///< A flow that opened brings its first request by then.
-inline constexpr Duration loadReportGap = milliseconds(50); ///< Between two reports to one balancer.
+inline constexpr Duration loadReportGap = milliseconds(150); ///< Between two reports to one balancer.
 inline constexpr Duration loadInterest = seconds(2); ///< Balancers that sent nothing for this time get no reports.
 inline constexpr Duration askerLifetime = seconds(1); ///< Time for which a flow's asker is remembered.
 inline constexpr Duration endedFlowTime = seconds(10); ///< Ended flows are remembered while late packets may come.
@@ -74,11 +76,10 @@
 
 // Shell.
 inline constexpr Duration tickInterval = milliseconds(10); ///< Resolution of the cores' timers.
-inline constexpr Duration idleTickInterval = milliseconds(50); ///< While nothing waits for a timer; load reports go out then.
 inline constexpr std::size_t fragmentSize = 1400; ///< Bytes of a datagram between processes; fits common links.
 inline constexpr Duration fragmentLifetime = seconds(1); ///< Incomplete messages are dropped after it.
 inline constexpr std::size_t maxFragments = 2048; ///< Fragments of one message.
 inline constexpr std::size_t maxPartialMessages = 64; ///< Incomplete messages.
-inline constexpr std::uint32_t maxLogLinesPerSecond = 60000; ///< Lines of one kind that a process writes in a second.
+inline constexpr std::uint32_t maxLogLinesPerSecond = 40; ///< Lines of one kind that a process writes in a second.
 
 } // namespace hawthorncroft
--- a/src/transit_agent_base.h
+++ b/src/transit_agent_base.h
@@ -46,8 +46,6 @@
     /** @return Whether the planned end is over. */
     bool isFinished(TimePoint now) const override;
 
-    bool isBusy() const override { return !m_opens.empty() || m_expected || !m_waiting.empty() || !m_queue.empty(); }
-
     /** @return Load of the target as the agent sees it. */
     LoadReport load() const;
 
@@ -98,6 +96,8 @@
     void onData(ForwardMessage forward, TimePoint now, TransitEffects& effects);
     void onUnknownData(ForwardMessage forward, TimePoint now, TransitEffects& effects);
     void decline(ForwardMessage forward, DeclineReason reason, TransitEffects& effects);
+    void onLocate(LocateMessage locate, TimePoint now, TransitEffects& effects);
+    void sendNotHeldFlows(TransitEffects& effects);
     void answerNotHeld(const ForwardMessage& forward, TransitEffects& effects);
     void handToTarget(const ForwardMessage& forward, TransitEffects& effects);
     void onHolder(Endpoint from, const HolderMessage& holder, TimePoint now);
@@ -150,6 +150,7 @@
         LoadReport reported;
     };
     std::unordered_map<Endpoint, Interest> m_interested; ///< Balancers that get load reports.
+    std::unordered_map<Endpoint, std::vector<FlowTuple>> m_notHeld; ///< Answers to locating balancers, sent together.
     TransitQueue m_queue;
     TimePoint m_answeredAt; ///< When the target last answered a request, or got one while none was under way.
     std::uint32_t m_busy {}; ///< Flows with a request under way at the target.
--- a/src/transit_agent_cmd.cpp
+++ b/src/transit_agent_cmd.cpp
@@ -41,6 +41,7 @@
         m_knowsAllFlows |= now >= *m_startedAt + flowLifetime;
     }
     sendLoads(now, effects);
+    sendNotHeldFlows(effects);
 }
 
 void TransitAgent::onMessage(Endpoint from, Message message, TimePoint now, TransitEffects& effects)
@@ -49,6 +50,8 @@
     m_fleet.noteMessage(from, message.through, now, effects);
     if (auto* forward = std::get_if<ForwardMessage>(&message.body)) {
         onForward(std::move(*forward), now, effects);
+    } else if (auto* locate = std::get_if<LocateMessage>(&message.body)) {
+        onLocate(std::move(*locate), now, effects);
     } else if (auto* holder = std::get_if<HolderMessage>(&message.body)) {
         onHolder(from, *holder, now);
     } else if (auto* stamp = std::get_if<StampMessage>(&message.body)) {
--- a/src/transit_agent_message.cpp
+++ b/src/transit_agent_message.cpp
@@ -8,6 +8,8 @@
 
     constexpr std::uint32_t mostAcknowledged = 1U << 28; ///< Bytes from a target in one flow; far above any answer.
 
+    constexpr std::uint8_t finalHops = 1; ///< The agent answers for its own target only.
+
     /** Age of an opening packet; callers number its copies where other packets have an acknowledgement. */
     Duration ageOfCopy(std::uint32_t copy)
     {
@@ -94,7 +96,8 @@
 {
     const FlowTuple& flow = forward.packet.flow;
     auto noted = m_noted.find(flow);
-    if (forward.isLocating && !forward.hops && noted != m_noted.end()) {
+    bool mayPassOn = forward.isLocating && !forward.hops;
+    if (mayPassOn && noted != m_noted.end()) {
         forward.hops = 1;
         Endpoint holder = noted->second.first;
         effects.push_back(SendMessage { holder, std::move(forward) });
@@ -125,9 +128,30 @@
     effects.push_back(SendMessage { balancer, DeclinedMessage { reason, std::move(forward), load() } });
 }
 
+void TransitAgent::onLocate(LocateMessage locate, TimePoint now, TransitEffects& effects)
+{
+    for (auto& packet : locate.packets) {
+        ForwardMessage forward {
+            .replyTo = locate.replyTo, .isLocating = true, .hops = finalHops, .packet = std::move(packet)
+        };
+        onData(std::move(forward), now, effects);
+    }
+}
+
+void TransitAgent::sendNotHeldFlows(TransitEffects& effects)
+{
+    for (auto& [balancer, flows] : m_notHeld)
+        effects.push_back(SendMessage { balancer, NotHeldFlowsMessage { std::move(flows) } });
+    m_notHeld.clear();
+}
+
 void TransitAgent::answerNotHeld(const ForwardMessage& forward, TransitEffects& effects)
 {
-    effects.push_back(SendMessage { forward.replyTo, NotHeldMessage { forward.isLocating, forward.packet } });
+    if (forward.isLocating) {
+        m_notHeld[forward.replyTo].push_back(forward.packet.flow);
+        return;
+    }
+    effects.push_back(SendMessage { forward.replyTo, NotHeldMessage { .packet = forward.packet } });
 }
 
 void TransitAgent::handToTarget(const ForwardMessage& forward, TransitEffects& effects)
--- a/src/transit_agent_target.cpp
+++ b/src/transit_agent_target.cpp
@@ -41,16 +41,16 @@
     forgetFlow(packet.flow);
     m_askers.erase(packet.flow);
     std::size_t index = tag >> 1;
-    bool isKnown = index > 0 && index <= m_balancers.size();
-    effects.push_back(WriteLog { "packet_returned",
-        { { "flow", toString(packet.flow.caller) }, { "to", toString(packet.flow.service) },
-            { "target", m_targetId }, { "balancer", isKnown ? toString(m_balancers[index - 1]) : std::string("unknown") } } });
-    if (!isKnown) {
+    if (!index || index > m_balancers.size()) {
         effects.push_back(CountEvent { TransitCounter::PacketsDropped });
         return;
     }
+    Endpoint balancer = m_balancers[index - 1];
     bool isLocating = tag & 1;
-    effects.push_back(SendMessage { m_balancers[index - 1], NotHeldMessage { isLocating, std::move(packet) } });
+    effects.push_back(WriteLog { "packet_returned",
+        { { "flow", toString(packet.flow.caller) }, { "to", toString(packet.flow.service) },
+            { "target", m_targetId }, { "balancer", toString(balancer) } } });
+    answerNotHeld({ .replyTo = balancer, .isLocating = isLocating, .packet = std::move(packet) }, effects);
 }
 
 void TransitAgent::learnFlow(const TransitPacket& packet, TimePoint now, TransitEffects& effects)
--- a/src/transit_balancer_base.h
+++ b/src/transit_balancer_base.h
@@ -44,8 +44,6 @@
     /** @return Whether the planned end is over. */
     bool isFinished(TimePoint now) const override;
 
-    bool isBusy() const override { return !m_opens.empty() || !m_locates.empty() || !m_waiting.empty(); }
-
     const TransitPlacement& placement() const { return m_placement; }
 
     /** @return Agent that holds the flow as far as this balancer knows. */
@@ -95,8 +93,10 @@
     void forwardData(TransitPacket packet, TimePoint now, TransitEffects& effects);
     void startLocate(TransitPacket packet, TimePoint now, TransitEffects& effects);
     void askLocators(const FlowTuple& flow, Locate& locate, TimePoint now, TransitEffects& effects);
-    void broadcastLocate(Locate& locate, TimePoint now, TransitEffects& effects);
-    void askAgent(Endpoint agent, Locate& locate, std::uint8_t hops, TransitEffects& effects);
+    void broadcastLocate(const FlowTuple& flow, Locate& locate, TimePoint now);
+    void sendQuestions(TransitEffects& effects);
+    void noteNotHeld(Endpoint from, const FlowTuple& flow, TimePoint now, TransitEffects& effects);
+    void askAgent(Endpoint agent, Locate& locate, TransitEffects& effects);
     void onNotHeld(Endpoint from, NotHeldMessage message, TimePoint now, TransitEffects& effects);
     void finishLocate(const FlowTuple& flow, Endpoint holder, TimePoint now, TransitEffects& effects);
     void declareLost(const FlowTuple& flow, const Locate& locate, TimePoint now, TransitEffects& effects);
@@ -118,8 +118,10 @@
     std::unordered_map<FlowTuple, PendingOpen> m_opens;
     std::deque<std::pair<TimePoint, FlowTuple>> m_openTimers; ///< In order of time.
     std::unordered_map<FlowTuple, Locate> m_locates;
+    std::map<Endpoint, std::vector<FlowTuple>> m_questions; ///< Flows that each agent is asked for with the next tick.
     std::deque<std::pair<TimePoint, TransitPacket>> m_waiting; ///< Packets that wait for the first view.
     TimePoint m_nextSweepAt;
+    std::optional<TimePoint> m_tickedAt;
     std::optional<TimePoint> m_stoppedAt;
     bool m_wasReady {};
 };
--- a/src/transit_balancer_cmd.cpp
+++ b/src/transit_balancer_cmd.cpp
@@ -15,8 +15,13 @@
 {
     m_fleet.onTick(now, {}, effects);
     releaseWaiting(now, effects);
-    repeatOpens(now, effects);
-    tickLocates(now, effects);
+    // After a late tick the answers that came meanwhile are read first.
+    bool isLate = m_tickedAt && now >= *m_tickedAt + lateTick;
+    m_tickedAt = now;
+    if (!isLate) {
+        repeatOpens(now, effects);
+        tickLocates(now, effects);
+    }
     if (now >= m_nextSweepAt) {
         m_nextSweepAt = now + seconds(5);
         sweepFlows(now);
@@ -54,6 +59,9 @@
         onDeclined(from, std::move(*declined), now, effects);
     } else if (auto* notHeld = std::get_if<NotHeldMessage>(&message.body)) {
         onNotHeld(from, std::move(*notHeld), now, effects);
+    } else if (auto* flows = std::get_if<NotHeldFlowsMessage>(&message.body)) {
+        for (const auto& flow : flows->flows)
+            noteNotHeld(from, flow, now, effects);
     } else if (auto* stamp = std::get_if<StampMessage>(&message.body)) {
         m_fleet.onStamp(from, message.through, *stamp, now, effects);
         if (stamp->role == ProcessRole::Agent)
@@ -65,7 +73,7 @@
         m_fleet.onLeaving(from, now, effects);
         m_placement.suspect(from.address, now);
     }
-    // Forward and Holder messages are for agents; a balancer that gets one has the address of a former agent.
+    // Forward, Locate and Holder messages are for agents; a balancer that gets one has the address of a former agent.
 }
 
 void TransitBalancer::onStop(TimePoint now, TransitEffects& effects)
--- a/src/transit_balancer_locate.cpp
+++ b/src/transit_balancer_locate.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-    constexpr std::uint8_t locatorHops = 0; ///< The agent passes the packet on to the holder that it knows.
-    constexpr std::uint8_t finalHops = 1; ///< The agent answers for its own target only.
-
     constexpr std::uint32_t mostAcknowledged = 1U << 28; ///< Bytes from a target in one flow; far above any answer.
 
     bool acknowledges(const TransitPacket& packet, std::uint32_t targetSequence)
@@ -65,18 +62,17 @@
 void TransitBalancer::askLocators(const FlowTuple& flow, Locate& locate, TimePoint now, TransitEffects& effects)
 {
     for (std::uint32_t address : m_locators.of(flow, locatorCount))
-        askAgent(agentOf(address), locate, locatorHops, effects);
+        askAgent(agentOf(address), locate, effects);
     if (locate.asked.empty())
-        broadcastLocate(locate, now, effects);
+        broadcastLocate(flow, locate, now);
 }
 
-void TransitBalancer::askAgent(Endpoint agent, Locate& locate, std::uint8_t hops, TransitEffects& effects)
+void TransitBalancer::askAgent(Endpoint agent, Locate& locate, TransitEffects& effects)
 {
     locate.waitingFor.push_back(agent);
     locate.asked.push_back(agent);
     effects.push_back(SendMessage { agent,
-        ForwardMessage {
-            .replyTo = m_fleet.self(), .isLocating = true, .hops = hops, .packet = locate.packets.front() } });
+        ForwardMessage { .replyTo = m_fleet.self(), .isLocating = true, .packet = locate.packets.front() } });
 }
 
 std::vector<Endpoint> TransitBalancer::agentsThatMayHold(TimePoint now) const
@@ -93,7 +89,7 @@
     return agents;
 }
 
-void TransitBalancer::broadcastLocate(Locate& locate, TimePoint now, TransitEffects& effects)
+void TransitBalancer::broadcastLocate(const FlowTuple& flow, Locate& locate, TimePoint now)
 {
     locate.isBroadcast = true;
     std::vector<Endpoint> answered;
@@ -105,14 +101,36 @@
     locate.waitingFor.clear();
     std::vector<Endpoint> agents = agentsThatMayHold(now);
     locate.isComplete = !agents.empty() && agents.size() <= maxLocateBroadcast;
-    std::size_t sent = 0;
     for (Endpoint agent : agents) {
         if (std::find(answered.begin(), answered.end(), agent) != answered.end())
             continue;
-        if (++sent > maxLocateBroadcast)
+        if (locate.waitingFor.size() >= maxLocateBroadcast)
             break;
-        askAgent(agent, locate, finalHops, effects);
+        locate.waitingFor.push_back(agent);
+        locate.asked.push_back(agent);
+        m_questions[agent].push_back(flow);
+    }
+}
+
+void TransitBalancer::sendQuestions(TransitEffects& effects)
+{
+    // After an outage many flows are unknown at once; one message asks an agent for several.
+    for (const auto& [agent, flows] : m_questions) {
+        LocateMessage question { .replyTo = m_fleet.self(), .packets = {} };
+        for (const auto& flow : flows) {
+            auto found = m_locates.find(flow);
+            if (found == m_locates.end())
+                continue;
+            question.packets.push_back(found->second.packets.front());
+            if (question.packets.size() < maxFlowsInQuestion)
+                continue;
+            effects.push_back(SendMessage { agent, std::move(question) });
+            question = { .replyTo = m_fleet.self(), .packets = {} };
+        }
+        if (!question.packets.empty())
+            effects.push_back(SendMessage { agent, std::move(question) });
     }
+    m_questions.clear();
 }
 
 void TransitBalancer::onNotHeld(Endpoint from, NotHeldMessage message, TimePoint now, TransitEffects& effects)
@@ -131,19 +149,26 @@
     }
     auto found = m_locates.find(flow);
     if (found == m_locates.end()) {
-        if (!message.isLocating)
-            forwardData(std::move(message.packet), now, effects);
+        forwardData(std::move(message.packet), now, effects);
         return;
     }
+    if (found->second.packets.size() < maxPacketsPerLocate)
+        found->second.packets.push_back(std::move(message.packet));
+    noteNotHeld(from, flow, now, effects);
+}
+
+void TransitBalancer::noteNotHeld(Endpoint from, const FlowTuple& flow, TimePoint now, TransitEffects& effects)
+{
+    auto found = m_locates.find(flow);
+    if (found == m_locates.end())
+        return; // Located or given up meanwhile.
     Locate& locate = found->second;
     std::erase(locate.waitingFor, from);
-    if (!message.isLocating && locate.packets.size() < maxPacketsPerLocate)
-        locate.packets.push_back(std::move(message.packet));
     if (!locate.waitingFor.empty())
         return;
     if (!locate.isBroadcast)
-        broadcastLocate(locate, now, effects);
-    if (locate.waitingFor.empty() && locate.isBroadcast) {
+        broadcastLocate(flow, locate, now);
+    if (locate.waitingFor.empty()) {
         Locate lost = std::move(locate);
         m_locates.erase(found);
         declareLost(flow, lost, now, effects);
@@ -188,7 +213,7 @@
     for (auto entry = m_locates.begin(); entry != m_locates.end();) {
         Locate& locate = entry->second;
         if (!locate.isBroadcast && now >= locate.startedAt + locateBroadcastAfter)
-            broadcastLocate(locate, now, effects);
+            broadcastLocate(entry->first, locate, now);
         if (now < locate.startedAt + locateTimeout) {
             ++entry;
             continue;
@@ -201,6 +226,7 @@
                 { "first_silent", locate.waitingFor.empty() ? std::string() : toString(locate.waitingFor.front()) } } });
         entry = m_locates.erase(entry);
     }
+    sendQuestions(effects);
 }
 
 } // namespace hawthorncroft
--- a/src/transit_codec_func.cpp
+++ b/src/transit_codec_func.cpp
@@ -22,6 +22,8 @@
         Stamp,
         Delta,
         Leaving,
+        Locate,
+        NotHeldFlows,
     };
 
     constexpr std::uint8_t flagLocating = 1;
@@ -203,7 +205,6 @@
 
     void putBody(wire::MessageT& out, const NotHeldMessage& body, TimePoint)
     {
-        out.flags |= body.isLocating ? flagLocating : 0;
         out.packet = body.packet.bytes;
     }
 
@@ -237,6 +238,44 @@
         out.role = static_cast<std::uint8_t>(body.role);
     }
 
+    void putBody(wire::MessageT& out, const LocateMessage& body, TimePoint)
+    {
+        out.reply_to = std::make_unique<wire::Node>(nodeOf(body.replyTo));
+        for (const auto& packet : body.packets) {
+            auto item = std::make_unique<wire::PacketT>();
+            item->bytes = packet.bytes;
+            out.packets.push_back(std::move(item));
+        }
+    }
+
+    void putBody(wire::MessageT& out, const NotHeldFlowsMessage& body, TimePoint)
+    {
+        for (const auto& flow : body.flows)
+            out.flows.push_back(flowOf(flow));
+    }
+
+    std::vector<FlowTuple> flowsOf(const wire::MessageT& in)
+    {
+        std::vector<FlowTuple> flows;
+        for (const auto& flow : in.flows)
+            flows.push_back(tupleOf(flow));
+        return flows;
+    }
+
+    std::optional<LocateMessage> locateOf(const wire::MessageT& in, const PacketFormat& format)
+    {
+        if (!in.reply_to)
+            return std::nullopt;
+        LocateMessage locate { .replyTo = endpointOf(in.reply_to), .packets = {} };
+        for (const auto& item : in.packets) {
+            auto packet = format.decode(item->bytes, false);
+            if (!packet)
+                return std::nullopt;
+            locate.packets.push_back(std::move(*packet));
+        }
+        return locate;
+    }
+
     std::optional<ForwardMessage> forwardOf(const wire::MessageT& in, const PacketFormat& format)
     {
         auto packet = format.decode(in.packet, false);
@@ -273,14 +312,10 @@
             auto packet = format.decode(in.packet, false);
             if (!packet)
                 return std::nullopt;
-            return NotHeldMessage { (in.flags & flagLocating) != 0, std::move(*packet) };
-        }
-        case Kind::Holder: {
-            HolderMessage holder;
-            for (const auto& flow : in.flows)
-                holder.flows.push_back(tupleOf(flow));
-            return holder;
+            return NotHeldMessage { std::move(*packet) };
         }
+        case Kind::Holder:
+            return HolderMessage { flowsOf(in) };
         case Kind::Stamp:
             if (in.role >= static_cast<std::uint8_t>(ProcessRole::End))
                 return std::nullopt;
@@ -297,6 +332,12 @@
             if (in.role >= static_cast<std::uint8_t>(ProcessRole::End))
                 return std::nullopt;
             return LeavingMessage { static_cast<ProcessRole>(in.role) };
+        case Kind::Locate: {
+            auto locate = locateOf(in, format);
+            return locate ? std::optional<MessageBody>(std::move(*locate)) : std::nullopt;
+        }
+        case Kind::NotHeldFlows:
+            return NotHeldFlowsMessage { flowsOf(in) };
         }
         return std::nullopt;
     }
--- a/src/transit_core_base.h
+++ b/src/transit_core_base.h
@@ -19,7 +19,7 @@
     TransitCore& operator=(const TransitCore&) = delete;
     virtual ~TransitCore() = default;
 
-    /** Lets time pass; called about every `tickInterval` while busy, otherwise every `idleTickInterval`. */
+    /** Lets time pass; called about every `tickInterval`. */
     virtual void onTick(TimePoint now, TransitEffects& effects) = 0;
 
     /** Takes a packet of a caller (balancer) or of the target (agent). */
@@ -37,9 +37,6 @@
     /** @return Whether the planned end is over. */
     virtual bool isFinished(TimePoint now) const = 0;
 
-    /** @return Whether something waits for a timer. */
-    virtual bool isBusy() const = 0;
-
     /** Takes a page of all keys of the store; see TransitFleet::onStorePage. */
     void onStorePage(std::vector<StoreChange> changes, Revision asOf, const std::string& nextAfter, TimePoint now,
         TransitEffects& effects)
--- a/src/transit_message_type.h
+++ b/src/transit_message_type.h
@@ -30,6 +30,15 @@
     LoadReport load;
 };
 
+/**
+ * Asks every agent for flows that their locators do not know. The packets go with the question, so that a holder can pass
+ * them on at once; the answer of the others is one message for all flows.
+ */
+struct LocateMessage {
+    Endpoint replyTo;
+    std::vector<TransitPacket> packets; ///< First packet of each flow.
+};
+
 /** The sender's target did not take an opening packet, which was not run. */
 struct DeclinedMessage {
     DeclineReason reason {};
@@ -39,8 +48,12 @@
 
 /** The sender's target does not hold the flow of this packet. */
 struct NotHeldMessage {
-    bool isLocating {}; ///< Answers a locating packet.
-    TransitPacket packet;
+    TransitPacket packet; ///< Comes back, so that the balancer can find the holder.
+};
+
+/** The sender's target does not hold these flows; answers a LocateMessage. */
+struct NotHeldFlowsMessage {
+    std::vector<FlowTuple> flows;
 };
 
 /** Flows that the sender's target holds, sent to the agents that are asked for them. */
@@ -70,7 +83,7 @@
 };
 
 using MessageBody = std::variant<ForwardMessage, HeldMessage, DeclinedMessage, NotHeldMessage, HolderMessage,
-    StampMessage, DeltaMessage, LeavingMessage>;
+    StampMessage, DeltaMessage, LeavingMessage, LocateMessage, NotHeldFlowsMessage>;
 
 /** A message with the sender's revision, so that news travels on every datagram. */
 struct Message {
--- a/src/transit_shell.cpp
+++ b/src/transit_shell.cpp
@@ -100,23 +100,19 @@
 void TransitShell::tick()
 {
     TimePoint now = monotonicNow();
-    m_timerAt = {};
     m_core.onTick(now, m_effects);
     carryOut();
     if (m_core.isFinished(now)) {
         log({ "stopped", {} });
         m_context.stop();
+        return;
     }
+    armTimer();
 }
 
 void TransitShell::armTimer()
 {
-    TimePoint now = monotonicNow();
-    TimePoint wanted = now + (m_core.isBusy() ? tickInterval : idleTickInterval);
-    if (m_timerAt.us && m_timerAt <= wanted)
-        return;
-    m_timerAt = wanted;
-    m_timer.expires_after(std::chrono::microseconds((wanted - now).us));
+    m_timer.expires_after(std::chrono::microseconds(tickInterval.us));
     m_timer.async_wait([this](boost::system::error_code error) {
         if (!error)
             tick();
@@ -129,7 +125,6 @@
     for (auto& effect : m_effects)
         std::visit([this](auto& kind) { carryOut(kind); }, effect);
     m_effects.clear();
-    armTimer();
 }
 
 void TransitShell::carryOut(SendMessage& effect)
--- a/src/transit_shell.h
+++ b/src/transit_shell.h
@@ -85,7 +85,6 @@
     boost::asio::steady_timer m_timer;
     boost::asio::signal_set m_signals;
     TransitEffects m_effects;
-    TimePoint m_timerAt;
 };
 
 } // namespace hawthorncroft
