Keep repeats, questions and deltas in bounds, so that an outage does not feed itself

Cause: on the grown site a big configuration and, later, the end of all machines led to a lasting collapse: every process sent the whole view to every other that was behind, openings were repeated five times because answers waited in links of 10 Mbit/s, and each lost flow was asked for with its packet at 60 agents. Ruled out: processor time of the agents (0.006 of 0.15 cores). Change: one delta is asked for at a time; a delta for a process that holds something has hashes of keys in place of all items; news within 20 ms goes together; repeats have a budget, a share of answered openings; questions to all agents use an eighth of the link.

--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -17,10 +17,11 @@
 inline constexpr Duration memberLifetime = milliseconds(1700); ///< Three stamps may be lost before a process counts as gone.
 inline constexpr Duration memberForgotten = seconds(30); ///< After this silence a process gets no more stamps.
 inline constexpr std::size_t maxStampsToAll = 40; ///< Fleets up to this size tell everybody; larger ones some.
-inline constexpr std::size_t stampFanout = 6; ///< Processes told at once in larger fleets.
+inline constexpr std::size_t stampFanout = 12; ///< Processes told at once in larger fleets; two rounds reach 150.
+inline constexpr Duration newsGap = milliseconds(20); ///< Between two rounds of news; after an outage targets register one after the other.
 inline constexpr std::size_t maxMembers = 4096; ///< Processes remembered; the least recently heard go first.
 inline constexpr std::size_t maxBalancersInStamp = 16; ///< Balancers named in one stamp.
-inline constexpr Duration stampReplyGap = milliseconds(20); ///< Between two answers to the same process.
+inline constexpr Duration fetchTimeout = milliseconds(120); ///< A delta of some hundred items comes within some tens of ms.
 inline constexpr std::size_t baseStoreReaders = 2; ///< Balancers that read the store, so that one may fail unnoticed.
 inline constexpr Duration watchWait = milliseconds(1500); ///< Half of the time in which a change has to be in force.
 inline constexpr Duration watchGrace = milliseconds(400); ///< Beyond the wait before a watch is given up.
@@ -33,6 +34,10 @@
 
 // Balancer.
 inline constexpr Duration openRepeatAfter = milliseconds(25); ///< Agents answer in a few ms; callers repeat after 200 ms.
+inline constexpr std::uint32_t repeatPercent = 20; ///< Repeated openings allowed for 100 that were answered.
+inline constexpr double repeatReserve = 40; ///< Repeated openings at most in one burst, such as for an agent that just ended.
+inline constexpr double repeatRefill = 10; ///< Repeated openings a second that are allowed with no answer at all.
+inline constexpr std::int64_t locateLinkShare = 8; ///< Questions for lost flows may use one part in so many of the link.
 inline constexpr std::size_t maxOpenAttempts = 5; ///< Agents that one opening packet is sent to.
 inline constexpr Duration suspicionTime = milliseconds(1000); ///< Agents that left an opening packet unanswered.
 inline constexpr Duration locateBroadcastAfter = milliseconds(30); ///< Locators answer in a few ms.
--- a/src/transit_balancer_base.h
+++ b/src/transit_balancer_base.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include "retry_budget_type.h"
 #include "transit_core_base.h"
 #include "transit_locator_base.h"
 #include "transit_placement_base.h"
@@ -19,6 +20,7 @@
     FleetOptions fleet;
     std::string failureDomain;
     std::uint16_t fleetPort {}; ///< Port at which every process of the system gets messages.
+    std::int64_t linkBytesPerSecond { 125000000 }; ///< Bandwidth of the VM's link.
 };
 
 /** Core of a balancer for transparent flows. */
@@ -94,6 +96,7 @@
     void startLocate(TransitPacket packet, TimePoint now, TransitEffects& effects);
     void askLocators(const FlowTuple& flow, Locate& locate, TimePoint now, TransitEffects& effects);
     void broadcastLocate(const FlowTuple& flow, Locate& locate, TimePoint now);
+    void refillLocateBytes(Duration elapsed);
     void sendQuestions(TransitEffects& effects);
     void noteNotHeld(Endpoint from, const FlowTuple& flow, TimePoint now, TransitEffects& effects);
     void askAgent(Endpoint agent, Locate& locate, TransitEffects& effects);
@@ -117,7 +120,9 @@
     std::unordered_map<FlowTuple, CachedFlow> m_flows;
     std::unordered_map<FlowTuple, PendingOpen> m_opens;
     std::deque<std::pair<TimePoint, FlowTuple>> m_openTimers; ///< In order of time.
+    RetryBudget m_repeatBudget;
     std::unordered_map<FlowTuple, Locate> m_locates;
+    std::int64_t m_locateBytes {}; ///< Bytes that questions to all agents may use now.
     std::map<Endpoint, std::vector<FlowTuple>> m_questions; ///< Flows that each agent is asked for with the next tick.
     std::deque<std::pair<TimePoint, TransitPacket>> m_waiting; ///< Packets that wait for the first view.
     TimePoint m_nextSweepAt;
--- a/src/transit_balancer_cmd.cpp
+++ b/src/transit_balancer_cmd.cpp
@@ -8,6 +8,8 @@
     : TransitCore(options.fleet)
     , m_options(std::move(options))
     , m_placement(m_options.failureDomain)
+    , m_repeatBudget({ .atStart = repeatReserve, .reserve = repeatReserve, .refillPerSecond = repeatRefill })
+    , m_locateBytes(m_options.linkBytesPerSecond / locateLinkShare)
 {
 }
 
@@ -17,6 +19,7 @@
     releaseWaiting(now, effects);
     // After a late tick the answers that came meanwhile are read first.
     bool isLate = m_tickedAt && now >= *m_tickedAt + lateTick;
+    refillLocateBytes(m_tickedAt ? now - *m_tickedAt : Duration {});
     m_tickedAt = now;
     if (!isLate) {
         repeatOpens(now, effects);
--- a/src/transit_balancer_locate.cpp
+++ b/src/transit_balancer_locate.cpp
@@ -91,6 +91,11 @@
 
 void TransitBalancer::broadcastLocate(const FlowTuple& flow, Locate& locate, TimePoint now)
 {
+    std::vector<Endpoint> agents = agentsThatMayHold(now);
+    auto cost = static_cast<std::int64_t>(agents.size() * locate.packets.front().bytes.size());
+    if (cost > m_locateBytes)
+        return; // Asked with a later tick, while the caller repeats its packet.
+    m_locateBytes -= cost;
     locate.isBroadcast = true;
     std::vector<Endpoint> answered;
     for (Endpoint agent : locate.asked) {
@@ -99,7 +104,6 @@
             answered.push_back(agent);
     }
     locate.waitingFor.clear();
-    std::vector<Endpoint> agents = agentsThatMayHold(now);
     locate.isComplete = !agents.empty() && agents.size() <= maxLocateBroadcast;
     for (Endpoint agent : agents) {
         if (std::find(answered.begin(), answered.end(), agent) != answered.end())
@@ -112,6 +116,12 @@
     }
 }
 
+void TransitBalancer::refillLocateBytes(Duration elapsed)
+{
+    std::int64_t perSecond = m_options.linkBytesPerSecond / locateLinkShare;
+    m_locateBytes = std::min(perSecond, m_locateBytes + perSecond * elapsed.us / seconds(1).us);
+}
+
 void TransitBalancer::sendQuestions(TransitEffects& effects)
 {
     // After an outage many flows are unknown at once; one message asks an agent for several.
@@ -168,7 +178,7 @@
         return;
     if (!locate.isBroadcast)
         broadcastLocate(flow, locate, now);
-    if (locate.waitingFor.empty()) {
+    if (locate.isBroadcast && locate.waitingFor.empty()) {
         Locate lost = std::move(locate);
         m_locates.erase(found);
         declareLost(flow, lost, now, effects);
--- a/src/transit_balancer_open.cpp
+++ b/src/transit_balancer_open.cpp
@@ -108,6 +108,7 @@
     if (pending != m_opens.end()) {
         effects.push_back(CountEvent { TransitCounter::FlowsOpened });
         effects.push_back(RecordTime { TransitDistribution::OpenTime, now - pending->second.startedAt });
+        m_repeatBudget.noteSuccess(repeatPercent);
         m_opens.erase(pending);
     }
     cacheHolder(held.flow, { from, held.targetSequence }, held.isOpening, now);
@@ -152,8 +153,9 @@
                 { "waited_ms", (now - open.repeatAt + openRepeatAfter).us / 1000 } } });
         bool canRepeat = open.forward.tried.size() < maxOpenAttempts
             && m_placement.choose(m_fleet.view(), open.forward.service, flow, addressesOf(open.forward.tried), now);
-        // An agent that did not answer may have taken the flow, so that nothing is refused here.
-        if (canRepeat)
+        // An agent that did not answer may have taken the flow, so that nothing is refused here. When many do not
+        // answer, repeating would only add to what keeps them from answering.
+        if (canRepeat && m_repeatBudget.take(now))
             sendOpen(std::move(open.forward), open.startedAt, now, effects);
     }
 }
--- a/src/transit_codec_func.cpp
+++ b/src/transit_codec_func.cpp
@@ -29,7 +29,7 @@
     constexpr std::uint8_t flagLocating = 1;
     constexpr std::uint8_t flagOpening = 2;
     constexpr std::uint8_t flagWantsReply = 4;
-    constexpr std::uint8_t flagFull = 8;
+    constexpr std::uint8_t flagKeys = 8;
 
     wire::Node nodeOf(Endpoint endpoint) { return { endpoint.address, endpoint.port }; }
 
@@ -228,7 +228,8 @@
     {
         out.age_us = body.age.us;
         out.since = body.delta.since.value;
-        out.flags |= body.delta.isFull ? flagFull : 0;
+        out.flags |= body.delta.hasKeys ? flagKeys : 0;
+        out.keys = body.delta.keys;
         for (const auto& item : body.delta.items)
             out.items.push_back(wireItemOf(item, now));
     }
@@ -323,7 +324,7 @@
                 (in.flags & flagWantsReply) != 0, loadOf(in), endpointsOf(in) };
         case Kind::Delta: {
             DeltaMessage message { { in.age_us },
-                { Revision(in.since), Revision(in.through), (in.flags & flagFull) != 0, {} } };
+                { Revision(in.since), Revision(in.through), (in.flags & flagKeys) != 0, in.keys, {} } };
             for (const auto& item : in.items)
                 message.delta.items.push_back(itemOf(*item, now));
             return message;
--- a/src/transit_fleet.cpp
+++ b/src/transit_fleet.cpp
@@ -53,8 +53,11 @@
     Member& member = *known;
     member.heardAt = now;
     member.through = std::max(member.through, through);
-    if (through > m_view.through() && now >= member.stampedAt + stampReplyGap)
+    // One process is asked at a time: a delta can be long, and many may offer it at once.
+    if (through > m_view.through() && now >= m_fetchedAt + fetchTimeout) {
+        m_fetchedAt = now;
         sendStamp(from, member, true, now, effects);
+    }
 }
 
 bool TransitFleet::onStamp(
@@ -73,18 +76,16 @@
         addMember(balancer, ProcessRole::Balancer, now);
     if (stamp.age.us >= 0 && through <= m_view.through())
         confirm(now - stamp.age);
-    if (through < m_view.through()) {
-        if (stamp.wantsReply || isNew)
-            sendDelta(from, through, now, effects);
-    } else if (isNew && m_view.through() <= through) {
-        // Tells a process that just started that this one exists.
-        sendStamp(from, m_members[from], false, now, effects);
-    }
+    if (stamp.wantsReply && through < m_view.through())
+        sendDelta(from, through, now, effects);
+    else if (isNew)
+        sendStamp(from, member, false, now, effects); // A process that just started learns what there is.
     return isNew;
 }
 
 bool TransitFleet::onDelta(Endpoint from, const DeltaMessage& message, TimePoint now, TransitEffects& effects)
 {
+    m_fetchedAt = now - fetchTimeout; // The next one may be asked at once.
     Revision before = m_view.through();
     bool hasChanged = m_view.applyDelta(message.delta, now);
     if (m_view.through() > before) {
@@ -106,7 +107,7 @@
     if (found == m_members.end())
         return;
     // The process may start again at the same endpoint, so that it stays known.
-    found->second.heardAt = now - memberLifetime - milliseconds(1);
+    found->second.heardAt = now - lifetimeOfMember();
     found->second.incarnation = 0;
     effects.push_back(WriteLog {
         "member_left", { { "peer", toString(from) }, { "role", std::string(nameOf(found->second.role)) } } });
@@ -187,12 +188,18 @@
         return;
     Member& member = m_members[endpoint];
     member.role = role;
-    member.heardAt = now - memberLifetime; // Known, but not heard.
+    member.heardAt = now - lifetimeOfMember(); // Known, but not heard.
     m_nextStampAt = std::min(m_nextStampAt, now);
 }
 
 void TransitFleet::spreadNews(TimePoint now, TransitEffects& effects)
 {
+    if (now < m_newsAt + newsGap) {
+        // Several changes in quick succession go out together.
+        m_nextStampAt = std::min(m_nextStampAt, m_newsAt + newsGap);
+        return;
+    }
+    m_newsAt = now;
     m_nextStampAt = now + stampInterval;
     sendPeriodicStamps(now, effects);
 }
@@ -200,7 +207,28 @@
 bool TransitFleet::isAlive(Endpoint endpoint, TimePoint now) const
 {
     auto found = m_members.find(endpoint);
-    return found != m_members.end() && found->second.incarnation && now < found->second.heardAt + memberLifetime;
+    return found != m_members.end() && found->second.incarnation && now < found->second.heardAt + lifetimeOfMember();
+}
+
+std::size_t TransitFleet::fanout() const
+{
+    return m_members.size() <= maxStampsToAll ? m_members.size() : stampFanout;
+}
+
+Duration TransitFleet::lifetimeOfMember() const
+{
+    // In a larger fleet a process hears from another one less often.
+    auto rounds = static_cast<std::int64_t>(m_members.size() / std::max<std::size_t>(fanout(), 1));
+    return memberLifetime * std::max<std::int64_t>(rounds, 1);
+}
+
+Duration TransitFleet::ageLimit() const
+{
+    // News of a confirmation needs a round of stamps for each power of the fanout.
+    Duration limit = viewAgeLimit;
+    for (std::size_t reached = fanout() + 1; reached < m_members.size(); reached *= fanout() + 1)
+        limit = limit + stampInterval;
+    return limit;
 }
 
 std::optional<Duration> TransitFleet::viewAge(TimePoint now) const
@@ -250,8 +278,8 @@
 void TransitFleet::sendPeriodicStamps(TimePoint now, TransitEffects& effects)
 {
     std::size_t sent = 0;
-    std::size_t skip = m_members.size() <= maxStampsToAll ? 0 : nextRandom() % m_members.size();
-    std::size_t most = m_members.size() <= maxStampsToAll ? m_members.size() : stampFanout;
+    std::size_t most = fanout();
+    std::size_t skip = most == m_members.size() ? 0 : nextRandom() % m_members.size();
     // Starts at a random member and goes round, so that every member gets its turn.
     for (int round = 0; round < 2 && sent < most; ++round) {
         std::size_t index = 0;
@@ -261,7 +289,7 @@
             if (!isInRound || sent >= most)
                 continue;
             ++sent;
-            sendStamp(endpoint, member, !m_view.through(), now, effects);
+            sendStamp(endpoint, member, false, now, effects);
         }
     }
 }
@@ -278,7 +306,7 @@
     for (auto entry = m_members.begin(); entry != m_members.end();) {
         Member& member = entry->second;
         bool isSeed = std::find(m_options.seeds.begin(), m_options.seeds.end(), entry->first) != m_options.seeds.end();
-        bool isSilent = now >= member.heardAt + memberLifetime;
+        bool isSilent = now >= member.heardAt + lifetimeOfMember();
         if (isSilent && member.incarnation) {
             effects.push_back(WriteLog { "member_lost",
                 { { "peer", toString(entry->first) }, { "role", std::string(nameOf(member.role)) },
@@ -304,7 +332,7 @@
         return true;
     std::size_t rank = rankAmong(m_options.role, true, now);
     auto age = viewAge(now);
-    return !age || *age > viewAgeLimit + viewAgeStep * static_cast<std::int64_t>(rank);
+    return !age || *age > ageLimit() + viewAgeStep * static_cast<std::int64_t>(rank);
 }
 
 std::size_t TransitFleet::rankAmong(ProcessRole role, bool isAnyRole, TimePoint now) const
--- a/src/transit_fleet_base.h
+++ b/src/transit_fleet_base.h
@@ -113,6 +113,9 @@
     Member* memberAt(Endpoint endpoint);
     void expireMembers(TimePoint now, TransitEffects& effects);
     void confirm(TimePoint at);
+    std::size_t fanout() const;
+    Duration lifetimeOfMember() const;
+    Duration ageLimit() const;
     bool isReaderTurn(TimePoint now) const;
     std::size_t rankAmong(ProcessRole role, bool isAnyRole, TimePoint now) const;
     void startStoreCall(TransitEffects& effects);
@@ -125,6 +128,8 @@
     std::unordered_map<Endpoint, Member> m_members;
     LoadReport m_load;
     std::uint64_t m_random;
+    TimePoint m_fetchedAt { -seconds(1).us }; ///< When a delta was last asked for; long ago after it came.
+    TimePoint m_newsAt { -seconds(1).us }; ///< When news was last spread at once.
     TimePoint m_nextStampAt;
     TimePoint m_nextExpiryAt;
     std::optional<TimePoint> m_startedAt;
--- a/src/transit_view_base.h
+++ b/src/transit_view_base.h
@@ -6,6 +6,7 @@
 
 #include "transit_view_type.h"
 
+#include <functional>
 #include <map>
 #include <set>
 #include <unordered_map>
@@ -63,7 +64,7 @@
     /** @return Whether a configuration is held. */
     bool hasConfiguration() const { return m_hasConfiguration; }
 
-    /** @return Changes above a revision, or everything when the removals since then are no longer known. */
+    /** @return Changes above a revision, with all keys when the removals since then are not known. */
     ViewDelta deltaSince(Revision since) const;
 
     /** @return The route of an address, or null. */
@@ -91,7 +92,8 @@
     bool applyOne(const StoreChange& change, TimePoint now, TimePoint holdRemovedUntil, std::set<std::string>* seen);
     bool applyConfiguration(const ConfigurationChange& change, TimePoint now, std::set<std::string>* seen);
     bool removeKey(const std::string& key, Revision revision, TimePoint now, TimePoint holdUntil);
-    bool removeMissing(const std::set<std::string>& seen, Revision asOf, TimePoint now, TimePoint holdUntil);
+    bool removeMissing(
+        const std::function<bool(const std::string&)>& isPresent, Revision asOf, TimePoint now, TimePoint holdUntil);
     void reindex(const std::string& key, const ViewItem* before, const ViewItem& after);
     void reindexTarget(Endpoint address);
     void advance(Revision through);
--- a/src/transit_view_cmd.cpp
+++ b/src/transit_view_cmd.cpp
@@ -3,6 +3,8 @@
 #include "table/transit_limits.h"
 
 #include <algorithm>
+#include <tuple>
+#include <unordered_set>
 
 namespace hawthorncroft {
 
@@ -34,7 +36,7 @@
     bool hasChanged = false;
     for (const auto& change : changes)
         hasChanged |= applyOne(change, now, holdRemovedUntil, &seen);
-    hasChanged |= removeMissing(seen, asOf, now, holdRemovedUntil);
+    hasChanged |= removeMissing([&](const std::string& key) { return seen.contains(key); }, asOf, now, holdRemovedUntil);
     if (!m_through)
         m_historyFloor = asOf;
     advance(asOf);
@@ -53,19 +55,20 @@
 
 bool TransitView::applyDelta(const ViewDelta& delta, TimePoint now)
 {
-    if (delta.through <= m_through || (!delta.isFull && delta.since > m_through))
+    if (delta.through <= m_through || delta.since > m_through)
         return false;
     bool hasChanged = false;
-    std::set<std::string> seen;
     for (ViewItem item : delta.items) {
         item.receivedAt = now;
-        seen.insert(item.key);
         hasChanged |= apply(std::move(item));
     }
-    if (delta.isFull) {
-        hasChanged |= removeMissing(seen, delta.through, now, now);
-        m_historyFloor = delta.through;
+    if (delta.hasKeys) {
+        std::unordered_set<std::uint64_t> present(delta.keys.begin(), delta.keys.end());
+        hasChanged |= removeMissing(
+            [&](const std::string& key) { return present.contains(hashOfKey(key)); }, delta.through, now, now);
     }
+    if (!m_through)
+        m_historyFloor = delta.through;
     advance(delta.through);
     return hasChanged;
 }
@@ -156,11 +159,11 @@
 }
 
 bool TransitView::removeMissing(
-    const std::set<std::string>& seen, Revision asOf, TimePoint now, TimePoint holdUntil)
+    const std::function<bool(const std::string&)>& isPresent, Revision asOf, TimePoint now, TimePoint holdUntil)
 {
     std::vector<std::string> missing;
     for (const auto& [key, item] : m_items) {
-        if (!item.isRemoved && item.revision <= asOf && !seen.contains(key))
+        if (!item.isRemoved && item.revision <= asOf && !isPresent(key))
             missing.push_back(key);
     }
     for (const auto& key : missing)
--- a/src/transit_view_query.cpp
+++ b/src/transit_view_query.cpp
@@ -2,11 +2,21 @@
 
 namespace hawthorncroft {
 
+std::uint64_t hashOfKey(const std::string& key)
+{
+    std::uint64_t hash = key.size();
+    for (unsigned char c : key)
+        hash = mix64(hash ^ c);
+    return hash;
+}
+
 ViewDelta TransitView::deltaSince(Revision since) const
 {
-    ViewDelta delta { .since = since, .through = m_through, .isFull = since < m_historyFloor };
+    ViewDelta delta { .since = since, .through = m_through, .hasKeys = since && since < m_historyFloor, .keys = {}, .items = {} };
     for (const auto& [key, item] : m_items) {
-        bool isWanted = delta.isFull ? !item.isRemoved || item.value : item.revision > since;
+        if (delta.hasKeys && !item.isRemoved)
+            delta.keys.push_back(hashOfKey(key));
+        bool isWanted = since ? item.revision > since : !item.isRemoved || item.value;
         if (isWanted)
             delta.items.push_back(item);
     }
--- a/src/transit_view_type.h
+++ b/src/transit_view_type.h
@@ -77,14 +77,18 @@
     TimePoint receivedAt {};
 };
 
-/** Everything that changed above a revision, or everything. */
+/** Everything that changed above a revision. */
 struct ViewDelta {
-    Revision since; ///< The receiver must hold everything up to here, unless the delta is full.
+    Revision since; ///< The receiver must hold everything up to here.
     Revision through; ///< After applying it, the receiver holds everything up to here.
-    bool isFull {}; ///< Keys that are not in the delta do not exist.
+    bool hasKeys {}; ///< The sender does not know all removals; keys that are not in `keys` do not exist.
+    std::vector<std::uint64_t> keys; ///< Hashes of all keys that exist, so that unchanged items need not be sent.
     std::vector<ViewItem> items;
 };
 
+/** @return Hash of a key that is the same in every process. */
+std::uint64_t hashOfKey(const std::string& key);
+
 /** Full configuration as the operator wrote it. */
 struct ConfigurationChange {
     Revision revision;
