--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -212,6 +212,8 @@
     tests/standin_test.cpp
     tests/trace_config_test.cpp
     tests/trace_test.cpp
+    tests/transit_flow_test.cpp
+    tests/transit_sim.cpp
 )
 
 set(BENCHES
--- /dev/null
+++ b/tests/transit_flow_test.cpp
@@ -0,0 +1,351 @@
+#include "transit_sim.h"
+
+#include "table/transit_limits.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hawthorncroft;
+using namespace hawthorncroft::tests;
+
+namespace {
+
+/** Three balancers before three targets of one service, all settled. */
+struct Fleet : TransitSim {
+    std::vector<Endpoint> balancers;
+    std::vector<Endpoint> agents;
+
+    explicit Fleet(std::uint32_t targets = 3)
+    {
+        for (std::uint32_t i = 1; i <= 3; ++i)
+            balancers.push_back(addBalancer(i));
+        for (std::uint32_t i = 11; i < 11 + targets; ++i)
+            agents.push_back(addAgent(i));
+        run(seconds(2));
+    }
+
+    std::size_t startedInAll()
+    {
+        std::size_t count = 0;
+        for (Endpoint agent : agents)
+            count += target(agent.address).started.size();
+        return count;
+    }
+};
+
+}
+
+TEST_CASE("A transparent flow is opened at one target and served", "[transit]")
+{
+    Fleet fleet;
+    FlowTuple flow = flowOf(1);
+    std::uint32_t holder = fleet.open(fleet.balancers[0], flow);
+    REQUIRE(holder);
+    fleet.sendRequest(fleet.balancers[0], flow);
+    fleet.run(milliseconds(50));
+    CHECK(fleet.caller(flow).answers == 1);
+
+    SECTION("a packet at a balancer that does not know the flow finds it, which guards against flows lost with a balancer")
+    {
+        fleet.kill(fleet.balancers[0]);
+        std::size_t before = fleet.messages();
+        fleet.sendRequest(fleet.balancers[1], flow, 2);
+        fleet.run(milliseconds(40));
+        CHECK(fleet.caller(flow).answers == 2);
+        CHECK(fleet.balancer(fleet.balancers[1]).holderOf(flow) == Endpoint { holder, fleetPort });
+        CHECK(fleet.messages() - before < 20);
+
+        SECTION("and stays found after that balancer ends too")
+        {
+            fleet.kill(fleet.balancers[1]);
+            fleet.sendRequest(fleet.balancers[2], flow, 3);
+            fleet.run(milliseconds(40));
+            CHECK(fleet.caller(flow).answers == 3);
+            CHECK_FALSE(fleet.caller(flow).resetAt);
+        }
+    }
+    SECTION("a copy of the opening packet reaches the same target, which guards against a second half-open flow")
+    {
+        fleet.sendOpen(fleet.balancers[0], flow, 1);
+        fleet.run(milliseconds(40));
+        std::size_t opened = 0;
+        for (Endpoint agent : fleet.agents)
+            opened += fleet.target(agent.address).opened.size();
+        CHECK(opened == 1);
+    }
+}
+
+TEST_CASE("An opening packet that waited in a paused balancer does not hide the open flow", "[transit]")
+{
+    Fleet fleet;
+    FlowTuple flow = flowOf(7);
+    // The first packet waits in a balancer that stands still; the copy opens the flow through another one.
+    fleet.pause(fleet.balancers[0]);
+    fleet.sendOpen(fleet.balancers[0], flow);
+    std::uint32_t holder = fleet.open(fleet.balancers[1], flow);
+    REQUIRE(holder);
+    fleet.sendRequest(fleet.balancers[1], flow);
+    fleet.run(milliseconds(50));
+    // Load makes the other targets look better, so that the late packet goes elsewhere.
+    fleet.resume(fleet.balancers[0]);
+    fleet.run(milliseconds(100));
+    fleet.sendRequest(fleet.balancers[0], flow, 2);
+    fleet.run(milliseconds(100));
+    CHECK(fleet.caller(flow).answers == 2);
+    CHECK_FALSE(fleet.caller(flow).resetAt);
+}
+
+TEST_CASE("A flow is reset only when no target holds it", "[transit]")
+{
+    Fleet fleet;
+    FlowTuple flow = flowOf(3);
+    std::uint32_t holder = fleet.open(fleet.balancers[0], flow);
+    REQUIRE(holder);
+    fleet.sendRequest(fleet.balancers[0], flow);
+    fleet.run(milliseconds(50));
+
+    SECTION("after its target started again the caller is told at once, which guards against waiting for the time budget")
+    {
+        fleet.restartTarget(holder, "new");
+        fleet.run(milliseconds(100));
+        TimePoint sentAt = fleet.now();
+        fleet.sendRequest(fleet.balancers[0], flow, 2);
+        fleet.run(milliseconds(200));
+        REQUIRE(fleet.caller(flow).resetAt);
+        CHECK(*fleet.caller(flow).resetAt - sentAt < milliseconds(60));
+    }
+    SECTION("while its agent is cut off it is not reset, which guards against ending a flow whose target lives")
+    {
+        fleet.kill(fleet.balancers[0]);
+        fleet.cut(holder);
+        fleet.sendRequest(fleet.balancers[1], flow, 2);
+        fleet.run(seconds(1));
+        CHECK_FALSE(fleet.caller(flow).resetAt);
+        fleet.heal(holder);
+        fleet.run(seconds(2));
+        fleet.sendRequest(fleet.balancers[1], flow, 3);
+        fleet.run(milliseconds(500));
+        CHECK(fleet.caller(flow).answers == 2);
+        CHECK_FALSE(fleet.caller(flow).resetAt);
+    }
+    SECTION("after agents and balancers started again beside living targets it goes on")
+    {
+        for (Endpoint balancer : fleet.balancers)
+            fleet.restart(balancer);
+        for (Endpoint agent : fleet.agents)
+            fleet.restart(agent);
+        fleet.run(milliseconds(200));
+        TimePoint sentAt = fleet.now();
+        fleet.sendRequest(fleet.balancers[2], flow, 2);
+        fleet.run(milliseconds(100));
+        CHECK(fleet.caller(flow).answers == 2);
+        CHECK(*fleet.caller(flow).answeredAt - sentAt < milliseconds(90));
+        CHECK_FALSE(fleet.caller(flow).resetAt);
+    }
+}
+
+TEST_CASE("Opening packets leave agents that do not answer", "[transit]")
+{
+    Fleet fleet;
+
+    SECTION("another agent is asked before the caller sends a copy, which guards against late answers after an agent's end")
+    {
+        fleet.kill(fleet.agents[0]);
+        for (std::uint32_t i = 0; i < 12; ++i)
+            fleet.sendOpen(fleet.balancers[0], flowOf(100 + i));
+        fleet.run(milliseconds(100));
+        for (std::uint32_t i = 0; i < 12; ++i) {
+            INFO("flow " << i);
+            CHECK(fleet.caller(flowOf(100 + i)).openedAt);
+        }
+    }
+    SECTION("a target that stands still is left by its agent's word")
+    {
+        fleet.target(fleet.agents[1].address).isAlive = false;
+        for (std::uint32_t i = 0; i < 12; ++i)
+            fleet.sendOpen(fleet.balancers[0], flowOf(200 + i));
+        fleet.run(milliseconds(180));
+        for (std::uint32_t i = 0; i < 12; ++i) {
+            INFO("flow " << i);
+            CHECK(fleet.caller(flowOf(200 + i)).openedAt);
+        }
+    }
+    SECTION("repeats have a budget, which guards against load that an outage multiplies")
+    {
+        for (Endpoint agent : fleet.agents)
+            fleet.kill(agent);
+        std::size_t before = fleet.messages();
+        for (std::uint32_t i = 0; i < 300; ++i)
+            fleet.sendOpen(fleet.balancers[0], flowOf(1000 + i));
+        fleet.run(milliseconds(300));
+        // 300 openings, a bounded number of repeats, and the stamps of three balancers.
+        CHECK(fleet.messages() - before < 300 + repeatReserve + repeatRefill + 100);
+    }
+    SECTION("a tick that comes late blames nobody, which guards against repeats by a balancer that is itself overloaded")
+    {
+        fleet.sendOpen(fleet.balancers[0], flowOf(50));
+        fleet.pause(fleet.balancers[0]);
+        fleet.run(milliseconds(80));
+        fleet.resume(fleet.balancers[0]);
+        fleet.run(milliseconds(30));
+        CHECK(fleet.logged("agent_silent") == 0);
+        CHECK(fleet.caller(flowOf(50)).openedAt);
+    }
+}
+
+TEST_CASE("What cannot be served is refused at once", "[transit]")
+{
+    Fleet fleet;
+
+    SECTION("an address without a route")
+    {
+        FlowTuple flow { { 0x64000001, 40000 }, { 0x0a630009, 1 } };
+        fleet.sendOpen(fleet.balancers[0], flow);
+        fleet.run(milliseconds(5));
+        CHECK(fleet.caller(flow).resetAt);
+    }
+    SECTION("a service whose targets all drain")
+    {
+        for (Endpoint agent : fleet.agents) {
+            TargetRecord record = targetRecord(agent.address, "t" + std::to_string(agent.address));
+            record.isDraining = true;
+            fleet.writeTarget(record);
+        }
+        fleet.run(milliseconds(300));
+        fleet.sendOpen(fleet.balancers[0], flowOf(1));
+        fleet.run(milliseconds(10));
+        CHECK(fleet.caller(flowOf(1)).resetAt);
+        CHECK(fleet.startedInAll() == 0);
+    }
+}
+
+TEST_CASE("The agent has the last word on opening packets", "[transit]")
+{
+    Fleet fleet;
+    Endpoint agent = fleet.agents[0];
+
+    auto ask = [&](const std::string& service) {
+        TransitEffects effects;
+        ForwardMessage forward { .replyTo = fleet.balancers[0], .service = service, .packet = { .flow = flowOf(9), .flags = { .isOpening = true } } };
+        fleet.agent(agent).onMessage(fleet.balancers[0], { Revision(1), forward }, fleet.now(), effects);
+        for (auto& effect : effects) {
+            auto* send = std::get_if<SendMessage>(&effect);
+            if (send && std::get_if<DeclinedMessage>(&send->body))
+                return std::get<DeclinedMessage>(send->body).reason;
+        }
+        return DeclineReason::End;
+    };
+
+    SECTION("it takes one for its service") { CHECK(ask("web") == DeclineReason::End); }
+    SECTION("it refuses one for the service that had its address before, which guards against a stale balancer")
+    {
+        CHECK(ask("mail") == DeclineReason::WrongService);
+    }
+    SECTION("it refuses while its target drains")
+    {
+        TargetRecord record = targetRecord(agent.address, "t11");
+        record.isDraining = true;
+        fleet.writeTarget(record);
+        fleet.run(milliseconds(300));
+        CHECK(ask("web") == DeclineReason::Draining);
+    }
+    SECTION("it refuses while its failure domain is evacuated, and takes again afterwards")
+    {
+        fleet.evacuate("a", true);
+        fleet.run(milliseconds(300));
+        CHECK(ask("web") == DeclineReason::Evacuated);
+        fleet.evacuate("a", false);
+        fleet.run(milliseconds(300));
+        CHECK(ask("web") == DeclineReason::End);
+    }
+    SECTION("it refuses once it ends, and nothing new reaches its target")
+    {
+        TransitEffects effects;
+        fleet.agent(agent).onStop(fleet.now(), effects);
+        CHECK(ask("web") == DeclineReason::Leaving);
+    }
+}
+
+TEST_CASE("A cold target gets no more than it bears in any second", "[transit]")
+{
+    Fleet fleet;
+    constexpr double perSecond = 10;
+    fleet.writeRoutes({ routeTo("web") }, perSecond);
+    // All targets but the cold one drain, so that the whole crowd is meant for it.
+    for (std::size_t i = 1; i < fleet.agents.size(); ++i) {
+        TargetRecord record = targetRecord(fleet.agents[i].address, "t" + std::to_string(fleet.agents[i].address));
+        record.isDraining = true;
+        fleet.writeTarget(record);
+    }
+    TargetRecord cold = targetRecord(fleet.agents[0].address, "t11");
+    cold.coldLeft = seconds(3);
+    fleet.writeTarget(cold);
+    fleet.run(milliseconds(300));
+    for (std::uint32_t i = 0; i < 200; ++i) {
+        fleet.sendOpen(fleet.balancers[i % 3], flowOf(3000 + i));
+        fleet.run(milliseconds(10));
+    }
+    const auto& opened = fleet.target(fleet.agents[0].address).opened;
+    REQUIRE(opened.size() > 20);
+    for (std::size_t i = 0; i < opened.size(); ++i) {
+        std::size_t within = 0;
+        for (std::size_t j = i; j < opened.size() && opened[j].first - opened[i].first < seconds(1); ++j)
+            ++within;
+        CHECK(within <= perSecond * 1.5 + 5);
+    }
+}
+
+TEST_CASE("Requests wait at the agent while the target is busy", "[transit]")
+{
+    Fleet fleet(1);
+    FakeTransitTarget& target = fleet.target(fleet.agents[0].address);
+    target.work = milliseconds(40);
+
+    SECTION("new requests go before those that are late already, which guards against a crowd that makes all late")
+    {
+        // Copies: their callers asked 600 ms ago, more than the objective of 120 ms.
+        constexpr std::uint32_t crowd = 30;
+        for (std::uint32_t i = 0; i < crowd; ++i)
+            fleet.sendOpen(fleet.balancers[0], flowOf(i), 2);
+        fleet.run(milliseconds(10));
+        for (std::uint32_t i = 0; i < crowd; ++i)
+            fleet.sendRequest(fleet.balancers[0], flowOf(i));
+        fleet.run(milliseconds(10));
+        FlowTuple fresh = flowOf(500);
+        fleet.open(fleet.balancers[0], fresh);
+        TimePoint sentAt = fleet.now();
+        fleet.sendRequest(fleet.balancers[0], fresh);
+        fleet.run(milliseconds(600));
+        REQUIRE(fleet.caller(fresh).answeredAt);
+        CHECK(*fleet.caller(fresh).answeredAt - sentAt <= milliseconds(110));
+        for (std::uint32_t i = 0; i < crowd; ++i)
+            CHECK(fleet.caller(flowOf(i)).answers == 1);
+    }
+    SECTION("a copy of a request that waits is handed over once")
+    {
+        for (std::uint32_t i = 0; i < 12; ++i)
+            fleet.open(fleet.balancers[0], flowOf(i));
+        for (std::uint32_t i = 0; i < 12; ++i) {
+            fleet.sendRequest(fleet.balancers[0], flowOf(i));
+            fleet.sendRequest(fleet.balancers[0], flowOf(i));
+        }
+        fleet.run(seconds(1));
+        CHECK(target.started.size() == 12);
+        // Only requests that went straight through may have had their copies behind them.
+        CHECK(target.handed <= 12 + target.slots + slotsInAdvance);
+    }
+    SECTION("a request whose answer never comes does not hold the others for good, which guards against a leaked slot")
+    {
+        target.work = seconds(100);
+        for (std::uint32_t i = 0; i < 8; ++i) {
+            fleet.open(fleet.balancers[0], flowOf(i));
+            fleet.sendRequest(fleet.balancers[0], flowOf(i));
+        }
+        fleet.run(milliseconds(200));
+        target.slots = 100;
+        target.work = milliseconds(10);
+        fleet.open(fleet.balancers[0], flowOf(90));
+        fleet.sendRequest(fleet.balancers[0], flowOf(90));
+        fleet.run(seconds(1));
+        CHECK(fleet.caller(flowOf(90)).answers == 1);
+    }
+}
--- /dev/null
+++ b/tests/transit_sim.cpp
@@ -0,0 +1,372 @@
+#include "transit_sim.h"
+
+#include "table/transit_limits.h"
+
+#include <algorithm>
+
+namespace hawthorncroft::tests {
+
+namespace {
+
+    constexpr Duration delay = milliseconds(1); ///< Of every message.
+    constexpr Duration localDelay = microseconds(100); ///< Between an agent and its target.
+
+    std::string keyOf(const StoreChange& change)
+    {
+        if (const auto* target = std::get_if<TargetChange>(&change))
+            return "target/" + target->target.id;
+        if (const auto* evacuation = std::get_if<EvacuationChange>(&change))
+            return "evacuation/" + evacuation->failureDomain;
+        return "configuration";
+    }
+
+}
+
+RouteRecord routeTo(const std::string& service, Endpoint address)
+{
+    return { .address = address, .shares = { { service, 1 } }, .isIdempotent = true, .priority = 1,
+        .timeout = seconds(2), .latencyObjective = milliseconds(120) };
+}
+
+TargetRecord targetRecord(std::uint32_t address, const std::string& id, const std::string& service, const std::string& domain)
+{
+    return { .id = id, .service = service, .address = { address, targetPort }, .failureDomain = domain, .slots = 4,
+        .isDraining = false, .coldLeft = {}, .startedAt = std::hash<std::string> {}(id) % 1000 + 1 };
+}
+
+TransitSim::TransitSim() { writeRoutes({ routeTo("web") }); }
+
+Endpoint TransitSim::addBalancer(std::uint32_t address, const std::string& domain)
+{
+    Endpoint endpoint { address, fleetPort };
+    if (m_seeds.size() < 3)
+        m_seeds.push_back(endpoint);
+    m_processes[endpoint] = { .domain = domain, .nextTick = m_now };
+    restart(endpoint);
+    return endpoint;
+}
+
+Endpoint TransitSim::addAgent(std::uint32_t address, const std::string& service, const std::string& domain, bool isFirstStart)
+{
+    Endpoint endpoint { address, fleetPort };
+    m_processes[endpoint] = { .isAgent = true, .service = service, .domain = domain, .isFirstStart = isFirstStart, .nextTick = m_now };
+    std::string id = "t" + std::to_string(address);
+    m_targets[address] = { .id = id, .service = service };
+    writeTarget(targetRecord(address, id, service, domain));
+    restart(endpoint);
+    m_processes[endpoint].isFirstStart = false;
+    return endpoint;
+}
+
+void TransitSim::restart(Endpoint process)
+{
+    Process& settings = m_processes[process];
+    settings.incarnation = mix64(process.address, ++m_lastNumber);
+    settings.nextTick = m_now;
+    m_cores[process] = makeCore(process);
+}
+
+std::unique_ptr<TransitCore> TransitSim::makeCore(Endpoint process)
+{
+    const Process& settings = m_processes[process];
+    FleetOptions fleet { .self = process, .role = settings.isAgent ? ProcessRole::Agent : ProcessRole::Balancer,
+        .incarnation = settings.incarnation, .seeds = m_seeds };
+    if (!settings.isAgent)
+        return std::make_unique<TransitBalancer>(
+            TransitBalancerOptions { .fleet = fleet, .failureDomain = settings.domain, .fleetPort = fleetPort });
+    return std::make_unique<TransitAgent>(TransitAgentOptions {
+        .fleet = fleet,
+        .admission = { .service = settings.service, .target = { process.address, targetPort } },
+        .fleetPort = fleetPort,
+        .isFirstStart = settings.isFirstStart,
+    });
+}
+
+void TransitSim::writeRoutes(const std::vector<RouteRecord>& routes, double warmupPerSecond)
+{
+    ++m_revision.value;
+    std::vector<ServiceRecord> services;
+    for (const char* name : { "web", "mail" })
+        services.push_back({ .name = name, .flowLimit = 2000, .warmup = seconds(2), .warmupPerSecond = warmupPerSecond });
+    StoreChange change = ConfigurationChange { m_revision, routes, services };
+    m_store["configuration"] = change;
+    m_history.emplace_back(m_revision, change);
+}
+
+void TransitSim::writeTarget(const TargetRecord& target)
+{
+    ++m_revision.value;
+    StoreChange change = TargetChange { m_revision, target };
+    m_store[keyOf(change)] = change;
+    m_history.emplace_back(m_revision, change);
+}
+
+void TransitSim::removeTarget(const std::string& id)
+{
+    ++m_revision.value;
+    m_store.erase("target/" + id);
+    m_history.emplace_back(m_revision, TargetRemoval { m_revision, id });
+}
+
+void TransitSim::evacuate(const std::string& domain, bool isOut)
+{
+    ++m_revision.value;
+    StoreChange change = EvacuationChange { m_revision, domain };
+    if (isOut)
+        m_store[keyOf(change)] = change;
+    else
+        m_store.erase(keyOf(change));
+    m_history.emplace_back(m_revision, isOut ? change : StoreChange(EvacuationEnd { m_revision, domain }));
+}
+
+void TransitSim::restartTarget(std::uint32_t address, const std::string& id)
+{
+    FakeTransitTarget& target = m_targets[address];
+    std::string old = target.id;
+    target = { .id = id, .service = target.service, .slots = target.slots, .work = target.work };
+    removeTarget(old);
+    writeTarget(targetRecord(address, id, target.service, m_processes[{ address, fleetPort }].domain));
+}
+
+void TransitSim::sendOpen(Endpoint balancer, const FlowTuple& flow, std::uint32_t copy)
+{
+    TransitPacket packet { .flow = flow, .flags = { .isOpening = true }, .sequence = 5, .acknowledged = copy };
+    deliver(balancer, 0, [this, packet, balancer](TransitCore& core) {
+        TransitEffects effects;
+        core.onPacket(packet, m_now, effects);
+        carryOut(balancer, effects);
+    });
+}
+
+void TransitSim::sendRequest(Endpoint balancer, const FlowTuple& flow, std::uint32_t sequence)
+{
+    TransitPacket packet { .flow = flow, .flags = { .hasAcknowledgement = true }, .sequence = sequence,
+        .acknowledged = m_callers[flow].targetSequence + 1, .dataSize = 100, .requestId = "r" + std::to_string(sequence) };
+    packet.bytes.resize(132);
+    deliver(balancer, 0, [this, packet, balancer](TransitCore& core) {
+        TransitEffects effects;
+        core.onPacket(packet, m_now, effects);
+        carryOut(balancer, effects);
+    });
+}
+
+std::uint32_t TransitSim::open(Endpoint balancer, const FlowTuple& flow)
+{
+    sendOpen(balancer, flow);
+    run(milliseconds(10));
+    for (const auto& [address, target] : m_targets) {
+        if (target.flows.contains(flow))
+            return address;
+    }
+    return 0;
+}
+
+void TransitSim::run(Duration time)
+{
+    TimePoint end = m_now + time;
+    while (m_now < end) {
+        TimePoint nextTick = m_now + milliseconds(5);
+        while (!m_events.empty() && m_events.top().at <= std::min(nextTick, end)) {
+            Event event = m_events.top();
+            m_events.pop();
+            m_now = std::max(m_now, event.at);
+            event.action();
+        }
+        m_now = std::min(nextTick, end);
+        tickAll();
+        answerWatches();
+    }
+}
+
+std::size_t TransitSim::logged(const std::string& event) const
+{
+    auto found = m_logged.find(event);
+    return found == m_logged.end() ? 0 : found->second;
+}
+
+void TransitSim::at(TimePoint time, std::function<void()> action) { m_events.push({ time, ++m_lastNumber, std::move(action) }); }
+
+void TransitSim::tickAll()
+{
+    for (auto& [endpoint, core] : m_cores) {
+        Process& process = m_processes[endpoint];
+        if (m_paused.contains(endpoint) || m_now < process.nextTick)
+            continue;
+        process.nextTick = m_now + tickInterval;
+        for (auto& action : std::exchange(m_heldBack[endpoint], {}))
+            action();
+        TransitEffects effects;
+        core->onTick(m_now, effects);
+        carryOut(endpoint, effects);
+    }
+}
+
+void TransitSim::deliver(Endpoint process, std::uint64_t incarnation, std::function<void(TransitCore&)> action)
+{
+    auto found = m_cores.find(process);
+    bool isSame = found != m_cores.end() && (!incarnation || m_processes[process].incarnation == incarnation);
+    if (!isSame || m_cut.contains(process.address))
+        return;
+    if (m_paused.contains(process)) {
+        m_heldBack[process].push_back([this, process, incarnation, action] { deliver(process, incarnation, action); });
+        return;
+    }
+    action(*found->second);
+}
+
+void TransitSim::carryOut(Endpoint process, TransitEffects& effects)
+{
+    std::uint64_t incarnation = m_processes[process].incarnation;
+    Revision through = m_cores.at(process)->fleet().view().through();
+    for (auto& effect : effects) {
+        if (auto* send = std::get_if<SendMessage>(&effect)) {
+            ++m_messages;
+            if (m_cut.contains(process.address))
+                continue;
+            Endpoint to = send->to;
+            at(m_now + delay, [this, process, to, message = Message { through, std::move(send->body) }] {
+                // By value: a paused process gets it later.
+                deliver(to, 0, [this, process, to, message](TransitCore& core) {
+                    TransitEffects next;
+                    core.onMessage(process, message, m_now, next);
+                    carryOut(to, next);
+                });
+            });
+        } else if (auto* packet = std::get_if<HandToTarget>(&effect)) {
+            at(m_now + localDelay, [this, process, packet = packet->packet, tag = packet->tag] {
+                targetTakes(process.address, packet, tag);
+            });
+        } else if (auto* answer = std::get_if<HandToCaller>(&effect)) {
+            if (!m_cut.contains(process.address))
+                callerGets(answer->packet);
+        } else if (auto* reset = std::get_if<ResetCaller>(&effect)) {
+            if (!m_cut.contains(process.address) && !m_callers[reset->flow].resetAt)
+                m_callers[reset->flow].resetAt = m_now;
+        } else if (std::get_if<ReadStore>(&effect) || std::get_if<WatchStore>(&effect)) {
+            ++m_storeCalls;
+            auto* watch = std::get_if<WatchStore>(&effect);
+            m_watches.push_back({ process, incarnation, watch ? watch->after : Revision(),
+                m_now + (watch ? watch->wait : Duration {}) });
+        } else if (auto* line = std::get_if<WriteLog>(&effect)) {
+            ++m_logged[std::string(line->event)];
+        }
+    }
+}
+
+void TransitSim::answerWatches()
+{
+    auto watches = std::exchange(m_watches, {});
+    for (const Watch& watch : watches) {
+        bool isRead = !watch.after;
+        bool isDue = isRead || m_revision > watch.after || m_now >= watch.until || m_isStoreDown;
+        if (!isDue) {
+            m_watches.push_back(watch);
+            continue;
+        }
+        deliver(watch.process, watch.incarnation, [this, watch, isRead](TransitCore& core) {
+            TransitEffects effects;
+            std::vector<StoreChange> all;
+            for (const auto& [key, change] : m_store)
+                all.push_back(change);
+            if (m_isStoreDown)
+                core.onStoreFailure(StoreFailure::Unreachable, m_now, effects);
+            else if (isRead)
+                core.onStorePage(all, m_revision, {}, m_now, effects);
+            else
+                core.onStoreChanges(changesAfter(watch.after), m_revision, m_now, effects);
+            carryOut(watch.process, effects);
+        });
+    }
+}
+
+std::vector<StoreChange> TransitSim::changesAfter(Revision after) const
+{
+    std::vector<StoreChange> changes;
+    for (const auto& [revision, change] : m_history) {
+        if (revision > after)
+            changes.push_back(change);
+    }
+    return changes;
+}
+
+void TransitSim::targetTakes(std::uint32_t address, TransitPacket packet, std::uint32_t tag)
+{
+    FakeTransitTarget& target = m_targets[address];
+    if (!target.isAlive)
+        return;
+    if (packet.flags.isOpening) {
+        if (target.flows.insert(packet.flow).second)
+            target.opened.emplace_back(m_now, packet.flow);
+        TransitPacket answer { .flow = packet.flow, .flags = { .isOpening = true, .hasAcknowledgement = true }, .sequence = 1000000 * (address & 0xff) };
+        targetSends(address, answer);
+        return;
+    }
+    if (!target.flows.contains(packet.flow)) {
+        ++target.returned;
+        packet.flags.isReturned = true;
+        packet.tag = tag;
+        targetSends(address, packet);
+        return;
+    }
+    if (!packet.dataSize)
+        return;
+    ++target.handed;
+    if (target.seen.emplace(packet.flow, packet.sequence).second)
+        target.queue.push_back(packet.flow);
+    startNext(address);
+}
+
+void TransitSim::startNext(std::uint32_t address)
+{
+    FakeTransitTarget& target = m_targets[address];
+    while (target.running < target.slots && !target.queue.empty()) {
+        FlowTuple flow = target.queue.front();
+        target.queue.erase(target.queue.begin());
+        ++target.running;
+        target.started.emplace_back(m_now, flow);
+        at(m_now + target.work, [this, address, flow, id = target.id] {
+            FakeTransitTarget& then = m_targets[address];
+            if (then.id != id || !then.isAlive)
+                return; // Another lifetime.
+            --then.running;
+            targetSends(address, { .flow = flow, .flags = { .hasAcknowledgement = true }, .dataSize = 500 });
+            startNext(address);
+        });
+    }
+}
+
+void TransitSim::targetSends(std::uint32_t address, TransitPacket packet)
+{
+    Endpoint agent { address, fleetPort };
+    at(m_now + localDelay, [this, agent, packet] {
+        bool isCut = m_cut.contains(agent.address);
+        m_cut.erase(agent.address); // The target's own VM is not cut off from itself.
+        deliver(agent, 0, [this, agent, packet, isCut](TransitCore& core) {
+            TransitEffects effects;
+            core.onPacket(packet, m_now, effects);
+            if (isCut)
+                m_cut.insert(agent.address);
+            carryOut(agent, effects);
+        });
+        if (isCut)
+            m_cut.insert(agent.address);
+    });
+}
+
+void TransitSim::callerGets(const TransitPacket& packet)
+{
+    CallerView& view = m_callers[packet.flow];
+    if (packet.flags.isOpening) {
+        if (!view.openedAt) {
+            view.openedAt = m_now;
+            view.targetSequence = packet.sequence;
+        }
+        return;
+    }
+    if (packet.dataSize) {
+        ++view.answers;
+        view.answeredAt = m_now;
+    }
+}
+
+} // namespace hawthorncroft::tests
