--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -207,6 +207,7 @@
     tests/main_test.cpp
     tests/metrics_test.cpp
     tests/placement_test.cpp
+    tests/platform_test.cpp
     tests/replica_test.cpp
     tests/settings_test.cpp
     tests/standin_test.cpp
@@ -214,6 +215,7 @@
     tests/trace_test.cpp
     tests/transit_flow_test.cpp
     tests/transit_sim.cpp
+    tests/transit_view_test.cpp
 )
 
 set(BENCHES
--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,385 @@
+#include "packet_format.h"
+#include "platform_settings.h"
+#include "store_decoder.h"
+#include "transit_codec_func.h"
+#include "transit_log_base.h"
+#include "transit_metrics_base.h"
+#include "transit_sim.h"
+
+#include "table/transit_limits.h"
+
+#include <boost/beast/core/detail/base64.hpp>
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+using namespace hawthorncroft;
+using namespace hawthorncroft::tests;
+
+namespace {
+
+const PlatformPacketFormat format;
+
+std::vector<std::uint8_t> bytesOf(std::initializer_list<int> values) { return { values.begin(), values.end() }; }
+
+std::vector<std::uint8_t> openingPacket()
+{
+    // Opening packet from 100.64.0.7:40001 to 198.18.0.1:443 with sequence 0x11223344.
+    return bytesOf({ 0, 0, 0, 0, 0, 0, 0x44, 0x33, 0x22, 0x11, 0, 0, 0, 0, 8, 0, 0xd5, 0xc3, 0xb2, 0xa1, 7, 0, 0x40, 0x64, 1,
+        0, 0x12, 0xc6, 0x41, 0x9c, 0xbb, 1 });
+}
+
+std::string base64(const std::string& text)
+{
+    std::string encoded(boost::beast::detail::base64::encoded_size(text.size()), '\0');
+    encoded.resize(boost::beast::detail::base64::encode(encoded.data(), text.data(), text.size()));
+    return encoded;
+}
+
+std::string item(const std::string& key, int revision, const std::string& value)
+{
+    return R"({"Key":")" + key + R"(","Value":")" + base64(value) + R"(","Revision":)" + std::to_string(revision) + R"(,"Created":1,"Lease":0})";
+}
+
+std::string range(const std::string& items) { return R"({"items":[)" + items + R"(],"Truncated":false,"AsOf":40})"; }
+
+const std::string goodTarget = R"({"Service":"web","Addr":"10.0.0.9:8080","Zone":"a","Version":"v1","MaxConcurrency":4,"State":"ready","WarmupLeftMs":0,"Seq":4,"born":1790449014666})";
+
+struct Faults {
+    std::vector<std::string> lines;
+    StoreFaultHandler handler() { return [this](const std::string& key, const std::string& fault) { lines.push_back(key + ": " + fault); }; }
+};
+
+}
+
+TEST_CASE("Packets of the platform are decoded once", "[platform]")
+{
+    auto packet = format.decode(openingPacket(), false);
+    REQUIRE(packet);
+    CHECK(toString(packet->flow.caller) == "100.64.0.7:40001");
+    CHECK(toString(packet->flow.service) == "198.18.0.1:443");
+    CHECK(packet->flags.isOpening);
+    CHECK(packet->sequence == 0x11223344);
+
+    SECTION("a target's packet belongs to the same flow in the other direction")
+    {
+        auto bytes = openingPacket();
+        std::swap_ranges(bytes.begin() + 20, bytes.begin() + 24, bytes.begin() + 24);
+        std::swap_ranges(bytes.begin() + 28, bytes.begin() + 30, bytes.begin() + 30);
+        CHECK(format.decode(bytes, true)->flow == packet->flow);
+    }
+    SECTION("a returned packet is still the caller's, and nothing but tag and mark changes on the way")
+    {
+        auto bytes = openingPacket();
+        bytes[14] |= 128;
+        auto returned = format.decode(bytes, true);
+        REQUIRE(returned);
+        CHECK(returned->flow == packet->flow);
+        CHECK(returned->flags.isReturned);
+        format.setTag(*returned, 0);
+        CHECK(returned->bytes == openingPacket());
+    }
+    SECTION("a reset has the layout that callers accept")
+    {
+        CHECK(format.makeReset(packet->flow, 0) == bytesOf({ 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 2, 0, 0, 0, 0, 0, 1, 0, 0x12,
+                  0xc6, 7, 0, 0x40, 0x64, 0xbb, 1, 0x41, 0x9c }));
+    }
+    SECTION("every wrong length is refused")
+    {
+        auto bytes = openingPacket();
+        for (std::size_t size = 0; size < 32; ++size)
+            CHECK_FALSE(format.decode(std::span(bytes).first(size), false));
+        bytes[4] = 1;
+        CHECK_FALSE(format.decode(bytes, false));
+        bytes.push_back(0);
+        CHECK(format.decode(bytes, false));
+        bytes[4] = 0xb1; // 1201 bytes of data.
+        bytes[5] = 4;
+        bytes.resize(32 + 1201);
+        CHECK_FALSE(format.decode(bytes, false));
+    }
+    SECTION("the id of a request is read from its head, and only there")
+    {
+        std::string head = "POST /x HTTP/1.1\r\nHost: h\r\nRequest-Id: ab12\r\n\r\n";
+        auto bytes = openingPacket();
+        bytes[14] = 32;
+        bytes[4] = static_cast<std::uint8_t>(head.size());
+        bytes.insert(bytes.end(), head.begin(), head.end());
+        CHECK(format.decode(bytes, false)->requestId == "ab12");
+        bytes[32] = 'X';
+        CHECK(format.decode(bytes, false)->requestId.empty());
+    }
+}
+
+TEST_CASE("Messages between processes survive their encoding", "[transit][codec]")
+{
+    TimePoint now { seconds(9).us };
+    auto packet = *format.decode(openingPacket(), false);
+    auto roundTrip = [&](MessageBody body) {
+        auto decoded = decodeMessage(encodeMessage({ Revision(7), std::move(body) }, now), format, now);
+        REQUIRE(decoded);
+        CHECK(decoded->through == Revision(7));
+        return decoded->body;
+    };
+
+    SECTION("a forwarded packet")
+    {
+        auto body = std::get<ForwardMessage>(roundTrip(ForwardMessage { { 1, 2 }, "web", Revision(5), true, 1, { { 3, 4 } }, packet }));
+        CHECK(body.packet.bytes == packet.bytes);
+        CHECK(body.packet.flow == packet.flow);
+        CHECK(body.replyTo == Endpoint { 1, 2 });
+        CHECK(body.isLocating);
+        CHECK(body.tried == std::vector<Endpoint> { { 3, 4 } });
+    }
+    SECTION("answers, questions and notes")
+    {
+        CHECK(std::get<HeldMessage>(roundTrip(HeldMessage { packet.flow, 9, true, { 1, 2, 3 } })).load == LoadReport { 1, 2, 3 });
+        CHECK(std::get<DeclinedMessage>(roundTrip(DeclinedMessage { DeclineReason::Cold, { .replyTo = { 1, 2 }, .packet = packet }, {} })).reason == DeclineReason::Cold);
+        CHECK(std::get<NotHeldMessage>(roundTrip(NotHeldMessage { packet })).packet.flow == packet.flow);
+        CHECK(std::get<HolderMessage>(roundTrip(HolderMessage { { packet.flow } })).flows.front() == packet.flow);
+        CHECK(std::get<LocateMessage>(roundTrip(LocateMessage { { 1, 2 }, { packet, packet } })).packets.size() == 2);
+        CHECK(std::get<NotHeldFlowsMessage>(roundTrip(NotHeldFlowsMessage { { packet.flow } })).flows.size() == 1);
+        CHECK(std::get<StampMessage>(roundTrip(StampMessage { ProcessRole::Agent, 5, milliseconds(3), true, {}, { { 1, 2 } } })).balancers.size() == 1);
+        CHECK(std::get<LeavingMessage>(roundTrip(LeavingMessage { ProcessRole::Agent })).role == ProcessRole::Agent);
+    }
+    SECTION("a delta, whose times shrink by what passed at the sender")
+    {
+        TargetRecord record = targetRecord(11, "one");
+        record.coldLeft = seconds(2);
+        ViewItem target { .key = "target/one", .revision = Revision(6), .isRemoved = true, .value = record,
+            .heldUntil = now + milliseconds(300), .receivedAt = now - milliseconds(500) };
+        ViewItem route { .key = "route/x", .revision = Revision(7), .value = routeTo("web") };
+        ViewItem service { .key = "service/web", .revision = Revision(7), .value = ServiceRecord { "web", 2000, seconds(2), 4.5 } };
+        ViewItem evacuation { .key = "evacuation/a", .revision = Revision(7), .value = EvacuationRecord { "a" } };
+        DeltaMessage message { milliseconds(4), { Revision(1), Revision(7), true, { 42 }, { target, route, service, evacuation } } };
+        auto body = std::get<DeltaMessage>(roundTrip(message));
+        REQUIRE(body.delta.items.size() == 4);
+        CHECK(body.delta.keys == std::vector<std::uint64_t> { 42 });
+        CHECK(std::get<TargetRecord>(*body.delta.items[0].value).coldLeft == milliseconds(1500));
+        CHECK(body.delta.items[0].heldUntil == now + milliseconds(300));
+        CHECK(body.delta.items[1].value == route.value);
+        CHECK(body.delta.items[2].value == service.value);
+        CHECK(body.delta.items[3].value == evacuation.value);
+    }
+    SECTION("bytes that are no message are refused")
+    {
+        rc::check("no bytes crash the decoder", [&](std::vector<std::uint8_t> bytes) { decodeMessage(bytes, format, now); });
+        rc::check("nor do messages with a changed byte", [&] {
+            auto bytes = encodeMessage({ Revision(7), HeldMessage { packet.flow, 9, true, {} } }, now);
+            bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] ^= *rc::gen::inRange<std::uint8_t>(1, 255);
+            decodeMessage(bytes, format, now);
+        });
+    }
+}
+
+TEST_CASE("Long messages go in fragments", "[transit][codec]")
+{
+    FragmentJoiner sender;
+    FragmentJoiner receiver;
+    TimePoint now { seconds(9).us };
+    std::vector<std::uint8_t> message(5000);
+    for (std::size_t i = 0; i < message.size(); ++i)
+        message[i] = static_cast<std::uint8_t>(i * 7);
+    auto datagrams = sender.split(message);
+    REQUIRE(datagrams.size() == 4);
+
+    SECTION("in any order, and copies change nothing")
+    {
+        for (std::size_t i : { 3, 1, 1, 0 })
+            CHECK_FALSE(receiver.join({ 1, 1 }, datagrams[i], now));
+        CHECK(receiver.join({ 1, 1 }, datagrams[2], now) == message);
+        CHECK(receiver.partialCount() == 0);
+    }
+    SECTION("fragments of two senders are not mixed")
+    {
+        for (std::size_t i = 0; i < 3; ++i)
+            receiver.join({ 1, 1 }, datagrams[i], now);
+        CHECK_FALSE(receiver.join({ 2, 1 }, datagrams[3], now));
+    }
+    SECTION("incomplete messages are bounded in number and age")
+    {
+        for (std::uint32_t i = 0; i < 10 * maxPartialMessages; ++i)
+            receiver.join({ i, 1 }, datagrams[0], now);
+        CHECK(receiver.partialCount() <= maxPartialMessages + 1);
+        receiver.join({ 1, 1 }, datagrams[0], now + seconds(2));
+        CHECK(receiver.partialCount() == 1);
+    }
+    SECTION("wrong headers are refused")
+    {
+        CHECK_FALSE(receiver.join({ 1, 1 }, bytesOf({ 1, 2, 3 }), now));
+        CHECK_FALSE(receiver.join({ 1, 1 }, bytesOf({ 1, 0, 0, 0, 5, 0, 2, 0, 9 }), now));
+        CHECK_FALSE(receiver.join({ 1, 1 }, bytesOf({ 1, 0, 0, 0, 0, 0, 0, 0, 9 }), now));
+    }
+}
+
+TEST_CASE("The store's items are decoded into types", "[platform]")
+{
+    Faults faults;
+    auto page = [&](const std::string& items) { return std::get<StorePage>(decodeRange(range(items), faults.handler())); };
+
+    SECTION("a target")
+    {
+        auto changes = page(item("servers/i-1", 12, goodTarget)).changes;
+        REQUIRE(changes.size() == 1);
+        const auto& change = std::get<TargetChange>(changes.front());
+        CHECK(change.revision == Revision(12));
+        CHECK(change.target.id == "i-1");
+        CHECK(change.target.slots == 4);
+        CHECK(change.target.startedAt == 1790449014666);
+    }
+    SECTION("an entry of another writer names no target, is reported with key and field, and the others hold")
+    {
+        std::string noService = R"({"Addr":"10.0.0.9:8080","Zone":"a","MaxConcurrency":4,"State":"ready","WarmupLeftMs":0})";
+        std::string badState = R"({"Service":"web","Addr":"10.0.0.9:8080","Zone":"a","MaxConcurrency":4,"State":"odd","WarmupLeftMs":0})";
+        std::string badType = R"({"Service":"web","Addr":17,"Zone":"a","MaxConcurrency":"4","State":"ready","WarmupLeftMs":0})";
+        auto changes = page(item("servers/a", 1, noService) + "," + item("servers/b", 2, badState) + "," + item("servers/c", 3, badType) + ","
+            + item("servers/d", 4, "\x01\x02") + "," + item("servers/e", 5, goodTarget))
+                           .changes;
+        REQUIRE(changes.size() == 5);
+        for (std::size_t i = 0; i < 4; ++i)
+            CHECK(std::holds_alternative<TargetRemoval>(changes[i]));
+        CHECK(std::holds_alternative<TargetChange>(changes[4]));
+        REQUIRE(faults.lines.size() == 4);
+        CHECK(faults.lines[0] == "servers/a: Service: missing");
+        CHECK_THAT(faults.lines[1], Catch::Matchers::Contains("State"));
+        CHECK_THAT(faults.lines[2], Catch::Matchers::Contains("Addr"));
+    }
+    SECTION("a configuration with routes, shares and services")
+    {
+        std::string text = R"({"Version":7,"Routes":[{"Name":"r","Host":"198.18.0.1","Prefix":"/8443/","Kind":"safe","TimeoutMs":2000,
+            "TargetLatencyMs":120,"Priority":2,"Backends":[{"Service":"web","Weight":90},{"Service":"mail","Weight":10}]},
+            {"Name":"s","Host":"198.18.0.2","Prefix":"/80/","Kind":"unsafe","TimeoutMs":2000,"TargetLatencyMs":120,"Priority":1,"Service":"web"}],
+            "Services":[{"Name":"web","HealthPath":"/h","MaxConns":2000,"WarmupS":2.5,"WarmupPerS":4.0}],"Limits":{}})";
+        auto changes = page(item("op/config", 9, text)).changes;
+        REQUIRE(changes.size() == 1);
+        const auto& change = std::get<ConfigurationChange>(changes.front());
+        REQUIRE(change.routes.size() == 2);
+        CHECK(toString(change.routes[0].address) == "198.18.0.1:8443");
+        CHECK(change.routes[0].shares.size() == 2);
+        CHECK(change.routes[0].isIdempotent);
+        CHECK_FALSE(change.routes[1].isIdempotent);
+        CHECK(change.services.front().warmup == milliseconds(2500));
+    }
+    SECTION("a configuration that cannot be read changes nothing, so that the one before stays in force")
+    {
+        CHECK(page(item("op/config", 9, R"({"Routes":7})")).changes.empty());
+        CHECK(faults.lines.size() == 1);
+    }
+    SECTION("an evacuation, its end, and keys that are for others")
+    {
+        auto outcome = decodeWatch(R"({"events":[)" + item("op/evacuate/a", 3, "{}") + R"(,{"Key":"op/evacuate/a","Revision":4,"Deleted":true},)"
+                + item("else/x", 5, "1") + R"(,{"Key":"servers/i","Revision":6,"Deleted":true}],"AsOf":6})",
+            faults.handler());
+        const auto& changes = std::get<StoreChanges>(outcome).changes;
+        REQUIRE(changes.size() == 3);
+        CHECK(std::get<EvacuationChange>(changes[0]).failureDomain == "a");
+        CHECK(std::get<EvacuationEnd>(changes[1]).revision == Revision(4));
+        CHECK(std::get<TargetRemoval>(changes[2]).id == "i");
+    }
+    SECTION("a truncated page names where the next one starts")
+    {
+        auto outcome = decodeRange(R"({"items":[)" + item("servers/i-1", 12, goodTarget) + R"(],"Truncated":true,"AsOf":40})", faults.handler());
+        CHECK(std::get<StorePage>(outcome).nextAfter == "servers/i-1");
+    }
+    SECTION("an answer that is no answer counts as a failed call")
+    {
+        for (const char* body : { "", "[]", "{}", R"({"items":7,"AsOf":1,"Truncated":false})", R"({"items":[],"Truncated":false})" })
+            CHECK(std::get<StoreFailure>(decodeRange(body, faults.handler())) == StoreFailure::Invalid);
+        CHECK(faults.lines.size() == 5);
+    }
+}
+
+TEST_CASE("Settings of a process on the platform are checked completely", "[platform][settings]")
+{
+    const std::string good = R"({"vm":"v","failureDomain":"a","packets":"10.0.0.1:8172","data":"10.0.0.1:8172","status":"10.0.0.1:8167",
+        "fleetPort":7720,"store":"10.0.0.2:8169","seeds":["10.0.0.1:8166","10.0.0.3:8166"],"isFirstStart":true,"linkMbps":10,
+        "target":"10.0.0.1:8165","service":"web","warmupExcess":1.5,"warmupSlack":5,"unknown":1})";
+    std::vector<std::string> faults;
+
+    SECTION("good ones have no fault, and a new field is ignored")
+    {
+        PlatformSettings settings = parsePlatformSettings(ProcessRole::Agent, good, faults);
+        CHECK(faults.empty());
+        CHECK(toString(settings.fleet) == "10.0.0.1:7720");
+        CHECK(toString(settings.seeds[1]) == "10.0.0.3:7720");
+        CHECK(settings.callerPort == 8172);
+    }
+    SECTION("each fault has a line with key, value and what is allowed")
+    {
+        parsePlatformSettings(ProcessRole::Balancer, R"({"vm":"","packets":"nowhere","fleetPort":0,"seeds":7,"linkMbps":10,
+            "failureDomain":"a","data":"10.0.0.1:1","status":"10.0.0.1:2","store":"10.0.0.2:3","isFirstStart":"yes"})",
+            faults);
+        REQUIRE(faults.size() == 5);
+        CHECK(faults[0] == "fleetPort: 0; allowed: a number from 1.000000 to 65535.000000");
+        CHECK_THAT(faults[1], Catch::Matchers::StartsWith("vm: \"\""));
+        CHECK_THAT(faults[2], Catch::Matchers::StartsWith("packets: \"nowhere\""));
+    }
+    SECTION("a file that is no JSON is one fault")
+    {
+        parsePlatformSettings(ProcessRole::Balancer, "NodeName=x", faults);
+        CHECK(faults.size() == 1);
+    }
+}
+
+TEST_CASE("Log lines never block and are bounded", "[transit][log]")
+{
+    int ends[2] {};
+    REQUIRE(pipe(ends) == 0);
+    TransitLog log(ends[1], "balancer", "v");
+    TimePoint now { seconds(5).us };
+    auto read = [&] {
+        std::string text(1 << 20, '\0');
+        ssize_t size = ::read(ends[0], text.data(), text.size());
+        text.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
+        return text;
+    };
+
+    SECTION("a line is one JSON object")
+    {
+        log.write({ "opened", { { "flow", std::string("a\"b") }, { "age_ms", 5 } } }, now);
+        CHECK(read() == R"({"t_us":5000000,"part":"balancer","vm":"v","event":"opened","flow":"a\"b","age_ms":5})"
+                        "\n");
+    }
+    SECTION("lines of one kind beyond the limit are counted in a line of their own")
+    {
+        for (std::uint32_t i = 0; i < maxLogLinesPerSecond + 7; ++i)
+            log.write({ "opened", {} }, now);
+        CHECK(log.dropped() == 7);
+        log.write({ "opened", {} }, now + seconds(1));
+        CHECK_THAT(read(), Catch::Matchers::Contains(R"("event":"lines_left_out","of":"opened","count":7)"));
+    }
+    SECTION("a reader that stops reading stops nothing, which guards against a process that hangs on its log")
+    {
+        for (int i = 0; i < 20000; ++i)
+            log.write({ "opened", { { "text", std::string(100, 'x') } } }, now + seconds(i));
+        CHECK(log.dropped() > 10000);
+        std::string text = read();
+        log.write({ "again", {} }, now + seconds(30000));
+        // The line that was cut by the full pipe is completed before another one starts.
+        text += read();
+        std::size_t begin = 0;
+        for (std::size_t end = text.find('\n'); end != std::string::npos; begin = end + 1, end = text.find('\n', begin)) {
+            CHECK(text[begin] == '{');
+            CHECK(text[end - 1] == '}');
+        }
+        CHECK(begin == text.size());
+    }
+    close(ends[0]);
+    close(ends[1]);
+}
+
+TEST_CASE("Metrics have the text format of common collectors", "[transit][metrics]")
+{
+    TransitMetrics metrics;
+    metrics.add(TransitCounter::FlowsOpened, 3);
+    metrics.record(TransitDistribution::OpenTime, microseconds(1500));
+    metrics.record(TransitDistribution::OpenTime, seconds(100));
+    std::string text = metrics.text({ { "view_revision", 7 } });
+    CHECK_THAT(text, Catch::Matchers::Contains("hawthorncroft_flows_opened_total 3\n"));
+    CHECK_THAT(text, Catch::Matchers::Contains("hawthorncroft_view_revision 7\n"));
+    CHECK_THAT(text, Catch::Matchers::Contains("hawthorncroft_open_us_bucket{le=\"+Inf\"} 2\n"));
+    CHECK_THAT(text, Catch::Matchers::Contains("hawthorncroft_open_us_count 2\n"));
+    CHECK_THAT(text, Catch::Matchers::Contains("hawthorncroft_open_us_sum 100001500\n"));
+}
--- /dev/null
+++ b/tests/transit_view_test.cpp
@@ -0,0 +1,243 @@
+#include "transit_fleet_base.h"
+#include "transit_sim.h"
+
+#include "table/transit_limits.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace hawthorncroft;
+using namespace hawthorncroft::tests;
+
+namespace {
+
+constexpr TimePoint start { seconds(50).us };
+
+StoreChange target(std::uint64_t revision, const std::string& id, std::uint32_t address = 11, std::uint64_t startedAt = 1)
+{
+    TargetRecord record = targetRecord(address, id);
+    record.startedAt = startedAt;
+    return TargetChange { Revision(revision), record };
+}
+
+StoreChange removal(std::uint64_t revision, const std::string& id) { return TargetRemoval { Revision(revision), id }; }
+
+StoreChange routes(std::uint64_t revision, const std::vector<RouteRecord>& list)
+{
+    return ConfigurationChange { Revision(revision), list, {} };
+}
+
+}
+
+TEST_CASE("A view of the platform only moves forward", "[transit][view]")
+{
+    TransitView view;
+    view.applySnapshot({ routes(5, { routeTo("web") }), target(4, "one") }, Revision(6), start, start);
+    REQUIRE(view.routeAt(routeAddress));
+    REQUIRE(view.targetsOf("web").size() == 1);
+
+    SECTION("an older state of a key is ignored, which guards against a configuration that reverts")
+    {
+        view.applyChanges({ routes(8, { routeTo("mail") }) }, Revision(8), start, start);
+        view.applyChanges({ routes(7, { routeTo("web") }) }, Revision(7), start, start);
+        CHECK(view.routeAt(routeAddress)->shares.front().service == "mail");
+        CHECK(view.through() == Revision(8));
+    }
+    SECTION("a route that a configuration leaves out is gone")
+    {
+        view.applyChanges({ routes(8, {}) }, Revision(8), start, start);
+        CHECK_FALSE(view.routeAt(routeAddress));
+    }
+    SECTION("an unchanged route keeps its revision, so that a change of one route is a small delta")
+    {
+        RouteRecord second = routeTo("mail", { 1, 2 });
+        view.applyChanges({ routes(9, { routeTo("web"), second }) }, Revision(9), start, start);
+        CHECK(view.routeRevisionAt(routeAddress) == Revision(5));
+        CHECK(view.deltaSince(Revision(6)).items.size() == 1);
+    }
+    SECTION("of two lifetimes at one address the newer counts, whatever their order in the store")
+    {
+        view.applyChanges({ target(7, "two", 11, 9), target(8, "one", 11, 1) }, Revision(8), start, start);
+        CHECK(view.targetAt({ 11, targetPort })->record.id == "two");
+        CHECK(view.targetsOf("web").size() == 1);
+    }
+    SECTION("a target that lapsed while the store was away is used until its time to register again is over")
+    {
+        view.applyChanges({ removal(7, "one") }, Revision(7), start, start + registrationReturn);
+        view.expire(start + registrationReturn - milliseconds(1));
+        CHECK(view.targetsOf("web").size() == 1);
+        view.expire(start + registrationReturn);
+        CHECK(view.targetsOf("web").empty());
+    }
+    SECTION("a target that left with the store in reach is gone at once")
+    {
+        view.applyChanges({ removal(7, "one") }, Revision(7), start, start);
+        view.expire(start);
+        CHECK(view.targetsOf("web").empty());
+    }
+    SECTION("a new reading removes what the store no longer holds")
+    {
+        view.applySnapshot({ routes(5, { routeTo("web") }) }, Revision(9), start, start);
+        view.expire(start);
+        CHECK(view.targetsOf("web").empty());
+        CHECK(view.routeAt(routeAddress));
+    }
+    SECTION("a delta brings another view to the same state")
+    {
+        TransitView other;
+        other.applyDelta(view.deltaSince(other.through()), start);
+        REQUIRE(other.through() == view.through());
+        view.applyChanges({ target(7, "two", 12), removal(8, "one"), routes(9, { routeTo("mail") }) }, Revision(9), start, start);
+        other.applyDelta(view.deltaSince(other.through()), start);
+        other.expire(start);
+        view.expire(start);
+        CHECK(other.routeAt(routeAddress)->shares.front().service == "mail");
+        CHECK(other.targets().size() == view.targets().size());
+
+        SECTION("also when the sender does not know what was removed, without all items")
+        {
+            TransitView late;
+            late.applySnapshot({ routes(9, { routeTo("mail") }), target(7, "two", 12), target(11, "three", 13) }, Revision(11), start, start);
+            other.applyChanges({ target(10, "gone", 14) }, Revision(10), start, start);
+            ViewDelta delta = late.deltaSince(other.through());
+            CHECK(delta.hasKeys);
+            CHECK(delta.items.size() == 1);
+            other.applyDelta(delta, start);
+            other.expire(start);
+            CHECK(other.targets().size() == 2);
+            CHECK_FALSE(other.targetAt({ 14, targetPort }));
+        }
+    }
+    SECTION("a delta that starts above what is held is refused, which guards against changes that are missed")
+    {
+        ViewDelta delta { .since = Revision(8), .through = Revision(9), .hasKeys = false, .keys = {}, .items = {} };
+        CHECK_FALSE(view.applyDelta(delta, start));
+        CHECK(view.through() == Revision(6));
+    }
+}
+
+TEST_CASE("Views that exchange deltas in any order end in the same state", "[transit][view]")
+{
+    rc::check("views converge", [] {
+        TransitView source;
+        source.applySnapshot({}, Revision(1), start, start);
+        std::vector<TransitView> others(3);
+        std::uint64_t revision = 1;
+        auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(rc::gen::pair(rc::gen::inRange(0, 8), rc::gen::inRange(0, 4)));
+        for (auto [kind, which] : steps) {
+            if (kind < 4) {
+                ++revision;
+                std::string id = "t" + std::to_string(which);
+                StoreChange change = kind < 3 ? target(revision, id, static_cast<std::uint32_t>(20 + which), revision) : removal(revision, id);
+                source.applyChanges({ change }, Revision(revision), start, start);
+            } else {
+                TransitView& from = which == 3 ? source : others[static_cast<std::size_t>(which)];
+                TransitView& to = others[static_cast<std::size_t>(kind) % 3];
+                if (&from != &to)
+                    to.applyDelta(from.deltaSince(to.through()), start);
+            }
+        }
+        source.expire(start);
+        for (auto& other : others) {
+            other.applyDelta(source.deltaSince(other.through()), start);
+            other.expire(start);
+            RC_ASSERT(other.through() == source.through());
+            RC_ASSERT(other.targets().size() == source.targets().size());
+            for (const auto& [address, viewed] : source.targets())
+                RC_ASSERT(other.targetAt(address)->record == viewed.record);
+        }
+    });
+}
+
+TEST_CASE("A change reaches every process", "[transit][fleet]")
+{
+    TransitSim sim;
+    std::vector<Endpoint> all;
+    for (std::uint32_t i = 1; i <= 4; ++i)
+        all.push_back(sim.addBalancer(i));
+    for (std::uint32_t i = 11; i <= 16; ++i)
+        all.push_back(sim.addAgent(i));
+    sim.run(seconds(3));
+
+    auto allHold = [&](const std::string& service) {
+        std::size_t count = 0;
+        for (Endpoint process : all) {
+            const TransitFleet& fleet = process.address < 10 ? sim.balancer(process).fleet() : sim.agent(process).fleet();
+            const RouteRecord* route = fleet.view().routeAt(routeAddress);
+            count += route && route->shares.front().service == service;
+        }
+        return count;
+    };
+
+    SECTION("within a tenth of a second, while two processes read the store")
+    {
+        std::size_t before = sim.storeCalls();
+        sim.run(seconds(15));
+        // Two watches of 1.5 s each.
+        CHECK(sim.storeCalls() - before <= 22);
+        sim.writeRoutes({ routeTo("mail") });
+        sim.run(milliseconds(100));
+        CHECK(allHold("mail") == all.size());
+    }
+    SECTION("after the readers ended, which guards against a change that nobody reads")
+    {
+        for (Endpoint process : std::vector(all.begin(), all.begin() + 4)) {
+            if (sim.balancer(process).fleet().isBaseReader(sim.now()))
+                sim.cut(process.address);
+        }
+        sim.writeRoutes({ routeTo("mail") });
+        sim.run(milliseconds(2900));
+        CHECK(allHold("mail") >= all.size() - 2);
+    }
+    SECTION("and a process that starts while the store is down gets the view from others")
+    {
+        sim.setStoreDown(true);
+        sim.run(seconds(1));
+        Endpoint late = sim.addBalancer(9);
+        sim.run(milliseconds(300));
+        CHECK(sim.balancer(late).isReady());
+        CHECK(sim.balancer(late).fleet().view().targets().size() == 6);
+    }
+    SECTION("once the store is back, targets that lapsed meanwhile are kept for two seconds")
+    {
+        sim.setStoreDown(true);
+        sim.run(seconds(1));
+        sim.removeTarget("t11");
+        sim.setStoreDown(false);
+        sim.run(milliseconds(1000));
+        CHECK(sim.balancer(all[0]).fleet().view().targets().size() == 6);
+        sim.run(milliseconds(2500));
+        CHECK(sim.balancer(all[0]).fleet().view().targets().size() == 5);
+    }
+}
+
+TEST_CASE("A larger fleet tells some of its processes at once", "[transit][fleet]")
+{
+    TransitSim sim;
+    std::vector<Endpoint> balancers;
+    for (std::uint32_t i = 1; i <= 12; ++i)
+        balancers.push_back(sim.addBalancer(i));
+    for (std::uint32_t i = 101; i <= 160; ++i)
+        sim.addAgent(i);
+    sim.run(seconds(6));
+    std::size_t callsBefore = sim.storeCalls();
+    std::size_t messagesBefore = sim.messages();
+    sim.run(seconds(10));
+
+    SECTION("few read the store, which guards against lifetimes that do not fit the size")
+    {
+        CHECK(sim.storeCalls() - callsBefore <= 40);
+    }
+    SECTION("each sends a bounded number of messages")
+    {
+        // Twelve stamps each half second, and one load report or answer now and then.
+        CHECK(sim.messages() - messagesBefore <= 72 * (12 * 20 + 40));
+    }
+    SECTION("a change arrives within a second")
+    {
+        sim.writeRoutes({ routeTo("mail") });
+        sim.run(seconds(1));
+        for (Endpoint balancer : balancers)
+            CHECK(sim.balancer(balancer).fleet().view().routeAt(routeAddress)->shares.front().service == "mail");
+    }
+}
