Never reset a flow that another target may hold: chosen targets, lagging routes, late copies

Reading the paths to a reset showed three that can be wrong: a target counted as chosen when the acknowledged number was within 2^28 of its own (one of sixteen pairs), a packet of an open flow was reset by a balancer that did not know the route yet, and a copy of an opening packet was reset when all attempts were used although an earlier packet may have opened the flow. Change: a target is chosen only by its very first numbers; only a dropped route ends a flow; copies are not reset when attempts are used up. Tests for the first two fail before.

--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -120,10 +120,10 @@
     src/transit_locator.cpp
     src/transit_log.cpp
     src/transit_metrics.cpp
-    src/transit_names.cpp
     src/transit_placement.cpp
     src/transit_queue.cpp
     src/transit_shell.cpp
+    src/transit_type.cpp
     src/transit_view_cmd.cpp
     src/transit_view_query.cpp
     src/udp_func.cpp
--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -9,6 +9,9 @@
 
 namespace hawthorncroft {
 
+// Flows.
+inline constexpr std::uint32_t choiceWindow = 16; ///< A caller's first packet acknowledges the first sequence number or the next.
+
 // View.
 inline constexpr std::size_t maxRemovedItems = 10000; ///< Removed keys remembered for deltas.
 
--- a/src/transit_agent_message.cpp
+++ b/src/transit_agent_message.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-    constexpr std::uint32_t mostAcknowledged = 1U << 28; ///< Bytes from a target in one flow; far above any answer.
-
     constexpr std::uint8_t finalHops = 1; ///< The agent answers for its own target only.
 
     /** Age of an opening packet; callers number its copies where other packets have an acknowledgement. */
@@ -75,9 +73,9 @@
         return;
     }
     HeldFlow& held = found->second;
-    bool isChosen = held.state == FlowState::Open || held.state == FlowState::Ended || !held.targetSequence
-        || forward.packet.acknowledged - held.targetSequence < mostAcknowledged;
-    if (!isChosen || held.state == FlowState::Opening) {
+    bool isChosen = held.state == FlowState::Open || held.state == FlowState::Ended
+        || (held.state == FlowState::Answered && choosesTarget(forward.packet, held.targetSequence));
+    if (!isChosen) {
         // The caller acknowledges another target, which answered the opening packet too.
         answerNotHeld(forward, effects);
         return;
--- a/src/transit_balancer_cmd.cpp
+++ b/src/transit_balancer_cmd.cpp
@@ -102,12 +102,14 @@
 void TransitBalancer::handlePacket(TransitPacket packet, TimePoint now, TransitEffects& effects)
 {
     const RouteRecord* route = m_fleet.view().routeAt(packet.flow.service);
-    if (!route) {
+    bool isOpening = packet.flags.isOpening && !packet.flags.hasAcknowledgement;
+    // An open flow may use a route that others know already; only a route that was dropped ends it.
+    bool isRefused = !route && (isOpening || m_fleet.view().wasRouteDropped(packet.flow.service));
+    if (isRefused) {
         effects.push_back(CountEvent { TransitCounter::NoRoute });
         refuseOpen(packet, "no_route", 0, now, effects);
         return;
     }
-    bool isOpening = packet.flags.isOpening && !packet.flags.hasAcknowledgement;
     if (isOpening)
         openFlow(std::move(packet), *route, now, effects);
     else
--- a/src/transit_balancer_locate.cpp
+++ b/src/transit_balancer_locate.cpp
@@ -6,17 +6,6 @@
 
 namespace hawthorncroft {
 
-namespace {
-
-    constexpr std::uint32_t mostAcknowledged = 1U << 28; ///< Bytes from a target in one flow; far above any answer.
-
-    bool acknowledges(const TransitPacket& packet, std::uint32_t targetSequence)
-    {
-        return targetSequence && packet.acknowledged - targetSequence < mostAcknowledged;
-    }
-
-}
-
 void TransitBalancer::forwardData(TransitPacket packet, TimePoint now, TransitEffects& effects)
 {
     auto found = m_flows.find(packet.flow);
@@ -28,9 +17,7 @@
     cached.usedAt = now;
     if (cached.second.agent) {
         // Two targets answered the opening packet; the caller acknowledges the one that it chose.
-        bool isSecond = acknowledges(packet, cached.second.targetSequence)
-            && !acknowledges(packet, cached.holder.targetSequence);
-        if (isSecond)
+        if (choosesTarget(packet, cached.second.targetSequence))
             cached.holder = cached.second;
         cached.second = {};
     }
--- a/src/transit_balancer_open.cpp
+++ b/src/transit_balancer_open.cpp
@@ -53,7 +53,10 @@
 void TransitBalancer::sendOpen(ForwardMessage forward, TimePoint startedAt, TimePoint now, TransitEffects& effects)
 {
     if (forward.tried.size() >= maxOpenAttempts) {
-        refuseOpen(forward.packet, "attempts_used", forward.tried.size(), now, effects);
+        // When this is a copy, an agent that did not answer may have opened the flow by an earlier packet.
+        bool isCopy = forward.packet.acknowledged > 0;
+        if (!isCopy)
+            refuseOpen(forward.packet, "attempts_used", forward.tried.size(), now, effects);
         return;
     }
     const ViewedTarget* target = m_placement.choose(
--- a/src/transit_names.cpp
+++ b/src/transit_type.cpp
@@ -1,7 +1,13 @@
+#include "table/transit_limits.h"
 #include "table/transit_names.h"
 
 namespace hawthorncroft {
 
+bool choosesTarget(const TransitPacket& packet, std::uint32_t targetSequence)
+{
+    return packet.acknowledged - targetSequence <= choiceWindow;
+}
+
 std::string_view nameOf(ProcessRole role) { return lookUpName(processRoleNames, role); }
 
 std::string_view nameOf(DeclineReason reason) { return lookUpName(declineReasonNames, reason); }
--- a/src/transit_type.h
+++ b/src/transit_type.h
@@ -52,6 +52,15 @@
     std::vector<std::uint8_t> bytes;
 };
 
+/**
+ * Finds out which of several targets that answered an opening packet a caller chose. Sequence numbers of targets are
+ * random, so that only a small distance means this target.
+ * @param packet The caller's first packet after its opening packet.
+ * @param targetSequence First sequence number of a target.
+ * @return Whether the packet acknowledges that target's answer.
+ */
+bool choosesTarget(const TransitPacket& packet, std::uint32_t targetSequence);
+
 /** Role of a process. */
 enum class ProcessRole : std::uint8_t {
     Balancer,
--- a/src/transit_view_base.h
+++ b/src/transit_view_base.h
@@ -70,6 +70,9 @@
     /** @return The route of an address, or null. */
     const RouteRecord* routeAt(Endpoint address) const;
 
+    /** @return Whether a route of this address was known and is dropped. */
+    bool wasRouteDropped(Endpoint address) const;
+
     /** @return Revision of the route of an address; zero when there is none. */
     Revision routeRevisionAt(Endpoint address) const;
 
--- a/src/transit_view_query.cpp
+++ b/src/transit_view_query.cpp
@@ -31,6 +31,12 @@
     return std::get_if<RouteRecord>(&*m_items.at(key->second).value);
 }
 
+bool TransitView::wasRouteDropped(Endpoint address) const
+{
+    auto found = m_items.find("route/" + toString(address));
+    return found != m_items.end() && found->second.isRemoved;
+}
+
 Revision TransitView::routeRevisionAt(Endpoint address) const
 {
     auto key = m_routeKeys.find(address);
--- a/tests/transit_flow_test.cpp
+++ b/tests/transit_flow_test.cpp
@@ -143,6 +143,55 @@
     }
 }
 
+TEST_CASE("A caller's first packet goes to the target that it chose", "[transit]")
+{
+    Fleet fleet;
+    FlowTuple flow = flowOf(4);
+    std::uint32_t holder = fleet.open(fleet.balancers[0], flow);
+    REQUIRE(holder);
+    // Another target answers a late copy; its sequence number is near the first one's by chance.
+    std::uint32_t other = holder == 11 ? 12 : 11;
+    TransitEffects effects;
+    ForwardMessage copy { .replyTo = fleet.balancers[1], .service = "web", .packet = { .flow = flow, .flags = { .isOpening = true } } };
+    fleet.agent({ other, fleetPort }).onMessage(fleet.balancers[1], { Revision(1), copy }, fleet.now(), effects);
+    TransitPacket answer { .flow = flow, .flags = { .isOpening = true, .hasAcknowledgement = true }, .sequence = fleet.caller(flow).targetSequence - 5000 };
+    fleet.agent({ other, fleetPort }).onPacket(answer, fleet.now(), effects);
+    fleet.run(milliseconds(10));
+
+    std::size_t before = fleet.target(other).returned;
+    effects.clear();
+    TransitPacket first { .flow = flow, .flags = { .hasAcknowledgement = true }, .acknowledged = fleet.caller(flow).targetSequence + 1, .dataSize = 1 };
+    fleet.agent({ other, fleetPort }).onMessage(fleet.balancers[1], { Revision(1), ForwardMessage { .replyTo = fleet.balancers[1], .packet = first } }, fleet.now(), effects);
+    // The guard: packets of the flow must not reach a target that the caller did not choose.
+    CHECK(std::none_of(effects.begin(), effects.end(), [](const auto& effect) { return std::holds_alternative<HandToTarget>(effect); }));
+    CHECK(fleet.target(other).returned == before);
+}
+
+TEST_CASE("A balancer that lags behind does not end flows of a new route", "[transit]")
+{
+    Fleet fleet;
+    Endpoint added { 0x0a630002, 8443 };
+    fleet.cut(fleet.balancers[1].address);
+    fleet.writeRoutes({ routeTo("web"), routeTo("web", added) });
+    fleet.run(milliseconds(200));
+    FlowTuple flow { { 0x64000009, 40000 }, added };
+    REQUIRE(fleet.open(fleet.balancers[0], flow));
+    fleet.heal(fleet.balancers[1].address);
+    fleet.sendRequest(fleet.balancers[1], flow);
+    fleet.run(milliseconds(60));
+    CHECK_FALSE(fleet.caller(flow).resetAt);
+    CHECK(fleet.caller(flow).answers == 1);
+
+    SECTION("while flows of a dropped route are ended")
+    {
+        fleet.writeRoutes({ routeTo("web") });
+        fleet.run(milliseconds(200));
+        fleet.sendRequest(fleet.balancers[1], flow, 2);
+        fleet.run(milliseconds(10));
+        CHECK(fleet.caller(flow).resetAt);
+    }
+}
+
 TEST_CASE("Opening packets leave agents that do not answer", "[transit]")
 {
     Fleet fleet;
