Withhold resets of targets that do not hold the flow

Cause: an agent that started after its target asks it about unknown flows by handing it their packets; a target that has just started answers some of them with a reset instead of returning them, and the agent passed the reset to the caller of a flow that is open elsewhere. Ruled out: our own resets (no flow_lost, no flow_refused for these flows). Change: a reset for a flow that the agent does not know counts as 'not held' and is not forwarded. The test fails before.

--- a/src/transit_agent_base.h
+++ b/src/transit_agent_base.h
@@ -104,6 +104,7 @@
 
     // Packets of the target, in transit_agent_target.cpp.
     void onReturned(TransitPacket packet, TransitEffects& effects);
+    void onUnknownReset(const TransitPacket& packet, TransitEffects& effects);
     void learnFlow(const TransitPacket& packet, TimePoint now, TransitEffects& effects);
     void noteFromTarget(HeldFlow& flow, const TransitPacket& packet, TimePoint now, TransitEffects& effects);
     void noteFromCaller(HeldFlow& flow, const TransitPacket& packet, TimePoint now, TransitEffects& effects);
--- a/src/transit_agent_target.cpp
+++ b/src/transit_agent_target.cpp
@@ -12,6 +12,10 @@
         return;
     }
     auto found = m_flows.find(packet.flow);
+    if (found == m_flows.end() && packet.flags.isReset) {
+        onUnknownReset(packet, effects);
+        return;
+    }
     if (found == m_flows.end()) {
         learnFlow(packet, now, effects);
         found = m_flows.find(packet.flow);
@@ -53,10 +57,21 @@
     answerNotHeld({ .replyTo = balancer, .isLocating = isLocating, .packet = std::move(packet) }, effects);
 }
 
+void TransitAgent::onUnknownReset(const TransitPacket& packet, TransitEffects& effects)
+{
+    // A target that just started may reset what it does not hold, instead of returning it. The flow may be open elsewhere.
+    effects.push_back(WriteLog { "reset_withheld",
+        { { "flow", toString(packet.flow.caller) }, { "to", toString(packet.flow.service) }, { "target", m_targetId } } });
+    auto asker = m_askers.find(packet.flow);
+    if (asker == m_askers.end())
+        return;
+    m_notHeld[asker->second.balancer].push_back(packet.flow);
+    m_askers.erase(asker);
+}
+
 void TransitAgent::learnFlow(const TransitPacket& packet, TimePoint now, TransitEffects& effects)
 {
-    bool isEnding = packet.flags.isReset;
-    if (isEnding || m_flows.size() >= maxHeldFlows)
+    if (m_flows.size() >= maxHeldFlows)
         return;
     HeldFlow& held = m_flows[packet.flow];
     held.state = packet.flags.isOpening ? FlowState::Answered : FlowState::Open;
--- a/tests/transit_flow_test.cpp
+++ b/tests/transit_flow_test.cpp
@@ -113,6 +113,22 @@
         REQUIRE(fleet.caller(flow).resetAt);
         CHECK(*fleet.caller(flow).resetAt - sentAt < milliseconds(60));
     }
+    SECTION("a target that resets what it does not hold ends nothing, which guards against flows lost while they are located")
+    {
+        // An agent that just started asks its target about unknown flows.
+        for (Endpoint agent : fleet.agents) {
+            if (agent.address == holder)
+                continue;
+            fleet.target(agent.address).resetsUnknown = true;
+            fleet.restart(agent);
+        }
+        fleet.kill(fleet.balancers[0]);
+        // At once, before the holder has told them of its flows.
+        fleet.sendRequest(fleet.balancers[1], flow, 2);
+        fleet.run(milliseconds(100));
+        CHECK_FALSE(fleet.caller(flow).resetAt);
+        CHECK(fleet.caller(flow).answers == 2);
+    }
     SECTION("while its agent is cut off it is not reset, which guards against ending a flow whose target lives")
     {
         fleet.kill(fleet.balancers[0]);
--- a/tests/transit_sim.cpp
+++ b/tests/transit_sim.cpp
@@ -303,6 +303,10 @@
     }
     if (!target.flows.contains(packet.flow)) {
         ++target.returned;
+        if (target.resetsUnknown) {
+            targetSends(address, { .flow = packet.flow, .flags = { .isReset = true } });
+            return;
+        }
         packet.flags.isReturned = true;
         packet.tag = tag;
         targetSends(address, packet);
@@ -356,6 +360,8 @@
 void TransitSim::callerGets(const TransitPacket& packet)
 {
     CallerView& view = m_callers[packet.flow];
+    if (packet.flags.isReset && !view.resetAt)
+        view.resetAt = m_now;
     if (packet.flags.isOpening) {
         if (!view.openedAt) {
             view.openedAt = m_now;
