--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 	libboost-json1.81-dev libnghttp2-dev liblog4cplus-dev librapidcheck-dev catch2 libflatbuffers-dev \
 	flatbuffers-compiler libxxhash-dev libssl-dev libbenchmark-dev spin
 SOURCES = $(shell git ls-files 'src/*.h' 'src/*.cpp' 'tests/*.h' 'tests/*.cpp' 'standin/*.h' 'standin/*.cpp' \
-	'bench/*.h' 'bench/*.cpp' | grep -v generated)
+	'bench/*.h' 'bench/*.cpp' 'platform/*.h' 'platform/*.cpp' | grep -v generated)
 
 .PHONY: help install build check test demo format format-check tidy generate model check-asan check-tsan bench bench-core
 
@@ -59,10 +59,11 @@
 	clang-format --dry-run --Werror $(SOURCES)
 
 tidy:
-	@git ls-files 'src/*.cpp' 'standin/*.cpp' | grep -v generated | xargs -P $(JOBS) -n 4 clang-tidy -p $(BUILD) --quiet --extra-arg=-Wno-unknown-warning-option 2>/dev/null
+	@git ls-files 'src/*.cpp' 'standin/*.cpp' 'platform/*.cpp' | grep -v generated | xargs -P $(JOBS) -n 4 clang-tidy -p $(BUILD) --quiet --extra-arg=-Wno-unknown-warning-option 2>/dev/null
 
 generate:
 	flatc --cpp --cpp-std c++17 --gen-mutable --scoped-enums -o src/generated src/wire.fbs
+	flatc --cpp --cpp-std c++17 --gen-object-api --scoped-enums -o src/generated src/transit.fbs
 
 model:
 	JOBS=$(JOBS) spec/run.sh
--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -65,6 +65,7 @@
     src/ctl_check.cpp
     src/ctl_diff.cpp
     src/ctl_explain.cpp
+    src/ctl_explain_log.cpp
     src/ctl_fetch.cpp
     src/ctl_func.cpp
     src/ctl_metrics.cpp
--- a/src/ctl_explain.cpp
+++ b/src/ctl_explain.cpp
@@ -2,6 +2,7 @@
 
 #include "report_type.h"
 
+#include <algorithm>
 #include <ostream>
 
 namespace hawthorncroft {
@@ -12,7 +13,8 @@
 
     constexpr const char* explainUsage
         = "Usage: hawthorncroftctl explain NAME --settings FILE [--at ENDPOINT...] [--caller ID] [--flow ID] [--json]\n"
-          "Says where a name leads and, with --flow, to which target the next open of that flow would go.";
+          "Says where a name leads and, with --flow, to which target the next open of that flow would go.\n"
+          "With --log FILE (--request ID | --flow CALLER:PORT): what was decided about a transparent flow.";
 
     void printRank(std::ostream& out, std::size_t number, const RankReport& rank)
     {
@@ -54,6 +56,8 @@
 
 int runExplain(const CtlArguments& arguments, CtlStreams streams)
 {
+    if (std::find(arguments.begin(), arguments.end(), "--log") != arguments.end())
+        return runExplainLog(arguments, streams);
     options::options_description known("Options");
     addFetchOptions(known, 3);
     known.add_options()("caller", options::value<std::uint64_t>(), "number of the caller")(
--- /dev/null
+++ b/src/ctl_explain_log.cpp
@@ -0,0 +1,169 @@
+#include "ctl_func.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <optional>
+#include <ostream>
+#include <set>
+#include <sstream>
+
+namespace hawthorncroft {
+
+namespace options = boost::program_options;
+namespace json = boost::json;
+
+namespace {
+
+    constexpr const char* explainLogUsage
+        = "Usage: hawthorncroftctl explain --log FILE... (--request ID | --flow CALLER:PORT) [--json]\n"
+          "Prints what the processes decided about a request of a transparent flow, in order, and the cause of its "
+          "end.";
+
+    /** A line that one process wrote. */
+    struct LogLine {
+        double seconds {}; ///< Time in front of the line when a collector put one there, otherwise the process's own.
+        json::object fields;
+
+        std::string text(const char* name) const
+        {
+            const json::value* value = fields.if_contains(name);
+            return value && value->is_string() ? std::string(value->get_string()) : std::string();
+        }
+        std::string event() const { return text("event"); }
+    };
+
+    /** What the last decision about a flow means. */
+    struct Cause {
+        std::string_view event;
+        std::string_view meaning;
+    };
+
+    /** In the order of their weight: the first that is found among a flow's lines, from its end, is the cause. */
+    constexpr std::array<Cause, 10> causes { {
+        { "request_answered", "the target answered; what came later was lost on the way to the caller" },
+        { "flow_refused", "refused before it ran; the reason stands in the line" },
+        { "flow_lost", "every agent said that its target does not hold the flow: the target's lifetime ended" },
+        { "locate_unanswered",
+            "a balancer that did not know the flow asked, and the agents named as silent did not answer" },
+        { "locate_incomplete", "no agent holds the flow, but not all could be asked, so that nothing was reset" },
+        { "request_expired", "the request waited for a slot until its time budget was used up" },
+        { "packet_returned", "the target returned a packet: it no longer held the flow" },
+        { "request_started", "the target got the request and no answer of it was seen: it ended or stands still" },
+        { "open_declined", "the last agent that was asked declined, and nobody else took the flow in time" },
+        { "open_placed", "the opening packet was sent to an agent that never answered" },
+    } };
+
+    std::optional<LogLine> parseLine(const std::string& line)
+    {
+        std::size_t begin = line.find('{');
+        if (begin == std::string::npos)
+            return std::nullopt;
+        json::error_code error;
+        json::value value = json::parse(line.substr(begin), error);
+        if (error || !value.is_object() || !value.get_object().contains("event"))
+            return std::nullopt;
+        LogLine result { .fields = std::move(value.get_object()) };
+        const json::value* own = result.fields.if_contains("t_us");
+        result.seconds = own && own->is_int64() ? static_cast<double>(own->get_int64()) / 1e6 : 0;
+        std::istringstream prefix(line.substr(0, begin));
+        if (double collected = 0; prefix >> collected)
+            result.seconds = collected;
+        return result;
+    }
+
+    bool readLines(const std::vector<std::string>& files, std::ostream& err, std::vector<LogLine>& lines)
+    {
+        for (const auto& name : files) {
+            std::ifstream file(name);
+            if (!file) {
+                err << "hawthorncroftctl: " << name << " cannot be read\n";
+                return false;
+            }
+            for (std::string line; std::getline(file, line);) {
+                if (auto parsed = parseLine(line))
+                    lines.push_back(std::move(*parsed));
+            }
+        }
+        std::stable_sort(
+            lines.begin(), lines.end(), [](const auto& a, const auto& b) { return a.seconds < b.seconds; });
+        return true;
+    }
+
+    using FlowName = std::pair<std::string, std::string>; ///< Caller's end and service address.
+
+    std::set<FlowName> flowsOf(const std::vector<LogLine>& lines, const std::string& request, const std::string& caller)
+    {
+        std::set<FlowName> flows;
+        for (const auto& line : lines) {
+            bool isWanted = !request.empty() ? line.text("request") == request : line.text("flow") == caller;
+            if (isWanted && !line.text("flow").empty())
+                flows.emplace(line.text("flow"), line.text("to"));
+        }
+        return flows;
+    }
+
+    std::string_view causeOf(const std::vector<const LogLine*>& chain)
+    {
+        for (auto line = chain.rbegin(); line != chain.rend(); ++line) {
+            for (const auto& cause : causes) {
+                if ((*line)->event() == cause.event)
+                    return cause.meaning;
+            }
+        }
+        return "no line decides about the flow; lines may be left out under load, see lines_left_out";
+    }
+
+    void print(std::ostream& out, const LogLine& line)
+    {
+        out << std::fixed;
+        out.precision(4);
+        out << line.seconds << ' ' << line.text("vm") << ' ' << line.event() << ':';
+        for (const auto& [name, value] : line.fields) {
+            bool isShown = name != "t_us" && name != "part" && name != "vm" && name != "event";
+            if (isShown)
+                out << ' ' << name << '='
+                    << (value.is_string() ? std::string(value.get_string()) : json::serialize(value));
+        }
+        out << '\n';
+    }
+
+}
+
+int runExplainLog(const CtlArguments& arguments, CtlStreams streams)
+{
+    options::options_description known("Options");
+    known.add_options()("request", options::value<std::string>()->default_value(""), "id of the request")(
+        "flow", options::value<std::string>()->default_value(""), "caller's address and port");
+    options::variables_map values;
+    int status = parseArguments(arguments, known, "log", explainLogUsage, streams, values);
+    if (status >= 0)
+        return status;
+    auto request = values["request"].as<std::string>();
+    auto caller = values["flow"].as<std::string>();
+    if (request.empty() == caller.empty()) {
+        streams.err << "hawthorncroftctl: explain --log needs either --request or --flow\n";
+        return ctlRefused;
+    }
+    std::vector<LogLine> lines;
+    if (!readLines(values["log"].as<std::vector<std::string>>(), streams.err, lines))
+        return ctlRefused;
+    std::set<FlowName> flows = flowsOf(lines, request, caller);
+    std::vector<const LogLine*> chain;
+    for (const auto& line : lines) {
+        if (flows.contains({ line.text("flow"), line.text("to") }))
+            chain.push_back(&line);
+    }
+    if (chain.empty()) {
+        streams.out << "no line names it: no process saw its packets, or the lines were left out under load\n";
+        return ctlWarnings;
+    }
+    for (const LogLine* line : chain)
+        print(streams.out, *line);
+    streams.out << "cause: " << causeOf(chain) << '\n';
+    return ctlOk;
+}
+
+} // namespace hawthorncroft
--- a/src/ctl_func.h
+++ b/src/ctl_func.h
@@ -62,6 +62,10 @@
 int runCheck(const CtlArguments& arguments, CtlStreams streams);
 int runDiff(const CtlArguments& arguments, CtlStreams streams);
 int runExplain(const CtlArguments& arguments, CtlStreams streams);
+
+/** The form of explain with --log: recorded decisions about a request of a transparent flow. */
+int runExplainLog(const CtlArguments& arguments, CtlStreams streams);
+
 int runNames(const CtlArguments& arguments, CtlStreams streams);
 int runMetrics(const CtlArguments& arguments, CtlStreams streams);
 int runStatus(const CtlArguments& arguments, CtlStreams streams);
--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -10,21 +10,25 @@
 namespace hawthorncroft {
 
 // Flows.
-inline constexpr std::uint32_t choiceWindow = 16; ///< A caller's first packet acknowledges the first sequence number or the next.
+inline constexpr std::uint32_t choiceWindow
+    = 16; ///< A caller's first packet acknowledges the first sequence number or the next.
 
 // View.
 inline constexpr std::size_t maxRemovedItems = 10000; ///< Removed keys remembered for deltas.
 
 // Gossip and the store.
 inline constexpr Duration stampInterval = milliseconds(500); ///< Between stamps; half the routers' two probes.
-inline constexpr Duration memberLifetime = milliseconds(1700); ///< Three stamps may be lost before a process counts as gone.
+inline constexpr Duration memberLifetime
+    = milliseconds(1700); ///< Three stamps may be lost before a process counts as gone.
 inline constexpr Duration memberForgotten = seconds(30); ///< After this silence a process gets no more stamps.
 inline constexpr std::size_t maxStampsToAll = 40; ///< Fleets up to this size tell everybody; larger ones some.
 inline constexpr std::size_t stampFanout = 12; ///< Processes told at once in larger fleets; two rounds reach 150.
-inline constexpr Duration newsGap = milliseconds(20); ///< Between two rounds of news; after an outage targets register one after the other.
+inline constexpr Duration newsGap
+    = milliseconds(20); ///< Between two rounds of news; after an outage targets register one after the other.
 inline constexpr std::size_t maxMembers = 4096; ///< Processes remembered; the least recently heard go first.
 inline constexpr std::size_t maxBalancersInStamp = 16; ///< Balancers named in one stamp.
-inline constexpr Duration fetchTimeout = milliseconds(120); ///< A delta of some hundred items comes within some tens of ms.
+inline constexpr Duration fetchTimeout
+    = milliseconds(120); ///< A delta of some hundred items comes within some tens of ms.
 inline constexpr std::size_t baseStoreReaders = 2; ///< Balancers that read the store, so that one may fail unnoticed.
 inline constexpr Duration watchWait = milliseconds(1500); ///< Half of the time in which a change has to be in force.
 inline constexpr Duration watchGrace = milliseconds(400); ///< Beyond the wait before a watch is given up.
@@ -36,15 +40,19 @@
 inline constexpr Duration registrationReturn = milliseconds(2200); ///< Lapsed targets register again by then.
 
 // Balancer.
-inline constexpr Duration openRepeatAfter = milliseconds(25); ///< Agents answer in a few ms; callers repeat after 200 ms.
+inline constexpr Duration openRepeatAfter
+    = milliseconds(25); ///< Agents answer in a few ms; callers repeat after 200 ms.
 inline constexpr std::uint32_t repeatPercent = 20; ///< Repeated openings allowed for 100 that were answered.
-inline constexpr double repeatReserve = 40; ///< Repeated openings at most in one burst, such as for an agent that just ended.
+inline constexpr double repeatReserve
+    = 40; ///< Repeated openings at most in one burst, such as for an agent that just ended.
 inline constexpr double repeatRefill = 10; ///< Repeated openings a second that are allowed with no answer at all.
-inline constexpr std::int64_t locateLinkShare = 8; ///< Questions for lost flows may use one part in so many of the link.
+inline constexpr std::int64_t locateLinkShare
+    = 8; ///< Questions for lost flows may use one part in so many of the link.
 inline constexpr std::size_t maxOpenAttempts = 5; ///< Agents that one opening packet is sent to.
 inline constexpr Duration suspicionTime = milliseconds(1000); ///< Agents that left an opening packet unanswered.
 inline constexpr Duration locateBroadcastAfter = milliseconds(30); ///< Locators answer in a few ms.
-inline constexpr Duration lateTick = milliseconds(30); ///< A tick this late means that answers wait in the sockets, unread.
+inline constexpr Duration lateTick
+    = milliseconds(30); ///< A tick this late means that answers wait in the sockets, unread.
 inline constexpr std::size_t maxFlowsInQuestion = 24; ///< Flows in one message to an agent; some datagrams.
 inline constexpr Duration locateTimeout = milliseconds(400); ///< After it the caller's next copy starts again.
 inline constexpr std::size_t locatorCount = 2; ///< Agents told of a flow that they do not hold.
@@ -60,13 +68,17 @@
 inline constexpr double remoteWeight = 0.25; ///< Load by which a target of another failure domain seems busier.
 inline constexpr double coldWeight = 0.5; ///< Load by which a cold target seems busier.
 inline constexpr std::size_t maxCandidates = 16; ///< Targets compared for one opening packet.
-inline constexpr Duration drainTime = milliseconds(3000); ///< Routers leave a balancer after two probes a half second apart.
+inline constexpr Duration drainTime
+    = milliseconds(3000); ///< Routers leave a balancer after two probes a half second apart.
 
 // Agent.
 inline constexpr Duration coldWindow = milliseconds(1100); ///< The limit of a cold target holds in any second.
-inline constexpr Duration coldMargin = milliseconds(500); ///< A record's remaining cold time may be understated by its way here.
-inline constexpr Duration targetAnswerTime = milliseconds(60); ///< The target is on the same machine and answers at once.
-inline constexpr Duration expectedRequestTime = milliseconds(60); ///< A flow that opened brings its first request by then.
+inline constexpr Duration coldMargin
+    = milliseconds(500); ///< A record's remaining cold time may be understated by its way here.
+inline constexpr Duration targetAnswerTime
+    = milliseconds(60); ///< The target is on the same machine and answers at once.
+inline constexpr Duration expectedRequestTime
+    = milliseconds(60); ///< A flow that opened brings its first request by then.
 inline constexpr Duration loadReportGap = milliseconds(150); ///< Between two reports to one balancer.
 inline constexpr Duration loadInterest = seconds(2); ///< Balancers that sent nothing for this time get no reports.
 inline constexpr Duration askerLifetime = seconds(1); ///< Time for which a flow's asker is remembered.
@@ -74,12 +86,14 @@
 inline constexpr std::size_t maxHeldFlows = 20000; ///< Flows that one agent remembers.
 inline constexpr std::size_t maxNotedFlows = 100000; ///< Flows of other agents that one agent remembers.
 inline constexpr Duration flowLifetime = seconds(60); ///< Flows older than this may be discarded.
-inline constexpr std::size_t maxQueuedRequests = 512; ///< Requests that wait for a slot; far above what is answered in time.
+inline constexpr std::size_t maxQueuedRequests
+    = 512; ///< Requests that wait for a slot; far above what is answered in time.
 inline constexpr std::uint32_t slotsInAdvance = 1; ///< Requests handed over beyond the slots, to keep all slots busy.
 inline constexpr Duration serviceReserve = milliseconds(40); ///< Left of the objective for the work and the way back.
 inline constexpr Duration copyInterval = milliseconds(200); ///< Age of the first copy of a caller's opening packet.
 inline constexpr Duration secondCopyInterval = milliseconds(600); ///< Age of the second.
-inline constexpr Duration slotLeak = milliseconds(400); ///< Without any answer for this time, slots are not believed to be busy.
+inline constexpr Duration slotLeak
+    = milliseconds(400); ///< Without any answer for this time, slots are not believed to be busy.
 inline constexpr Duration finishTime = milliseconds(1500); ///< Longest wait for running requests when an agent ends.
 
 // Shell.
--- a/src/transit_admission.cpp
+++ b/src/transit_admission.cpp
@@ -30,8 +30,8 @@
     if (service && service->flowLimit && load.flows >= service->flowLimit)
         return DeclineReason::Full;
     if (service && service->warmupPerSecond > 0 && isCold(view, now)) {
-        auto recent = std::count_if(m_admitted.begin(), m_admitted.end(),
-            [&](TimePoint at) { return now - at < coldWindow; });
+        auto recent
+            = std::count_if(m_admitted.begin(), m_admitted.end(), [&](TimePoint at) { return now - at < coldWindow; });
         if (static_cast<std::size_t>(recent) >= coldLimit(*service))
             return DeclineReason::Cold;
     }
--- a/src/transit_agent_cmd.cpp
+++ b/src/transit_agent_cmd.cpp
@@ -128,8 +128,8 @@
 {
     effects.push_back(WriteLog { "target_lifetime",
         { { "target", own.record.id }, { "started_at", static_cast<std::int64_t>(own.record.startedAt) },
-            { "revision", static_cast<std::int64_t>(own.revision.value) },
-            { "cold_ms", own.record.coldLeft.us / 1000 }, { "cold_limit_per_s", coldLimit() }, { "flows_before", static_cast<std::int64_t>(m_flows.size()) } } });
+            { "revision", static_cast<std::int64_t>(own.revision.value) }, { "cold_ms", own.record.coldLeft.us / 1000 },
+            { "cold_limit_per_s", coldLimit() }, { "flows_before", static_cast<std::int64_t>(m_flows.size()) } } });
     m_targetId = own.record.id;
     m_targetStartedAt = own.record.startedAt;
 }
--- a/src/transit_agent_message.cpp
+++ b/src/transit_agent_message.cpp
@@ -116,8 +116,8 @@
     const ViewedTarget* own = m_admission.ownRecord(m_fleet.view());
     effects.push_back(CountEvent { TransitCounter::OpensDeclined });
     effects.push_back(WriteLog { "open_declined",
-        { { "flow", toString(flow.caller) }, { "to", toString(flow.service) }, { "reason", std::string(nameOf(reason)) },
-            { "busy", static_cast<std::int64_t>(m_busy) },
+        { { "flow", toString(flow.caller) }, { "to", toString(flow.service) },
+            { "reason", std::string(nameOf(reason)) }, { "busy", static_cast<std::int64_t>(m_busy) },
             { "target_revision", static_cast<std::int64_t>(own ? own->revision.value : 0) },
             { "revision", static_cast<std::int64_t>(m_fleet.view().through().value) } } });
     if (reason == DeclineReason::Silent || reason == DeclineReason::Returned)
--- a/src/transit_agent_queue.cpp
+++ b/src/transit_agent_queue.cpp
@@ -64,7 +64,8 @@
     while (auto expired = m_queue.popExpired(now)) {
         effects.push_back(WriteLog { "request_expired",
             { { "flow", toString(expired->flow.caller) }, { "to", toString(expired->flow.service) },
-                { "waited_ms", (now - expired->startedAt).us / 1000 }, { "busy", static_cast<std::int64_t>(m_busy) } } });
+                { "waited_ms", (now - expired->startedAt).us / 1000 },
+                { "busy", static_cast<std::int64_t>(m_busy) } } });
         auto found = m_flows.find(expired->flow);
         if (found != m_flows.end())
             found->second.waiting.clear(); // The caller's time budget is over and it asks no more.
@@ -90,7 +91,8 @@
     }
     if (!flow.requestAt)
         return;
-    m_answeredAt = std::max(m_answeredAt, now - slotLeak + tickInterval); // One more for each tick when answers are missing.
+    m_answeredAt
+        = std::max(m_answeredAt, now - slotLeak + tickInterval); // One more for each tick when answers are missing.
 }
 
 } // namespace hawthorncroft
--- a/src/transit_agent_target.cpp
+++ b/src/transit_agent_target.cpp
@@ -52,16 +52,18 @@
     Endpoint balancer = m_balancers[index - 1];
     bool isLocating = tag & 1;
     effects.push_back(WriteLog { "packet_returned",
-        { { "flow", toString(packet.flow.caller) }, { "to", toString(packet.flow.service) },
-            { "target", m_targetId }, { "balancer", toString(balancer) } } });
+        { { "flow", toString(packet.flow.caller) }, { "to", toString(packet.flow.service) }, { "target", m_targetId },
+            { "balancer", toString(balancer) } } });
     answerNotHeld({ .replyTo = balancer, .isLocating = isLocating, .packet = std::move(packet) }, effects);
 }
 
 void TransitAgent::onUnknownReset(const TransitPacket& packet, TransitEffects& effects)
 {
-    // A target that just started may reset what it does not hold, instead of returning it. The flow may be open elsewhere.
+    // A target that just started may reset what it does not hold, instead of returning it. The flow may be open
+    // elsewhere.
     effects.push_back(WriteLog { "reset_withheld",
-        { { "flow", toString(packet.flow.caller) }, { "to", toString(packet.flow.service) }, { "target", m_targetId } } });
+        { { "flow", toString(packet.flow.caller) }, { "to", toString(packet.flow.service) },
+            { "target", m_targetId } } });
     auto asker = m_askers.find(packet.flow);
     if (asker == m_askers.end())
         return;
@@ -103,7 +105,8 @@
             m_opens.erase(pending);
             effects.push_back(CountEvent { TransitCounter::FlowsOpened });
             effects.push_back(SendMessage { balancer,
-                HeldMessage { .flow = packet.flow, .targetSequence = packet.sequence, .isOpening = true, .load = load() } });
+                HeldMessage {
+                    .flow = packet.flow, .targetSequence = packet.sequence, .isOpening = true, .load = load() } });
         }
     }
     if (packet.dataSize && flow.requestAt) {
--- a/src/transit_balancer_base.h
+++ b/src/transit_balancer_base.h
@@ -1,7 +1,7 @@
 /**
  * @file transit_balancer_base.h
- * Transparent flows at a balancer: places opening packets, remembers which agent holds a flow, and finds the holder of a
- * flow that it does not know. Its flow table is a cache; the agents hold the truth. Pure.
+ * Transparent flows at a balancer: places opening packets, remembers which agent holds a flow, and finds the holder of
+ * a flow that it does not know. Its flow table is a cache; the agents hold the truth. Pure.
  */
 #pragma once
 
@@ -85,7 +85,8 @@
     // Opening packets, in transit_balancer_open.cpp.
     void openFlow(TransitPacket packet, const RouteRecord& route, TimePoint now, TransitEffects& effects);
     void sendOpen(ForwardMessage forward, TimePoint startedAt, TimePoint now, TransitEffects& effects);
-    void refuseOpen(const TransitPacket& packet, std::string_view reason, std::size_t tried, TimePoint now, TransitEffects& effects);
+    void refuseOpen(const TransitPacket& packet, std::string_view reason, std::size_t tried, TimePoint now,
+        TransitEffects& effects);
     void onHeld(Endpoint from, const HeldMessage& held, TimePoint now, TransitEffects& effects);
     void onDeclined(Endpoint from, DeclinedMessage declined, TimePoint now, TransitEffects& effects);
     void repeatOpens(TimePoint now, TransitEffects& effects);
--- a/src/transit_balancer_cmd.cpp
+++ b/src/transit_balancer_cmd.cpp
@@ -84,7 +84,8 @@
     if (m_stoppedAt)
         return;
     m_stoppedAt = now;
-    effects.push_back(WriteLog { "stopping", { { "drain_ms", drainTime.us / 1000 }, { "flows", static_cast<std::int64_t>(m_flows.size()) } } });
+    effects.push_back(WriteLog {
+        "stopping", { { "drain_ms", drainTime.us / 1000 }, { "flows", static_cast<std::int64_t>(m_flows.size()) } } });
 }
 
 bool TransitBalancer::isReady() const { return !m_stoppedAt && m_fleet.view().hasConfiguration(); }
--- a/src/transit_balancer_locate.cpp
+++ b/src/transit_balancer_locate.cpp
@@ -58,8 +58,8 @@
 {
     locate.waitingFor.push_back(agent);
     locate.asked.push_back(agent);
-    effects.push_back(SendMessage { agent,
-        ForwardMessage { .replyTo = m_fleet.self(), .isLocating = true, .packet = locate.packets.front() } });
+    effects.push_back(SendMessage {
+        agent, ForwardMessage { .replyTo = m_fleet.self(), .isLocating = true, .packet = locate.packets.front() } });
 }
 
 std::vector<Endpoint> TransitBalancer::agentsThatMayHold(TimePoint now) const
@@ -86,7 +86,8 @@
     locate.isBroadcast = true;
     std::vector<Endpoint> answered;
     for (Endpoint agent : locate.asked) {
-        bool isWaiting = std::find(locate.waitingFor.begin(), locate.waitingFor.end(), agent) != locate.waitingFor.end();
+        bool isWaiting
+            = std::find(locate.waitingFor.begin(), locate.waitingFor.end(), agent) != locate.waitingFor.end();
         if (!isWaiting)
             answered.push_back(agent);
     }
@@ -220,7 +221,8 @@
             { { "flow", toString(entry->first.caller) }, { "to", toString(entry->first.service) },
                 { "asked", static_cast<std::int64_t>(locate.asked.size()) },
                 { "silent", static_cast<std::int64_t>(locate.waitingFor.size()) },
-                { "first_silent", locate.waitingFor.empty() ? std::string() : toString(locate.waitingFor.front()) } } });
+                { "first_silent",
+                    locate.waitingFor.empty() ? std::string() : toString(locate.waitingFor.front()) } } });
         entry = m_locates.erase(entry);
     }
     sendQuestions(effects);
--- a/src/transit_balancer_open.cpp
+++ b/src/transit_balancer_open.cpp
@@ -11,6 +11,7 @@
     std::vector<std::uint32_t> addressesOf(const std::vector<Endpoint>& agents)
     {
         std::vector<std::uint32_t> addresses;
+        addresses.reserve(agents.size());
         for (Endpoint agent : agents)
             addresses.push_back(agent.address);
         return addresses;
@@ -20,28 +21,26 @@
 
 void TransitBalancer::openFlow(TransitPacket packet, const RouteRecord& route, TimePoint now, TransitEffects& effects)
 {
-    auto cached = m_flows.find(packet.flow);
-    if (cached != m_flows.end()) {
-        // The target took the flow already; it answers the copy as it answered the first packet.
-        cached->second.usedAt = now;
-        ForwardMessage forward { .replyTo = m_fleet.self(), .routeRevision = m_fleet.view().routeRevisionAt(packet.flow.service), .packet = std::move(packet) };
-        if (const std::string* service = serviceFor(route, forward.packet.flow))
-            forward.service = *service;
-        effects.push_back(SendMessage { cached->second.holder.agent, std::move(forward) });
-        return;
-    }
     const std::string* service = serviceFor(route, packet.flow);
     if (!service) {
         refuseOpen(packet, "no_service", 0, now, effects);
         return;
     }
+    FlowTuple flow = packet.flow;
     ForwardMessage forward {
         .replyTo = m_fleet.self(),
         .service = *service,
-        .routeRevision = m_fleet.view().routeRevisionAt(packet.flow.service),
-        .packet = std::move(packet),
+        .routeRevision = m_fleet.view().routeRevisionAt(flow.service),
     };
-    auto pending = m_opens.find(forward.packet.flow);
+    forward.packet = std::move(packet);
+    auto cached = m_flows.find(flow);
+    if (cached != m_flows.end()) {
+        // The target took the flow already; it answers the copy as it answered the first packet.
+        cached->second.usedAt = now;
+        effects.push_back(SendMessage { cached->second.holder.agent, std::move(forward) });
+        return;
+    }
+    auto pending = m_opens.find(flow);
     if (pending != m_opens.end()) {
         // A copy of a packet that nobody answered yet goes to an agent that was not asked.
         forward.tried = pending->second.forward.tried;
@@ -59,15 +58,16 @@
             refuseOpen(forward.packet, "attempts_used", forward.tried.size(), now, effects);
         return;
     }
-    const ViewedTarget* target = m_placement.choose(
-        m_fleet.view(), forward.service, forward.packet.flow, addressesOf(forward.tried), now);
+    const ViewedTarget* target
+        = m_placement.choose(m_fleet.view(), forward.service, forward.packet.flow, addressesOf(forward.tried), now);
     if (!target) {
         refuseOpen(forward.packet, "no_target", forward.tried.size(), now, effects);
         return;
     }
     std::uint32_t address = target->record.address.address;
     Endpoint agent = agentOf(address);
-    effects.push_back(CountEvent { forward.tried.empty() ? TransitCounter::OpensForwarded : TransitCounter::OpensRepeated });
+    effects.push_back(
+        CountEvent { forward.tried.empty() ? TransitCounter::OpensForwarded : TransitCounter::OpensRepeated });
     effects.push_back(WriteLog { "open_placed",
         { { "flow", toString(forward.packet.flow.caller) }, { "to", toString(forward.packet.flow.service) },
             { "target", target->record.id }, { "agent", toString(agent) },
--- a/src/transit_codec_func.cpp
+++ b/src/transit_codec_func.cpp
@@ -35,7 +35,10 @@
 
     Endpoint endpointOf(const wire::Node& node) { return { node.address(), node.port() }; }
 
-    template <typename Pointer> Endpoint endpointOf(const Pointer& node) { return node ? endpointOf(*node) : Endpoint {}; }
+    template <typename Pointer> Endpoint endpointOf(const Pointer& node)
+    {
+        return node ? endpointOf(*node) : Endpoint {};
+    }
 
     wire::Flow flowOf(const FlowTuple& flow) { return { nodeOf(flow.caller), nodeOf(flow.service) }; }
 
@@ -203,10 +206,7 @@
         putLoad(out, body.load);
     }
 
-    void putBody(wire::MessageT& out, const NotHeldMessage& body, TimePoint)
-    {
-        out.packet = body.packet.bytes;
-    }
+    void putBody(wire::MessageT& out, const NotHeldMessage& body, TimePoint) { out.packet = body.packet.bytes; }
 
     void putBody(wire::MessageT& out, const HolderMessage& body, TimePoint)
     {
--- a/src/transit_core_base.h
+++ b/src/transit_core_base.h
@@ -1,6 +1,7 @@
 /**
  * @file transit_core_base.h
- * What the cores of balancers and agents have in common: their part in the fleet, and the interface that a shell drives.
+ * What the cores of balancers and agents have in common: their part in the fleet, and the interface that a shell
+ * drives.
  */
 #pragma once
 
@@ -46,8 +47,7 @@
     }
 
     /** Takes changes of the store; see TransitFleet::onStoreChanges. */
-    void onStoreChanges(
-        const std::vector<StoreChange>& changes, Revision asOf, TimePoint now, TransitEffects& effects)
+    void onStoreChanges(const std::vector<StoreChange>& changes, Revision asOf, TimePoint now, TransitEffects& effects)
     {
         if (m_fleet.onStoreChanges(changes, asOf, now, effects))
             onViewChanged(now, effects);
--- a/src/transit_effect_type.h
+++ b/src/transit_effect_type.h
@@ -107,8 +107,8 @@
     Duration time;
 };
 
-using TransitEffect = std::variant<SendMessage, HandToTarget, HandToCaller, ResetCaller, ReadStore, WatchStore, WriteLog,
-    CountEvent, RecordTime>;
+using TransitEffect = std::variant<SendMessage, HandToTarget, HandToCaller, ResetCaller, ReadStore, WatchStore,
+    WriteLog, CountEvent, RecordTime>;
 using TransitEffects = std::vector<TransitEffect>;
 
 /** Outcome of a store call that brought nothing. */
--- a/src/transit_fleet.cpp
+++ b/src/transit_fleet.cpp
@@ -166,7 +166,8 @@
     } else {
         Duration backoff = storeBackoffMin * (std::int64_t { 1 } << std::min<std::uint32_t>(m_failures, 6));
         backoff = std::min(backoff, storeBackoffMax);
-        m_nextCallAt = now + backoff / 2 + microseconds(static_cast<std::int64_t>(nextRandom() % static_cast<std::uint64_t>(backoff.us)));
+        m_nextCallAt = now + backoff / 2
+            + microseconds(static_cast<std::int64_t>(nextRandom() % static_cast<std::uint64_t>(backoff.us)));
         ++m_failures;
     }
     effects.push_back(CountEvent { TransitCounter::StoreFailures });
@@ -210,10 +211,7 @@
     return found != m_members.end() && found->second.incarnation && now < found->second.heardAt + lifetimeOfMember();
 }
 
-std::size_t TransitFleet::fanout() const
-{
-    return m_members.size() <= maxStampsToAll ? m_members.size() : stampFanout;
-}
+std::size_t TransitFleet::fanout() const { return m_members.size() <= maxStampsToAll ? m_members.size() : stampFanout; }
 
 Duration TransitFleet::lifetimeOfMember() const
 {
--- a/src/transit_fleet_base.h
+++ b/src/transit_fleet_base.h
@@ -70,8 +70,7 @@
         TransitEffects& effects);
 
     /** Takes the answer to a watch. @return Whether the view changed. */
-    bool onStoreChanges(
-        const std::vector<StoreChange>& changes, Revision asOf, TimePoint now, TransitEffects& effects);
+    bool onStoreChanges(const std::vector<StoreChange>& changes, Revision asOf, TimePoint now, TransitEffects& effects);
 
     /** Notes that a call to the store brought nothing. */
     void onStoreFailure(StoreFailure failure, TimePoint now, TransitEffects& effects);
--- a/src/transit_locator.cpp
+++ b/src/transit_locator.cpp
@@ -20,6 +20,7 @@
     std::uint64_t hash = hashOf(flow);
     ranks.resize(m_table.rank({ CallerId(hash), FlowId(mix64(hash)) }, ranks));
     std::vector<std::uint32_t> addresses;
+    addresses.reserve(ranks.size());
     for (TargetId id : ranks)
         addresses.push_back(id.value);
     return addresses;
--- a/src/transit_message_type.h
+++ b/src/transit_message_type.h
@@ -31,8 +31,8 @@
 };
 
 /**
- * Asks every agent for flows that their locators do not know. The packets go with the question, so that a holder can pass
- * them on at once; the answer of the others is one message for all flows.
+ * Asks every agent for flows that their locators do not know. The packets go with the question, so that a holder can
+ * pass them on at once; the answer of the others is one message for all flows.
  */
 struct LocateMessage {
     Endpoint replyTo;
--- a/src/transit_metrics.cpp
+++ b/src/transit_metrics.cpp
@@ -35,7 +35,8 @@
 {
     std::string text;
     for (std::size_t i = 0; i < m_counters.size(); ++i)
-        appendLine(text, std::string(nameOf(static_cast<TransitCounter>(i))) + "_total", "", static_cast<std::int64_t>(m_counters[i]));
+        appendLine(text, std::string(nameOf(static_cast<TransitCounter>(i))) + "_total", "",
+            static_cast<std::int64_t>(m_counters[i]));
     for (const auto& gauge : gauges)
         appendLine(text, gauge.name, "", gauge.value);
     for (std::size_t i = 0; i < m_histograms.size(); ++i) {
--- a/src/transit_metrics_base.h
+++ b/src/transit_metrics_base.h
@@ -18,7 +18,10 @@
 public:
     TransitMetrics();
 
-    void add(TransitCounter counter, std::uint64_t amount = 1) { m_counters[static_cast<std::size_t>(counter)] += amount; }
+    void add(TransitCounter counter, std::uint64_t amount = 1)
+    {
+        m_counters[static_cast<std::size_t>(counter)] += amount;
+    }
 
     std::uint64_t count(TransitCounter counter) const { return m_counters[static_cast<std::size_t>(counter)]; }
 
--- a/src/transit_placement.cpp
+++ b/src/transit_placement.cpp
@@ -11,8 +11,8 @@
 {
 }
 
-const ViewedTarget* TransitPlacement::choose(const TransitView& view, const std::string& service,
-    const FlowTuple& flow, const std::vector<std::uint32_t>& tried, TimePoint now) const
+const ViewedTarget* TransitPlacement::choose(const TransitView& view, const std::string& service, const FlowTuple& flow,
+    const std::vector<std::uint32_t>& tried, TimePoint now) const
 {
     const auto& targets = view.targetsOf(service);
     if (targets.empty())
--- a/src/transit_queue.cpp
+++ b/src/transit_queue.cpp
@@ -53,8 +53,8 @@
 
 std::optional<WaitingRequest> TransitQueue::popExpired(TimePoint now)
 {
-    auto expired = std::find_if(m_requests.begin(), m_requests.end(),
-        [&](const WaitingRequest& request) { return isExpired(request, now); });
+    auto expired = std::find_if(
+        m_requests.begin(), m_requests.end(), [&](const WaitingRequest& request) { return isExpired(request, now); });
     if (expired == m_requests.end())
         return std::nullopt;
     WaitingRequest request = *expired;
--- a/src/transit_shell.cpp
+++ b/src/transit_shell.cpp
@@ -68,7 +68,8 @@
     auto message = decodeMessage(*whole, m_format, now);
     if (!message) {
         m_metrics.add(TransitCounter::Malformed);
-        log({ "malformed_message", { { "peer", toString(from) }, { "size", static_cast<std::int64_t>(whole->size()) } } });
+        log({ "malformed_message",
+            { { "peer", toString(from) }, { "size", static_cast<std::int64_t>(whole->size()) } } });
         return;
     }
     m_core.onMessage(from, std::move(*message), now, m_effects);
--- a/src/transit_type.h
+++ b/src/transit_type.h
@@ -1,7 +1,7 @@
 /**
  * @file transit_type.h
- * Transparent flows: flows of callers that use no library of ours. A flow is known by the addresses and ports of its two
- * ends, and its packets are forwarded unchanged.
+ * Transparent flows: flows of callers that use no library of ours. A flow is known by the addresses and ports of its
+ * two ends, and its packets are forwarded unchanged.
  */
 #pragma once
 
--- a/src/transit_view_base.h
+++ b/src/transit_view_base.h
@@ -35,7 +35,8 @@
      * @param holdRemovedUntil Targets that the store no longer holds are used until then.
      * @return Whether anything changed.
      */
-    bool applySnapshot(const std::vector<StoreChange>& changes, Revision asOf, TimePoint now, TimePoint holdRemovedUntil);
+    bool applySnapshot(
+        const std::vector<StoreChange>& changes, Revision asOf, TimePoint now, TimePoint holdRemovedUntil);
 
     /**
      * Takes changes that the store reported.
@@ -45,7 +46,8 @@
      * @param holdRemovedUntil As for applySnapshot.
      * @return Whether anything changed.
      */
-    bool applyChanges(const std::vector<StoreChange>& changes, Revision asOf, TimePoint now, TimePoint holdRemovedUntil);
+    bool applyChanges(
+        const std::vector<StoreChange>& changes, Revision asOf, TimePoint now, TimePoint holdRemovedUntil);
 
     /**
      * Takes a delta of another process.
--- a/src/transit_view_cmd.cpp
+++ b/src/transit_view_cmd.cpp
@@ -36,7 +36,8 @@
     bool hasChanged = false;
     for (const auto& change : changes)
         hasChanged |= applyOne(change, now, holdRemovedUntil, &seen);
-    hasChanged |= removeMissing([&](const std::string& key) { return seen.contains(key); }, asOf, now, holdRemovedUntil);
+    hasChanged
+        |= removeMissing([&](const std::string& key) { return seen.contains(key); }, asOf, now, holdRemovedUntil);
     if (!m_through)
         m_historyFloor = asOf;
     advance(asOf);
@@ -131,7 +132,8 @@
         bool isSame = found != m_items.end() && !found->second.isRemoved && found->second.value == value;
         // An unchanged record keeps its revision, so that a delta holds only what changed.
         if (!isSame)
-            hasChanged |= apply({ .key = std::move(key), .revision = change.revision, .value = std::move(value), .receivedAt = now });
+            hasChanged |= apply(
+                { .key = std::move(key), .revision = change.revision, .value = std::move(value), .receivedAt = now });
     };
     for (const auto& route : change.routes)
         put(keyOf(routePrefix, toString(route.address)), route);
--- a/src/transit_view_query.cpp
+++ b/src/transit_view_query.cpp
@@ -12,7 +12,9 @@
 
 ViewDelta TransitView::deltaSince(Revision since) const
 {
-    ViewDelta delta { .since = since, .through = m_through, .hasKeys = since && since < m_historyFloor, .keys = {}, .items = {} };
+    ViewDelta delta {
+        .since = since, .through = m_through, .hasKeys = since && since < m_historyFloor, .keys = {}, .items = {}
+    };
     for (const auto& [key, item] : m_items) {
         if (delta.hasKeys && !item.isRemoved)
             delta.keys.push_back(hashOfKey(key));
--- a/src/transit_view_type.h
+++ b/src/transit_view_type.h
@@ -120,7 +120,6 @@
     std::string failureDomain;
 };
 
-using StoreChange
-    = std::variant<ConfigurationChange, TargetChange, EvacuationChange, TargetRemoval, EvacuationEnd>;
+using StoreChange = std::variant<ConfigurationChange, TargetChange, EvacuationChange, TargetRemoval, EvacuationEnd>;
 
 } // namespace hawthorncroft
--- a/tests/ctl_test.cpp
+++ b/tests/ctl_test.cpp
@@ -183,3 +183,36 @@
     CHECK(Run(CtlArguments {}).status == ctlRefused);
     CHECK(Run({ "check", "--lod", "5" }).status == ctlRefused);
 }
+
+TEST_CASE("A recorded request is explained from its id", "[ctl]")
+{
+    Documents files;
+    // As a collector writes it, with a time and a VM in front; lines of other flows and half a line stand between.
+    std::string log = files.write("run.log",
+        R"(  9.9000 e1 {"t_us":5,"part":"balancer","vm":"e1","event":"open_placed","flow":"100.64.0.1:1000","to":"198.18.0.1:443","agent":"10.0.0.9:7000"}
+  10.1000 s1 {"t_us":9,"part":"agent","vm":"s1","event":"request_started","request":"ab","flow":"100.64.0.1:1000","to":"198.18.0.1:443"}
+  10.2000 e2 {"t_us":1,"part":"balancer","vm":"e2","event":"flow_lost","flow":"100.64.0.1:1000","to":"198.18.0.1:443","asked":3}
+  10.0000 e1 {"t_us":5,"part":"balancer","vm":"e1","event":"open_placed","flow":"100.64.0.2:1000","to":"198.18.0.1:443"}
+  10.3000 e1 {"t_us":5,"part":"bala
+)");
+
+    SECTION("its lines come in order with the cause at the end")
+    {
+        Run run({ "explain", "--log", log, "--request", "ab" });
+        CHECK(run.status == ctlOk);
+        CHECK(run.out.str().find("open_placed") < run.out.str().find("request_started"));
+        CHECK(run.says("cause: every agent said"));
+        CHECK_FALSE(run.says("100.64.0.2"));
+    }
+    SECTION("a flow whose request was never seen is found by the caller's address")
+    {
+        Run run({ "explain", "--log", log, "--flow", "100.64.0.2:1000" });
+        CHECK(run.says("cause: the opening packet was sent to an agent that never answered"));
+    }
+    SECTION("an unknown id and missing arguments have a defined result")
+    {
+        CHECK(Run({ "explain", "--log", log, "--request", "zz" }).status == ctlWarnings);
+        CHECK(Run({ "explain", "--log", log }).status == ctlRefused);
+        CHECK(Run({ "explain", "--log", "missing.log", "--request", "ab" }).status == ctlRefused);
+    }
+}
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -27,8 +27,8 @@
 std::vector<std::uint8_t> openingPacket()
 {
     // Opening packet from 100.64.0.7:40001 to 198.18.0.1:443 with sequence 0x11223344.
-    return bytesOf({ 0, 0, 0, 0, 0, 0, 0x44, 0x33, 0x22, 0x11, 0, 0, 0, 0, 8, 0, 0xd5, 0xc3, 0xb2, 0xa1, 7, 0, 0x40, 0x64, 1,
-        0, 0x12, 0xc6, 0x41, 0x9c, 0xbb, 1 });
+    return bytesOf({ 0, 0, 0, 0, 0, 0, 0x44, 0x33, 0x22, 0x11, 0, 0, 0, 0, 8, 0, 0xd5, 0xc3, 0xb2, 0xa1, 7, 0, 0x40,
+        0x64, 1, 0, 0x12, 0xc6, 0x41, 0x9c, 0xbb, 1 });
 }
 
 std::string base64(const std::string& text)
@@ -40,16 +40,21 @@
 
 std::string item(const std::string& key, int revision, const std::string& value)
 {
-    return R"({"Key":")" + key + R"(","Value":")" + base64(value) + R"(","Revision":)" + std::to_string(revision) + R"(,"Created":1,"Lease":0})";
+    return R"({"Key":")" + key + R"(","Value":")" + base64(value) + R"(","Revision":)" + std::to_string(revision)
+        + R"(,"Created":1,"Lease":0})";
 }
 
 std::string range(const std::string& items) { return R"({"items":[)" + items + R"(],"Truncated":false,"AsOf":40})"; }
 
-const std::string goodTarget = R"({"Service":"web","Addr":"10.0.0.9:8080","Zone":"a","Version":"v1","MaxConcurrency":4,"State":"ready","WarmupLeftMs":0,"Seq":4,"born":1790449014666})";
+const std::string goodTarget
+    = R"({"Service":"web","Addr":"10.0.0.9:8080","Zone":"a","Version":"v1","MaxConcurrency":4,"State":"ready","WarmupLeftMs":0,"Seq":4,"born":1790449014666})";
 
 struct Faults {
     std::vector<std::string> lines;
-    StoreFaultHandler handler() { return [this](const std::string& key, const std::string& fault) { lines.push_back(key + ": " + fault); }; }
+    StoreFaultHandler handler()
+    {
+        return [this](const std::string& key, const std::string& fault) { lines.push_back(key + ": " + fault); };
+    }
 };
 
 }
@@ -83,8 +88,9 @@
     }
     SECTION("a reset has the layout that callers accept")
     {
-        CHECK(format.makeReset(packet->flow, 0) == bytesOf({ 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 2, 0, 0, 0, 0, 0, 1, 0, 0x12,
-                  0xc6, 7, 0, 0x40, 0x64, 0xbb, 1, 0x41, 0x9c }));
+        CHECK(format.makeReset(packet->flow, 0)
+            == bytesOf({ 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 2, 0, 0, 0, 0, 0, 1, 0, 0x12, 0xc6, 7, 0, 0x40, 0x64,
+                0xbb, 1, 0x41, 0x9c }));
     }
     SECTION("every wrong length is refused")
     {
@@ -126,7 +132,8 @@
 
     SECTION("a forwarded packet")
     {
-        auto body = std::get<ForwardMessage>(roundTrip(ForwardMessage { { 1, 2 }, "web", Revision(5), true, 1, { { 3, 4 } }, packet }));
+        auto body = std::get<ForwardMessage>(
+            roundTrip(ForwardMessage { { 1, 2 }, "web", Revision(5), true, 1, { { 3, 4 } }, packet }));
         CHECK(body.packet.bytes == packet.bytes);
         CHECK(body.packet.flow == packet.flow);
         CHECK(body.replyTo == Endpoint { 1, 2 });
@@ -135,25 +142,39 @@
     }
     SECTION("answers, questions and notes")
     {
-        CHECK(std::get<HeldMessage>(roundTrip(HeldMessage { packet.flow, 9, true, { 1, 2, 3 } })).load == LoadReport { 1, 2, 3 });
-        CHECK(std::get<DeclinedMessage>(roundTrip(DeclinedMessage { DeclineReason::Cold, { .replyTo = { 1, 2 }, .packet = packet }, {} })).reason == DeclineReason::Cold);
+        CHECK(std::get<HeldMessage>(roundTrip(HeldMessage { packet.flow, 9, true, { 1, 2, 3 } })).load
+            == LoadReport { 1, 2, 3 });
+        CHECK(std::get<DeclinedMessage>(
+                  roundTrip(DeclinedMessage { DeclineReason::Cold, { .replyTo = { 1, 2 }, .packet = packet }, {} }))
+                  .reason
+            == DeclineReason::Cold);
         CHECK(std::get<NotHeldMessage>(roundTrip(NotHeldMessage { packet })).packet.flow == packet.flow);
         CHECK(std::get<HolderMessage>(roundTrip(HolderMessage { { packet.flow } })).flows.front() == packet.flow);
         CHECK(std::get<LocateMessage>(roundTrip(LocateMessage { { 1, 2 }, { packet, packet } })).packets.size() == 2);
         CHECK(std::get<NotHeldFlowsMessage>(roundTrip(NotHeldFlowsMessage { { packet.flow } })).flows.size() == 1);
-        CHECK(std::get<StampMessage>(roundTrip(StampMessage { ProcessRole::Agent, 5, milliseconds(3), true, {}, { { 1, 2 } } })).balancers.size() == 1);
+        CHECK(std::get<StampMessage>(
+                  roundTrip(StampMessage { ProcessRole::Agent, 5, milliseconds(3), true, {}, { { 1, 2 } } }))
+                  .balancers.size()
+            == 1);
         CHECK(std::get<LeavingMessage>(roundTrip(LeavingMessage { ProcessRole::Agent })).role == ProcessRole::Agent);
     }
     SECTION("a delta, whose times shrink by what passed at the sender")
     {
         TargetRecord record = targetRecord(11, "one");
         record.coldLeft = seconds(2);
-        ViewItem target { .key = "target/one", .revision = Revision(6), .isRemoved = true, .value = record,
-            .heldUntil = now + milliseconds(300), .receivedAt = now - milliseconds(500) };
+        ViewItem target { .key = "target/one",
+            .revision = Revision(6),
+            .isRemoved = true,
+            .value = record,
+            .heldUntil = now + milliseconds(300),
+            .receivedAt = now - milliseconds(500) };
         ViewItem route { .key = "route/x", .revision = Revision(7), .value = routeTo("web") };
-        ViewItem service { .key = "service/web", .revision = Revision(7), .value = ServiceRecord { "web", 2000, seconds(2), 4.5 } };
+        ViewItem service {
+            .key = "service/web", .revision = Revision(7), .value = ServiceRecord { "web", 2000, seconds(2), 4.5 }
+        };
         ViewItem evacuation { .key = "evacuation/a", .revision = Revision(7), .value = EvacuationRecord { "a" } };
-        DeltaMessage message { milliseconds(4), { Revision(1), Revision(7), true, { 42 }, { target, route, service, evacuation } } };
+        DeltaMessage message { milliseconds(4),
+            { Revision(1), Revision(7), true, { 42 }, { target, route, service, evacuation } } };
         auto body = std::get<DeltaMessage>(roundTrip(message));
         REQUIRE(body.delta.items.size() == 4);
         CHECK(body.delta.keys == std::vector<std::uint64_t> { 42 });
@@ -165,7 +186,8 @@
     }
     SECTION("bytes that are no message are refused")
     {
-        rc::check("no bytes crash the decoder", [&](std::vector<std::uint8_t> bytes) { decodeMessage(bytes, format, now); });
+        rc::check(
+            "no bytes crash the decoder", [&](std::vector<std::uint8_t> bytes) { decodeMessage(bytes, format, now); });
         rc::check("nor do messages with a changed byte", [&] {
             auto bytes = encodeMessage({ Revision(7), HeldMessage { packet.flow, 9, true, {} } }, now);
             bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] ^= *rc::gen::inRange<std::uint8_t>(1, 255);
@@ -217,7 +239,8 @@
 TEST_CASE("The store's items are decoded into types", "[platform]")
 {
     Faults faults;
-    auto page = [&](const std::string& items) { return std::get<StorePage>(decodeRange(range(items), faults.handler())); };
+    auto page
+        = [&](const std::string& items) { return std::get<StorePage>(decodeRange(range(items), faults.handler())); };
 
     SECTION("a target")
     {
@@ -231,11 +254,15 @@
     }
     SECTION("an entry of another writer names no target, is reported with key and field, and the others hold")
     {
-        std::string noService = R"({"Addr":"10.0.0.9:8080","Zone":"a","MaxConcurrency":4,"State":"ready","WarmupLeftMs":0})";
-        std::string badState = R"({"Service":"web","Addr":"10.0.0.9:8080","Zone":"a","MaxConcurrency":4,"State":"odd","WarmupLeftMs":0})";
-        std::string badType = R"({"Service":"web","Addr":17,"Zone":"a","MaxConcurrency":"4","State":"ready","WarmupLeftMs":0})";
-        auto changes = page(item("servers/a", 1, noService) + "," + item("servers/b", 2, badState) + "," + item("servers/c", 3, badType) + ","
-            + item("servers/d", 4, "\x01\x02") + "," + item("servers/e", 5, goodTarget))
+        std::string noService
+            = R"({"Addr":"10.0.0.9:8080","Zone":"a","MaxConcurrency":4,"State":"ready","WarmupLeftMs":0})";
+        std::string badState
+            = R"({"Service":"web","Addr":"10.0.0.9:8080","Zone":"a","MaxConcurrency":4,"State":"odd","WarmupLeftMs":0})";
+        std::string badType
+            = R"({"Service":"web","Addr":17,"Zone":"a","MaxConcurrency":"4","State":"ready","WarmupLeftMs":0})";
+        auto changes = page(item("servers/a", 1, noService) + "," + item("servers/b", 2, badState) + ","
+            + item("servers/c", 3, badType) + "," + item("servers/d", 4, "\x01\x02") + ","
+            + item("servers/e", 5, goodTarget))
                            .changes;
         REQUIRE(changes.size() == 5);
         for (std::size_t i = 0; i < 4; ++i)
@@ -248,7 +275,8 @@
     }
     SECTION("a configuration with routes, shares and services")
     {
-        std::string text = R"({"Version":7,"Routes":[{"Name":"r","Host":"198.18.0.1","Prefix":"/8443/","Kind":"safe","TimeoutMs":2000,
+        std::string text
+            = R"({"Version":7,"Routes":[{"Name":"r","Host":"198.18.0.1","Prefix":"/8443/","Kind":"safe","TimeoutMs":2000,
             "TargetLatencyMs":120,"Priority":2,"Backends":[{"Service":"web","Weight":90},{"Service":"mail","Weight":10}]},
             {"Name":"s","Host":"198.18.0.2","Prefix":"/80/","Kind":"unsafe","TimeoutMs":2000,"TargetLatencyMs":120,"Priority":1,"Service":"web"}],
             "Services":[{"Name":"web","HealthPath":"/h","MaxConns":2000,"WarmupS":2.5,"WarmupPerS":4.0}],"Limits":{}})";
@@ -269,8 +297,9 @@
     }
     SECTION("an evacuation, its end, and keys that are for others")
     {
-        auto outcome = decodeWatch(R"({"events":[)" + item("op/evacuate/a", 3, "{}") + R"(,{"Key":"op/evacuate/a","Revision":4,"Deleted":true},)"
-                + item("else/x", 5, "1") + R"(,{"Key":"servers/i","Revision":6,"Deleted":true}],"AsOf":6})",
+        auto outcome = decodeWatch(R"({"events":[)" + item("op/evacuate/a", 3, "{}")
+                + R"(,{"Key":"op/evacuate/a","Revision":4,"Deleted":true},)" + item("else/x", 5, "1")
+                + R"(,{"Key":"servers/i","Revision":6,"Deleted":true}],"AsOf":6})",
             faults.handler());
         const auto& changes = std::get<StoreChanges>(outcome).changes;
         REQUIRE(changes.size() == 3);
@@ -280,12 +309,15 @@
     }
     SECTION("a truncated page names where the next one starts")
     {
-        auto outcome = decodeRange(R"({"items":[)" + item("servers/i-1", 12, goodTarget) + R"(],"Truncated":true,"AsOf":40})", faults.handler());
+        auto outcome
+            = decodeRange(R"({"items":[)" + item("servers/i-1", 12, goodTarget) + R"(],"Truncated":true,"AsOf":40})",
+                faults.handler());
         CHECK(std::get<StorePage>(outcome).nextAfter == "servers/i-1");
     }
     SECTION("an answer that is no answer counts as a failed call")
     {
-        for (const char* body : { "", "[]", "{}", R"({"items":7,"AsOf":1,"Truncated":false})", R"({"items":[],"Truncated":false})" })
+        for (const char* body :
+            { "", "[]", "{}", R"({"items":7,"AsOf":1,"Truncated":false})", R"({"items":[],"Truncated":false})" })
             CHECK(std::get<StoreFailure>(decodeRange(body, faults.handler())) == StoreFailure::Invalid);
         CHECK(faults.lines.size() == 5);
     }
@@ -293,7 +325,8 @@
 
 TEST_CASE("Settings of a process on the platform are checked completely", "[platform][settings]")
 {
-    const std::string good = R"({"vm":"v","failureDomain":"a","packets":"10.0.0.1:8172","data":"10.0.0.1:8172","status":"10.0.0.1:8167",
+    const std::string good
+        = R"({"vm":"v","failureDomain":"a","packets":"10.0.0.1:8172","data":"10.0.0.1:8172","status":"10.0.0.1:8167",
         "fleetPort":7720,"store":"10.0.0.2:8169","seeds":["10.0.0.1:8166","10.0.0.3:8166"],"isFirstStart":true,"linkMbps":10,
         "target":"10.0.0.1:8165","service":"web","warmupExcess":1.5,"warmupSlack":5,"unknown":1})";
     std::vector<std::string> faults;
@@ -308,7 +341,8 @@
     }
     SECTION("each fault has a line with key, value and what is allowed")
     {
-        parsePlatformSettings(ProcessRole::Balancer, R"({"vm":"","packets":"nowhere","fleetPort":0,"seeds":7,"linkMbps":10,
+        parsePlatformSettings(ProcessRole::Balancer,
+            R"({"vm":"","packets":"nowhere","fleetPort":0,"seeds":7,"linkMbps":10,
             "failureDomain":"a","data":"10.0.0.1:1","status":"10.0.0.1:2","store":"10.0.0.2:3","isFirstStart":"yes"})",
             faults);
         REQUIRE(faults.size() == 5);
@@ -339,8 +373,9 @@
     SECTION("a line is one JSON object")
     {
         log.write({ "opened", { { "flow", std::string("a\"b") }, { "age_ms", 5 } } }, now);
-        CHECK(read() == R"({"t_us":5000000,"part":"balancer","vm":"v","event":"opened","flow":"a\"b","age_ms":5})"
-                        "\n");
+        CHECK(read()
+            == R"({"t_us":5000000,"part":"balancer","vm":"v","event":"opened","flow":"a\"b","age_ms":5})"
+               "\n");
     }
     SECTION("lines of one kind beyond the limit are counted in a line of their own")
     {
@@ -360,7 +395,8 @@
         // The line that was cut by the full pipe is completed before another one starts.
         text += read();
         std::size_t begin = 0;
-        for (std::size_t end = text.find('\n'); end != std::string::npos; begin = end + 1, end = text.find('\n', begin)) {
+        for (std::size_t end = text.find('\n'); end != std::string::npos;
+             begin = end + 1, end = text.find('\n', begin)) {
             CHECK(text[begin] == '{');
             CHECK(text[end - 1] == '}');
         }
--- a/tests/transit_flow_test.cpp
+++ b/tests/transit_flow_test.cpp
@@ -44,7 +44,8 @@
     fleet.run(milliseconds(50));
     CHECK(fleet.caller(flow).answers == 1);
 
-    SECTION("a packet at a balancer that does not know the flow finds it, which guards against flows lost with a balancer")
+    SECTION(
+        "a packet at a balancer that does not know the flow finds it, which guards against flows lost with a balancer")
     {
         fleet.kill(fleet.balancers[0]);
         std::size_t before = fleet.messages();
@@ -103,7 +104,8 @@
     fleet.sendRequest(fleet.balancers[0], flow);
     fleet.run(milliseconds(50));
 
-    SECTION("after its target started again the caller is told at once, which guards against waiting for the time budget")
+    SECTION(
+        "after its target started again the caller is told at once, which guards against waiting for the time budget")
     {
         fleet.restartTarget(holder, "new");
         fleet.run(milliseconds(100));
@@ -113,7 +115,8 @@
         REQUIRE(fleet.caller(flow).resetAt);
         CHECK(*fleet.caller(flow).resetAt - sentAt < milliseconds(60));
     }
-    SECTION("a target that resets what it does not hold ends nothing, which guards against flows lost while they are located")
+    SECTION("a target that resets what it does not hold ends nothing, which guards against flows lost while they are "
+            "located")
     {
         // An agent that just started asks its target about unknown flows.
         for (Endpoint agent : fleet.agents) {
@@ -168,18 +171,28 @@
     // Another target answers a late copy; its sequence number is near the first one's by chance.
     std::uint32_t other = holder == 11 ? 12 : 11;
     TransitEffects effects;
-    ForwardMessage copy { .replyTo = fleet.balancers[1], .service = "web", .packet = { .flow = flow, .flags = { .isOpening = true } } };
+    ForwardMessage copy {
+        .replyTo = fleet.balancers[1], .service = "web", .packet = { .flow = flow, .flags = { .isOpening = true } }
+    };
     fleet.agent({ other, fleetPort }).onMessage(fleet.balancers[1], { Revision(1), copy }, fleet.now(), effects);
-    TransitPacket answer { .flow = flow, .flags = { .isOpening = true, .hasAcknowledgement = true }, .sequence = fleet.caller(flow).targetSequence - 5000 };
+    TransitPacket answer { .flow = flow,
+        .flags = { .isOpening = true, .hasAcknowledgement = true },
+        .sequence = fleet.caller(flow).targetSequence - 5000 };
     fleet.agent({ other, fleetPort }).onPacket(answer, fleet.now(), effects);
     fleet.run(milliseconds(10));
 
     std::size_t before = fleet.target(other).returned;
     effects.clear();
-    TransitPacket first { .flow = flow, .flags = { .hasAcknowledgement = true }, .acknowledged = fleet.caller(flow).targetSequence + 1, .dataSize = 1 };
-    fleet.agent({ other, fleetPort }).onMessage(fleet.balancers[1], { Revision(1), ForwardMessage { .replyTo = fleet.balancers[1], .packet = first } }, fleet.now(), effects);
+    TransitPacket first { .flow = flow,
+        .flags = { .hasAcknowledgement = true },
+        .acknowledged = fleet.caller(flow).targetSequence + 1,
+        .dataSize = 1 };
+    fleet.agent({ other, fleetPort })
+        .onMessage(fleet.balancers[1],
+            { Revision(1), ForwardMessage { .replyTo = fleet.balancers[1], .packet = first } }, fleet.now(), effects);
     // The guard: packets of the flow must not reach a target that the caller did not choose.
-    CHECK(std::none_of(effects.begin(), effects.end(), [](const auto& effect) { return std::holds_alternative<HandToTarget>(effect); }));
+    CHECK(std::none_of(effects.begin(), effects.end(),
+        [](const auto& effect) { return std::holds_alternative<HandToTarget>(effect); }));
     CHECK(fleet.target(other).returned == before);
 }
 
@@ -212,7 +225,8 @@
 {
     Fleet fleet;
 
-    SECTION("another agent is asked before the caller sends a copy, which guards against late answers after an agent's end")
+    SECTION(
+        "another agent is asked before the caller sends a copy, which guards against late answers after an agent's end")
     {
         fleet.kill(fleet.agents[0]);
         for (std::uint32_t i = 0; i < 12; ++i)
@@ -245,7 +259,8 @@
         // 300 openings, a bounded number of repeats, and the stamps of three balancers.
         CHECK(fleet.messages() - before < 300 + repeatReserve + repeatRefill + 100);
     }
-    SECTION("a tick that comes late blames nobody, which guards against repeats by a balancer that is itself overloaded")
+    SECTION(
+        "a tick that comes late blames nobody, which guards against repeats by a balancer that is itself overloaded")
     {
         fleet.sendOpen(fleet.balancers[0], flowOf(50));
         fleet.pause(fleet.balancers[0]);
@@ -290,7 +305,9 @@
 
     auto ask = [&](const std::string& service) {
         TransitEffects effects;
-        ForwardMessage forward { .replyTo = fleet.balancers[0], .service = service, .packet = { .flow = flowOf(9), .flags = { .isOpening = true } } };
+        ForwardMessage forward { .replyTo = fleet.balancers[0],
+            .service = service,
+            .packet = { .flow = flowOf(9), .flags = { .isOpening = true } } };
         fleet.agent(agent).onMessage(fleet.balancers[0], { Revision(1), forward }, fleet.now(), effects);
         for (auto& effect : effects) {
             auto* send = std::get_if<SendMessage>(&effect);
--- a/tests/transit_sim.cpp
+++ b/tests/transit_sim.cpp
@@ -24,14 +24,25 @@
 
 RouteRecord routeTo(const std::string& service, Endpoint address)
 {
-    return { .address = address, .shares = { { service, 1 } }, .isIdempotent = true, .priority = 1,
-        .timeout = seconds(2), .latencyObjective = milliseconds(120) };
+    return { .address = address,
+        .shares = { { service, 1 } },
+        .isIdempotent = true,
+        .priority = 1,
+        .timeout = seconds(2),
+        .latencyObjective = milliseconds(120) };
 }
 
-TargetRecord targetRecord(std::uint32_t address, const std::string& id, const std::string& service, const std::string& domain)
+TargetRecord targetRecord(
+    std::uint32_t address, const std::string& id, const std::string& service, const std::string& domain)
 {
-    return { .id = id, .service = service, .address = { address, targetPort }, .failureDomain = domain, .slots = 4,
-        .isDraining = false, .coldLeft = {}, .startedAt = std::hash<std::string> {}(id) % 1000 + 1 };
+    return { .id = id,
+        .service = service,
+        .address = { address, targetPort },
+        .failureDomain = domain,
+        .slots = 4,
+        .isDraining = false,
+        .coldLeft = {},
+        .startedAt = std::hash<std::string> {}(id) % 1000 + 1 };
 }
 
 TransitSim::TransitSim() { writeRoutes({ routeTo("web") }); }
@@ -46,10 +57,12 @@
     return endpoint;
 }
 
-Endpoint TransitSim::addAgent(std::uint32_t address, const std::string& service, const std::string& domain, bool isFirstStart)
+Endpoint TransitSim::addAgent(
+    std::uint32_t address, const std::string& service, const std::string& domain, bool isFirstStart)
 {
     Endpoint endpoint { address, fleetPort };
-    m_processes[endpoint] = { .isAgent = true, .service = service, .domain = domain, .isFirstStart = isFirstStart, .nextTick = m_now };
+    m_processes[endpoint]
+        = { .isAgent = true, .service = service, .domain = domain, .isFirstStart = isFirstStart, .nextTick = m_now };
     std::string id = "t" + std::to_string(address);
     m_targets[address] = { .id = id, .service = service };
     writeTarget(targetRecord(address, id, service, domain));
@@ -69,8 +82,10 @@
 std::unique_ptr<TransitCore> TransitSim::makeCore(Endpoint process)
 {
     const Process& settings = m_processes[process];
-    FleetOptions fleet { .self = process, .role = settings.isAgent ? ProcessRole::Agent : ProcessRole::Balancer,
-        .incarnation = settings.incarnation, .seeds = m_seeds };
+    FleetOptions fleet { .self = process,
+        .role = settings.isAgent ? ProcessRole::Agent : ProcessRole::Balancer,
+        .incarnation = settings.incarnation,
+        .seeds = m_seeds };
     if (!settings.isAgent)
         return std::make_unique<TransitBalancer>(
             TransitBalancerOptions { .fleet = fleet, .failureDomain = settings.domain, .fleetPort = fleetPort });
@@ -87,7 +102,8 @@
     ++m_revision.value;
     std::vector<ServiceRecord> services;
     for (const char* name : { "web", "mail" })
-        services.push_back({ .name = name, .flowLimit = 2000, .warmup = seconds(2), .warmupPerSecond = warmupPerSecond });
+        services.push_back(
+            { .name = name, .flowLimit = 2000, .warmup = seconds(2), .warmupPerSecond = warmupPerSecond });
     StoreChange change = ConfigurationChange { m_revision, routes, services };
     m_store["configuration"] = change;
     m_history.emplace_back(m_revision, change);
@@ -140,8 +156,12 @@
 
 void TransitSim::sendRequest(Endpoint balancer, const FlowTuple& flow, std::uint32_t sequence)
 {
-    TransitPacket packet { .flow = flow, .flags = { .hasAcknowledgement = true }, .sequence = sequence,
-        .acknowledged = m_callers[flow].targetSequence + 1, .dataSize = 100, .requestId = "r" + std::to_string(sequence) };
+    TransitPacket packet { .flow = flow,
+        .flags = { .hasAcknowledgement = true },
+        .sequence = sequence,
+        .acknowledged = m_callers[flow].targetSequence + 1,
+        .dataSize = 100,
+        .requestId = "r" + std::to_string(sequence) };
     packet.bytes.resize(132);
     deliver(balancer, 0, [this, packet, balancer](TransitCore& core) {
         TransitEffects effects;
@@ -184,7 +204,10 @@
     return found == m_logged.end() ? 0 : found->second;
 }
 
-void TransitSim::at(TimePoint time, std::function<void()> action) { m_events.push({ time, ++m_lastNumber, std::move(action) }); }
+void TransitSim::at(TimePoint time, std::function<void()> action)
+{
+    m_events.push({ time, ++m_lastNumber, std::move(action) });
+}
 
 void TransitSim::tickAll()
 {
@@ -297,7 +320,9 @@
     if (packet.flags.isOpening) {
         if (target.flows.insert(packet.flow).second)
             target.opened.emplace_back(m_now, packet.flow);
-        TransitPacket answer { .flow = packet.flow, .flags = { .isOpening = true, .hasAcknowledgement = true }, .sequence = 1000000 * (address & 0xff) };
+        TransitPacket answer { .flow = packet.flow,
+            .flags = { .isOpening = true, .hasAcknowledgement = true },
+            .sequence = 1000000 * (address & 0xff) };
         targetSends(address, answer);
         return;
     }
--- a/tests/transit_sim.h
+++ b/tests/transit_sim.h
@@ -55,7 +55,8 @@
     Endpoint addBalancer(std::uint32_t address, const std::string& domain = "a");
 
     /** Adds an agent with a target, and registers the target in the store. @return The agent's endpoint. */
-    Endpoint addAgent(std::uint32_t address, const std::string& service = "web", const std::string& domain = "a", bool isFirstStart = true);
+    Endpoint addAgent(std::uint32_t address, const std::string& service = "web", const std::string& domain = "a",
+        bool isFirstStart = true);
 
     /** Ends a process without notice; its target lives on. */
     void kill(Endpoint process) { m_cores.erase(process); }
@@ -165,6 +166,7 @@
 RouteRecord routeTo(const std::string& service, Endpoint address = routeAddress);
 
 /** @return A registered target. */
-TargetRecord targetRecord(std::uint32_t address, const std::string& id, const std::string& service = "web", const std::string& domain = "a");
+TargetRecord targetRecord(
+    std::uint32_t address, const std::string& id, const std::string& service = "web", const std::string& domain = "a");
 
 } // namespace hawthorncroft::tests
--- a/tests/transit_view_test.cpp
+++ b/tests/transit_view_test.cpp
@@ -13,7 +13,8 @@
 
 constexpr TimePoint start { seconds(50).us };
 
-StoreChange target(std::uint64_t revision, const std::string& id, std::uint32_t address = 11, std::uint64_t startedAt = 1)
+StoreChange target(
+    std::uint64_t revision, const std::string& id, std::uint32_t address = 11, std::uint64_t startedAt = 1)
 {
     TargetRecord record = targetRecord(address, id);
     record.startedAt = startedAt;
@@ -87,7 +88,8 @@
         TransitView other;
         other.applyDelta(view.deltaSince(other.through()), start);
         REQUIRE(other.through() == view.through());
-        view.applyChanges({ target(7, "two", 12), removal(8, "one"), routes(9, { routeTo("mail") }) }, Revision(9), start, start);
+        view.applyChanges(
+            { target(7, "two", 12), removal(8, "one"), routes(9, { routeTo("mail") }) }, Revision(9), start, start);
         other.applyDelta(view.deltaSince(other.through()), start);
         other.expire(start);
         view.expire(start);
@@ -97,7 +99,8 @@
         SECTION("also when the sender does not know what was removed, without all items")
         {
             TransitView late;
-            late.applySnapshot({ routes(9, { routeTo("mail") }), target(7, "two", 12), target(11, "three", 13) }, Revision(11), start, start);
+            late.applySnapshot({ routes(9, { routeTo("mail") }), target(7, "two", 12), target(11, "three", 13) },
+                Revision(11), start, start);
             other.applyChanges({ target(10, "gone", 14) }, Revision(10), start, start);
             ViewDelta delta = late.deltaSince(other.through());
             CHECK(delta.hasKeys);
@@ -123,12 +126,14 @@
         source.applySnapshot({}, Revision(1), start, start);
         std::vector<TransitView> others(3);
         std::uint64_t revision = 1;
-        auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(rc::gen::pair(rc::gen::inRange(0, 8), rc::gen::inRange(0, 4)));
+        auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+            rc::gen::pair(rc::gen::inRange(0, 8), rc::gen::inRange(0, 4)));
         for (auto [kind, which] : steps) {
             if (kind < 4) {
                 ++revision;
                 std::string id = "t" + std::to_string(which);
-                StoreChange change = kind < 3 ? target(revision, id, static_cast<std::uint32_t>(20 + which), revision) : removal(revision, id);
+                StoreChange change = kind < 3 ? target(revision, id, static_cast<std::uint32_t>(20 + which), revision)
+                                              : removal(revision, id);
                 source.applyChanges({ change }, Revision(revision), start, start);
             } else {
                 TransitView& from = which == 3 ? source : others[static_cast<std::size_t>(which)];
@@ -162,7 +167,8 @@
     auto allHold = [&](const std::string& service) {
         std::size_t count = 0;
         for (Endpoint process : all) {
-            const TransitFleet& fleet = process.address < 10 ? sim.balancer(process).fleet() : sim.agent(process).fleet();
+            const TransitFleet& fleet
+                = process.address < 10 ? sim.balancer(process).fleet() : sim.agent(process).fleet();
             const RouteRecord* route = fleet.view().routeAt(routeAddress);
             count += route && route->shares.front().service == service;
         }
