Drop packets that waited through a pause of the process

Change: after a gap of a second between ticks what waits in the sockets is forgotten, and counted in a log line; callers that still want it send it again through another balancer.

--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -217,6 +217,7 @@
     tests/transit_flow_test.cpp
     tests/transit_sim.cpp
     tests/transit_view_test.cpp
+    tests/udp_test.cpp
 )
 
 set(BENCHES
--- a/src/transit_shell.cpp
+++ b/src/transit_shell.cpp
@@ -48,6 +48,10 @@
 
 void TransitShell::onPacket(std::span<const std::uint8_t> bytes)
 {
+    if (isAfterPause(monotonicNow())) {
+        m_metrics.add(TransitCounter::PacketsDropped);
+        return; // Until the next tick, which logs the pause.
+    }
     bool isFromTarget = static_cast<bool>(m_options.target);
     auto packet = m_format.decode(bytes, isFromTarget);
     if (!packet) {
@@ -62,6 +66,10 @@
 void TransitShell::onDatagram(Endpoint from, std::span<const std::uint8_t> bytes)
 {
     TimePoint now = monotonicNow();
+    if (isAfterPause(now)) {
+        m_metrics.add(TransitCounter::PacketsDropped);
+        return;
+    }
     auto whole = m_joiner.join(from, bytes, now);
     if (!whole)
         return;
@@ -98,9 +106,24 @@
     carryOut();
 }
 
+bool TransitShell::isAfterPause(TimePoint now) const { return m_tickedAt && now >= *m_tickedAt + stalePacketAge; }
+
+void TransitShell::discardStale(TimePoint now)
+{
+    std::size_t count = m_packets.discardWaiting() + m_fleet.discardWaiting();
+    m_metrics.add(TransitCounter::PacketsDropped, count);
+    log({ "pause",
+        { { "paused_ms", (now - *m_tickedAt).us / 1000 }, { "packets_dropped", static_cast<std::int64_t>(count) },
+            { "revision", static_cast<std::int64_t>(m_core.fleet().view().through().value) } } });
+}
+
 void TransitShell::tick()
 {
     TimePoint now = monotonicNow();
+    // Callers have given up what waited so long, or sent it again; a request must not run after its caller left.
+    if (isAfterPause(now))
+        discardStale(now);
+    m_tickedAt = now;
     m_core.onTick(now, m_effects);
     carryOut();
     if (m_core.isFinished(now)) {
--- a/src/transit_shell.h
+++ b/src/transit_shell.h
@@ -56,6 +56,8 @@
     void onDatagram(Endpoint from, std::span<const std::uint8_t> bytes);
     void onSignal(int number);
     void onStoreOutcome(StoreOutcome outcome);
+    bool isAfterPause(TimePoint now) const;
+    void discardStale(TimePoint now);
     void tick();
     void armTimer();
     void carryOut();
@@ -85,6 +87,7 @@
     boost::asio::steady_timer m_timer;
     boost::asio::signal_set m_signals;
     TransitEffects m_effects;
+    std::optional<TimePoint> m_tickedAt;
 };
 
 } // namespace hawthorncroft
--- a/src/udp_base.h
+++ b/src/udp_base.h
@@ -46,6 +46,12 @@
      */
     void send(Endpoint to, std::span<const std::uint8_t> bytes);
 
+    /**
+     * Reads and forgets all datagrams that wait, such as after a pause of the process.
+     * @return Number of datagrams.
+     */
+    std::size_t discardWaiting();
+
     /** @return Address and port in use. */
     Endpoint local() const;
 
--- a/src/udp_func.cpp
+++ b/src/udp_func.cpp
@@ -10,6 +10,7 @@
 namespace {
 
     constexpr int batchSize = 64; ///< Datagrams read before other handlers of the thread get their turn.
+    constexpr std::size_t maxDiscarded = 1 << 20; ///< More than a socket buffer holds.
     constexpr int socketBufferBytes = 4 << 20; ///< Holds some thousand datagrams while the thread is busy.
 
 }
@@ -81,6 +82,19 @@
         ++m_dropped;
 }
 
+std::size_t UdpSocket::discardWaiting()
+{
+    std::size_t count = 0;
+    boost::system::error_code error;
+    udp::endpoint from;
+    while (error != asio::error::would_block && count < maxDiscarded) {
+        m_socket.receive_from(asio::buffer(m_buffer), from, 0, error);
+        if (!error)
+            ++count;
+    }
+    return count;
+}
+
 Endpoint UdpSocket::local() const
 {
     boost::system::error_code error;
