Run the platform's programs as processes before stand-ins (make demo-platform), and log what waits

The HTTP server of the status address answers later where a handler needs it. Queued and expired requests have log lines with their ids; explain follows one request of a long flow.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SOURCES = $(shell git ls-files 'src/*.h' 'src/*.cpp' 'tests/*.h' 'tests/*.cpp' 'standin/*.h' 'standin/*.cpp' \
 	'bench/*.h' 'bench/*.cpp' 'platform/*.h' 'platform/*.cpp' | grep -v generated)
 
-.PHONY: help install build check test demo format format-check tidy generate model check-asan check-tsan bench bench-core
+.PHONY: help install build check test demo demo-platform format format-check tidy generate model check-asan check-tsan bench bench-core
 
 help:
 	@echo "install       install the Debian packages that the build needs (as root)"
@@ -15,6 +15,7 @@
 	@echo "test          run the tests of an existing build"
 	@echo "check         install, build, test"
 	@echo "demo          run both examples under load while parts of them change; below two minutes"
+	@echo "demo-platform run balancers and agents for the platform before stand-ins while parts change; half a minute"
 	@echo "bench         compare the decisions with baselines, and measure the configuration's spread"
 	@echo "bench-core    time of one routing decision and bytes of one flow"
 	@echo "format        format all sources; format-check only checks"
@@ -52,6 +53,9 @@
 demo: install build
 	$(BUILD)/standin-demo examples/sofia examples/reykjavik
 
+demo-platform: install build
+	$(BUILD)/standin-transit-demo
+
 format:
 	clang-format -i $(SOURCES)
 
--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -100,6 +100,7 @@
     standin/standin_platform.cpp
     standin/standin_target.cpp
     standin/standin_target_type.cpp
+    standin/transit_demo_world.cpp
 )
 
 # Transparent flows. Core and shell; the files that other programs use too are compiled into both libraries.
@@ -148,6 +149,7 @@
     standin-fabric
     standin-platform
     standin-target
+    standin-transit-demo
 )
 
 set(hawthorncroft-agent_SOURCES
@@ -183,6 +185,10 @@
     standin/standin_target_main.cpp
 )
 
+set(standin-transit-demo_SOURCES
+    standin/transit_demo_main.cpp
+)
+
 set(TEST_SOURCES
     bench/replica_fleet.cpp
     tests/admission_test.cpp
--- a/src/ctl_explain_log.cpp
+++ b/src/ctl_explain_log.cpp
@@ -42,7 +42,7 @@
     };
 
     /** In the order of their weight: the first that is found among a flow's lines, from its end, is the cause. */
-    constexpr std::array<Cause, 10> causes { {
+    constexpr std::array<Cause, 11> causes { {
         { "request_answered", "the target answered; what came later was lost on the way to the caller" },
         { "flow_refused", "refused before it ran; the reason stands in the line" },
         { "flow_lost", "every agent said that its target does not hold the flow: the target's lifetime ended" },
@@ -50,6 +50,7 @@
             "a balancer that did not know the flow asked, and the agents named as silent did not answer" },
         { "locate_incomplete", "no agent holds the flow, but not all could be asked, so that nothing was reset" },
         { "request_expired", "the request waited for a slot until its time budget was used up" },
+        { "request_queued", "the request waits for a slot at the agent" },
         { "packet_returned", "the target returned a packet: it no longer held the flow" },
         { "request_started", "the target got the request and no answer of it was seen: it ended or stands still" },
         { "open_declined", "the last agent that was asked declined, and nobody else took the flow in time" },
@@ -105,6 +106,25 @@
         return flows;
     }
 
+    /** Lines of a flow that concern one request, or all of them without a request. */
+    std::vector<const LogLine*> chainOf(
+        const std::vector<LogLine>& lines, const std::set<FlowName>& flows, const std::string& request)
+    {
+        std::vector<const LogLine*> chain;
+        bool wasSeen = false;
+        for (const auto& line : lines) {
+            if (!flows.contains({ line.text("flow"), line.text("to") }))
+                continue;
+            bool isOther = !request.empty() && !line.text("request").empty() && line.text("request") != request;
+            if (isOther && wasSeen)
+                break; // The flow went on with its next request.
+            wasSeen |= !request.empty() && line.text("request") == request;
+            if (!isOther)
+                chain.push_back(&line);
+        }
+        return chain;
+    }
+
     std::string_view causeOf(const std::vector<const LogLine*>& chain)
     {
         for (auto line = chain.rbegin(); line != chain.rend(); ++line) {
@@ -151,11 +171,7 @@
     if (!readLines(values["log"].as<std::vector<std::string>>(), streams.err, lines))
         return ctlRefused;
     std::set<FlowName> flows = flowsOf(lines, request, caller);
-    std::vector<const LogLine*> chain;
-    for (const auto& line : lines) {
-        if (flows.contains({ line.text("flow"), line.text("to") }))
-            chain.push_back(&line);
-    }
+    std::vector<const LogLine*> chain = chainOf(lines, flows, request);
     if (chain.empty()) {
         streams.out << "no line names it: no process saw its packets, or the lines were left out under load\n";
         return ctlWarnings;
--- a/src/transit_agent_base.h
+++ b/src/transit_agent_base.h
@@ -114,6 +114,7 @@
     bool hasFreeSlot(TimePoint now) const;
     bool queueRequest(HeldFlow& flow, ForwardMessage& forward, TimePoint now, TransitEffects& effects);
     void releaseRequests(TimePoint now, TransitEffects& effects);
+    void giveUpRequest(const WaitingRequest& request, TimePoint now, TransitEffects& effects);
     void releaseRequest(const WaitingRequest& request, TimePoint now, TransitEffects& effects);
     void endRequest(HeldFlow& flow);
     void endFlow(HeldFlow& flow);
--- a/src/transit_agent_queue.cpp
+++ b/src/transit_agent_queue.cpp
@@ -55,27 +55,42 @@
     if (!m_queue.push(request))
         return false;
     effects.push_back(CountEvent { TransitCounter::RequestsQueued });
+    effects.push_back(WriteLog { "request_queued",
+        { { "request", forward.packet.requestId }, { "flow", toString(request.flow.caller) },
+            { "to", toString(request.flow.service) }, { "target", m_targetId },
+            { "priority", static_cast<std::int64_t>(request.priority) },
+            { "age_ms", (now - request.startedAt).us / 1000 }, { "busy", static_cast<std::int64_t>(m_busy) },
+            { "queued", static_cast<std::int64_t>(m_queue.size()) },
+            { "route_revision",
+                static_cast<std::int64_t>(m_fleet.view().routeRevisionAt(request.flow.service).value) } } });
     flow.waiting.push_back(std::move(forward));
     return true;
 }
 
 void TransitAgent::releaseRequests(TimePoint now, TransitEffects& effects)
 {
-    while (auto expired = m_queue.popExpired(now)) {
-        effects.push_back(WriteLog { "request_expired",
-            { { "flow", toString(expired->flow.caller) }, { "to", toString(expired->flow.service) },
-                { "waited_ms", (now - expired->startedAt).us / 1000 },
-                { "busy", static_cast<std::int64_t>(m_busy) } } });
-        auto found = m_flows.find(expired->flow);
-        if (found != m_flows.end())
-            found->second.waiting.clear(); // The caller's time budget is over and it asks no more.
-    }
+    while (auto expired = m_queue.popExpired(now))
+        giveUpRequest(*expired, now, effects);
     while (!m_queue.empty() && hasFreeSlot(now)) {
         auto request = m_queue.pop(now);
         releaseRequest(*request, now, effects);
     }
 }
 
+void TransitAgent::giveUpRequest(const WaitingRequest& request, TimePoint now, TransitEffects& effects)
+{
+    auto found = m_flows.find(request.flow);
+    if (found == m_flows.end())
+        return;
+    auto waiting = std::move(found->second.waiting);
+    found->second.waiting.clear(); // The caller's time budget is over and it asks no more.
+    effects.push_back(WriteLog { "request_expired",
+        { { "request", waiting.empty() ? std::string() : waiting.front().packet.requestId },
+            { "flow", toString(request.flow.caller) }, { "to", toString(request.flow.service) },
+            { "waited_ms", (now - request.startedAt).us / 1000 }, { "budget_ms", request.timeout.us / 1000 },
+            { "busy", static_cast<std::int64_t>(m_busy) }, { "queued", static_cast<std::int64_t>(m_queue.size()) } } });
+}
+
 void TransitAgent::releaseRequest(const WaitingRequest& request, TimePoint now, TransitEffects& effects)
 {
     auto found = m_flows.find(request.flow);
--- a/src/transit_http.cpp
+++ b/src/transit_http.cpp
@@ -33,15 +33,17 @@
             m_stream.expires_after(idleLimit);
             http::async_read(m_stream, m_buffer, m_request,
                 [self = shared_from_this()](boost::beast::error_code error, std::size_t) {
-                    if (!error)
-                        self->answer();
+                    if (error)
+                        return;
+                    self->m_handler(std::string(self->m_request.target()),
+                        [self](HttpReply reply) { self->answer(std::move(reply)); });
                 });
         }
 
     private:
-        void answer()
+        void answer(HttpReply reply)
         {
-            HttpReply reply = m_handler(std::string(m_request.target()));
+            m_stream.expires_after(idleLimit);
             m_response = { static_cast<http::status>(reply.status), m_request.version() };
             m_response.keep_alive(m_request.keep_alive());
             m_response.set(http::field::content_type, "text/plain");
--- a/src/transit_http_base.h
+++ b/src/transit_http_base.h
@@ -23,12 +23,14 @@
 /** Serves GET requests; connections are kept open and bounded in number. */
 class TransitHttpServer {
 public:
-    using Handler = std::function<HttpReply(const std::string& path)>;
+    /** Sends the reply to one request; called once, at once or later. */
+    using Replier = std::function<void(HttpReply)>;
+    using Handler = std::function<void(const std::string& path, Replier reply)>;
 
     /**
      * Starts to listen.
      * @param local Address and port.
-     * @param handler Called with the path of each request.
+     * @param handler Called with the path of each request and what sends its reply.
      * @return Empty on success, otherwise what the system reports.
      */
     std::string open(boost::asio::io_context& context, Endpoint local, Handler handler);
--- a/src/transit_shell.cpp
+++ b/src/transit_shell.cpp
@@ -31,7 +31,8 @@
     error = m_fleet.open(m_options.fleet);
     if (!error.empty())
         return toString(m_options.fleet) + ": " + error;
-    error = m_status.open(m_context, m_options.status, [this](const std::string& path) { return answer(path); });
+    error = m_status.open(m_context, m_options.status,
+        [this](const std::string& path, const TransitHttpServer::Replier& reply) { reply(answer(path)); });
     if (!error.empty())
         return toString(m_options.status) + ": " + error;
     m_packets.start([this](Endpoint, std::span<const std::uint8_t> bytes) { onPacket(bytes); });
--- /dev/null
+++ b/standin/transit_demo_main.cpp
@@ -0,0 +1,281 @@
+/**
+ * @file transit_demo_main.cpp
+ * standin-transit-demo: runs balancers and agents for the platform as processes on loopback before stand-ins of the
+ * store, targets and callers, while balancers are replaced, a target drains and a failure domain is emptied. Exit
+ * status: 0 all promises kept, 1 one was broken, 2 wrong command line or a process did not start.
+ */
+#include "demo_process.h"
+#include "transit_demo_world.h"
+
+#include <boost/json.hpp>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+
+using namespace hawthorncroft;
+
+namespace {
+
+constexpr std::uint32_t balancerBase = 0x7f000100; ///< 127.0.1.x
+constexpr std::uint32_t agentBase = 0x7f000200; ///< 127.0.2.x
+constexpr std::uint32_t callerBase = 0x7f000300; ///< 127.0.3.x
+constexpr Endpoint storeEndpoint { 0x7f000401, 21169 };
+constexpr Endpoint feedAddress { 0xc6120001, 443 };
+constexpr Endpoint confirmAddress { 0xc6120001, 8443 };
+constexpr std::uint32_t balancerCount = 3;
+constexpr std::uint32_t agentCount = 5; ///< The last one runs another service.
+constexpr std::uint32_t callerCount = 24;
+constexpr std::size_t requestsPerFeed = 1000000;
+constexpr double leastAnswered = 0.99; ///< Share of requests.
+constexpr double mostLate = 0.05; ///< Share of requests answered after more than half a second.
+constexpr std::chrono::seconds drainBound { 3 };
+
+std::string domainOf(std::uint32_t agent) { return agent % 2 ? "zone-a" : "zone-b"; }
+
+/** The demo: world, processes and the script of what happens. */
+class Demo {
+public:
+    Demo(const std::string& programs, std::string work)
+        : m_work(std::move(work))
+        , m_processes(programs, m_work)
+        , m_store(m_context, storeEndpoint)
+    {
+    }
+
+    int run()
+    {
+        std::string error = startAll();
+        if (!error.empty()) {
+            std::cerr << "standin-transit-demo: " << error << "\n";
+            return 2;
+        }
+        script();
+        m_context.run();
+        return judge();
+    }
+
+private:
+    std::string startAll()
+    {
+        std::string error = m_store.start();
+        writeConfiguration();
+        for (std::uint32_t i = 1; i <= agentCount && error.empty(); ++i) {
+            m_targets.push_back(
+                std::make_unique<DemoTarget>(m_context, agentBase + i, m_ports, i == agentCount ? "other" : "web"));
+            error = m_targets.back()->start();
+            registerTarget(i, "ready");
+        }
+        for (std::uint32_t i = 1; i <= balancerCount && error.empty(); ++i)
+            error = startBalancer(i);
+        for (std::uint32_t i = 1; i <= agentCount && error.empty(); ++i)
+            error = startAgent(i);
+        return error;
+    }
+
+    void writeConfiguration()
+    {
+        auto route = [](Endpoint address, const char* kind) {
+            std::string host = toString(address).substr(0, toString(address).find(':'));
+            return boost::json::object { { "Name", "r" }, { "Host", host },
+                { "Prefix", "/" + std::to_string(address.port) + "/" }, { "Kind", kind }, { "TimeoutMs", 2000 },
+                { "TargetLatencyMs", 150 }, { "Priority", 1 }, { "Service", "web" } };
+        };
+        boost::json::object service { { "Name", "web" }, { "MaxConns", 2000 }, { "WarmupS", 2.0 },
+            { "WarmupPerS", 0.0 } };
+        m_store.put("op/config",
+            boost::json::serialize(boost::json::object { { "Version", 1 },
+                { "Routes", boost::json::array { route(feedAddress, "safe"), route(confirmAddress, "unsafe") } },
+                { "Services", boost::json::array { service } } }));
+    }
+
+    void registerTarget(std::uint32_t agent, const char* state)
+    {
+        m_store.put("servers/t" + std::to_string(agent),
+            boost::json::serialize(boost::json::object { { "Service", agent == agentCount ? "other" : "web" },
+                { "Addr", toString({ agentBase + agent, m_ports.target }) }, { "Zone", domainOf(agent) },
+                { "MaxConcurrency", 4 }, { "State", state }, { "WarmupLeftMs", 0 }, { "born", 1000 + agent } }));
+    }
+
+    boost::json::object settings(const std::string& vm, std::uint32_t address, const std::string& domain) const
+    {
+        boost::json::array seeds;
+        for (std::uint32_t i = 1; i <= balancerCount; ++i)
+            seeds.emplace_back(toString({ balancerBase + i, m_ports.fleet }));
+        return { { "vm", vm }, { "failureDomain", domain }, { "data", toString({ address, m_ports.data }) },
+            { "status", toString({ address, m_ports.status }) }, { "fleetPort", m_ports.fleet },
+            { "store", toString(storeEndpoint) }, { "seeds", seeds }, { "isFirstStart", false } };
+    }
+
+    std::string startProcess(const std::string& name, const std::string& program, const boost::json::object& values)
+    {
+        std::string file = m_work + "/" + name + ".json";
+        std::ofstream(file) << boost::json::serialize(values);
+        return m_processes.start(name, program, { "--settings", file });
+    }
+
+    std::string startBalancer(std::uint32_t i)
+    {
+        auto values = settings("balancer-" + std::to_string(i), balancerBase + i, i % 2 ? "zone-a" : "zone-b");
+        values["packets"] = toString({ balancerBase + i, m_ports.data });
+        values["linkMbps"] = 1000;
+        return startProcess("balancer-" + std::to_string(i), "hawthorncroft-platform-balancer", values);
+    }
+
+    std::string startAgent(std::uint32_t i)
+    {
+        auto values = settings("agent-" + std::to_string(i), agentBase + i, domainOf(i));
+        values["packets"] = toString({ agentBase + i, m_ports.outbound });
+        values["target"] = toString({ agentBase + i, m_ports.target });
+        values["service"] = i == agentCount ? "other" : "web";
+        values["warmupExcess"] = 1.5;
+        values["warmupSlack"] = 5;
+        return startProcess("agent-" + std::to_string(i), "hawthorncroft-platform-agent", values);
+    }
+
+    /** Stands for the routers: by a hash of the flow over the balancers in rotation. */
+    Endpoint balancerFor(const FlowTuple& flow) const
+    {
+        std::uint32_t best = 1;
+        std::uint64_t bestHash = 0;
+        for (std::uint32_t i = 1; i <= balancerCount; ++i) {
+            std::uint64_t hash = mix64(hashOf(flow), i);
+            if (!m_out.contains(i) && hash > bestHash) {
+                best = i;
+                bestHash = hash;
+            }
+        }
+        return { balancerBase + best, m_ports.data };
+    }
+
+    void at(double seconds, const std::string& what, std::function<void()> action)
+    {
+        auto timer = std::make_shared<boost::asio::steady_timer>(
+            m_context, std::chrono::milliseconds(static_cast<int>(seconds * 1000)));
+        timer->async_wait([timer, what, action = std::move(action)](boost::system::error_code) {
+            std::cout << what << std::endl;
+            action();
+        });
+    }
+
+    void script()
+    {
+        at(1.5, "callers start", [this] { startCallers(); });
+        at(4.0, "balancer 1 is asked to end", [this] { m_processes.signal("balancer-1", SIGTERM); });
+        at(5.0, "the routers leave it", [this] { m_out.insert(1); });
+        at(8.0, "it starts again", [this] { startBalancer(1); });
+        at(8.7, "the routers use it again", [this] { m_out.erase(1); });
+        at(10.0, "balancer 2 is killed", [this] {
+            m_processes.signal("balancer-2", SIGKILL);
+            m_out.insert(2);
+        });
+        at(11.0, "it starts again", [this] { startBalancer(2); });
+        at(11.7, "the routers use it again", [this] { m_out.erase(2); });
+        at(13.0, "target 1 drains", [this] { registerTarget(1, "draining"); });
+        at(13.0 + drainBound.count(), "it must get nothing new from now on",
+            [this] { m_openedAtDrain = target(1).opened(); });
+        at(14.0, "zone-b is emptied", [this] { m_store.put("op/evacuate/zone-b", "{}"); });
+        at(17.0, "it must get nothing new from now on", [this] { m_openedAtEvacuation = openedIn("zone-b"); });
+        at(20.0, "zone-b is back", [this] {
+            m_openedBefore = openedIn("zone-b");
+            m_openedBeforeReturn = target(1).opened();
+            m_store.remove("op/evacuate/zone-b");
+            registerTarget(1, "ready");
+        });
+        at(22.0, "agent 3 is killed beside its target", [this] { m_processes.signal("agent-3", SIGKILL); });
+        at(22.3, "it starts again", [this] { startAgent(3); });
+        at(25.0, "callers end", [this] {
+            for (auto& caller : m_callers)
+                caller->stop();
+        });
+        at(26.0, "end", [this] { m_context.stop(); });
+    }
+
+    void startCallers()
+    {
+        for (std::uint32_t i = 1; i <= callerCount; ++i) {
+            bool isFeed = i % 2;
+            m_callers.push_back(
+                std::make_unique<DemoCaller>(m_context, callerBase + i, m_ports, isFeed ? feedAddress : confirmAddress,
+                    isFeed ? requestsPerFeed : 1, [this](const FlowTuple& flow) { return balancerFor(flow); }));
+            std::string error = m_callers.back()->start();
+            if (!error.empty())
+                std::cerr << "standin-transit-demo: caller: " << error << "\n";
+        }
+    }
+
+    DemoTarget& target(std::uint32_t agent) { return *m_targets[agent - 1]; }
+
+    std::size_t openedIn(const std::string& domain)
+    {
+        std::size_t count = 0;
+        for (std::uint32_t i = 1; i < agentCount; ++i)
+            count += domainOf(i) == domain ? target(i).opened() : 0;
+        return count;
+    }
+
+    /** Prints a row. @return Whether the promise was kept. */
+    static bool row(const std::string& promise, bool isKept, const std::string& figures)
+    {
+        std::cout << (isKept ? "kept    " : "BROKEN  ") << promise << ": " << figures << "\n";
+        return isKept;
+    }
+
+    int judge()
+    {
+        std::size_t asked = 0;
+        std::size_t answered = 0;
+        std::size_t late = 0;
+        std::size_t feedResets = 0;
+        for (std::size_t i = 0; i < m_callers.size(); ++i) {
+            asked += m_callers[i]->asked();
+            answered += m_callers[i]->answered();
+            late += m_callers[i]->late();
+            feedResets += i % 2 ? 0 : m_callers[i]->resets();
+        }
+        auto count = [](std::size_t n) { return std::to_string(n); };
+        bool isKept = row("requests are answered",
+            asked > 1000 && static_cast<double>(answered) >= leastAnswered * static_cast<double>(asked),
+            count(answered) + " of " + count(asked));
+        isKept &= row("few are late", static_cast<double>(late) <= mostLate * static_cast<double>(asked), count(late));
+        isKept &= row("no open feed is reset", feedResets == 0, count(feedResets));
+        isKept &= row(
+            "no packet reaches another service", target(agentCount).opened() == 0, count(target(agentCount).opened()));
+        isKept &= row("a draining target gets nothing new after 3 s", m_openedBeforeReturn == m_openedAtDrain,
+            count(m_openedBeforeReturn - m_openedAtDrain));
+        isKept &= row("an emptied failure domain gets nothing new after 3 s", m_openedBefore == m_openedAtEvacuation,
+            count(m_openedBefore - m_openedAtEvacuation));
+        auto ends = m_processes.unexpectedEnds();
+        isKept &= row("no process ends by itself", ends.empty(), count(ends.size()));
+        std::cout << m_store.calls() << " calls to the store\n"
+                  << (isKept ? "All promises were kept.\n" : "A promise was broken.\n");
+        return isKept ? 0 : 1;
+    }
+
+    boost::asio::io_context m_context;
+    std::string m_work;
+    DemoProcesses m_processes;
+    DemoPorts m_ports;
+    DemoStore m_store;
+    std::vector<std::unique_ptr<DemoTarget>> m_targets;
+    std::vector<std::unique_ptr<DemoCaller>> m_callers;
+    std::set<std::uint32_t> m_out; ///< Balancers that the routers do not use.
+    std::size_t m_openedAtDrain {};
+    std::size_t m_openedBeforeReturn {};
+    std::size_t m_openedAtEvacuation {};
+    std::size_t m_openedBefore {};
+};
+
+}
+
+int main(int argc, char** argv)
+{
+    if (argc > 2 || (argc == 2 && std::string(argv[1]) == "--help")) {
+        std::cout << "standin-transit-demo [DIRECTORY for log files]\n";
+        return argc > 2 ? 2 : 0;
+    }
+    std::string work = argc == 2 ? argv[1] : "demo-run/platform";
+    std::filesystem::create_directories(work);
+    return Demo(std::filesystem::path(argv[0]).parent_path().string(), work).run();
+}
--- /dev/null
+++ b/standin/transit_demo_world.cpp
@@ -0,0 +1,302 @@
+#include "transit_demo_world.h"
+
+#include "standin_func.h"
+
+#include <boost/beast/core/detail/base64.hpp>
+#include <boost/json.hpp>
+
+namespace hawthorncroft {
+
+namespace json = boost::json;
+
+namespace {
+
+    constexpr std::uint8_t flagFinal = 1;
+    constexpr std::uint8_t flagReset = 2;
+    constexpr std::uint8_t flagOpening = 8;
+    constexpr std::uint8_t flagAcknowledgement = 32;
+    constexpr std::uint8_t flagReturned = 128;
+    constexpr std::size_t headerSize = 32;
+    constexpr std::size_t flagsAt = 14;
+    constexpr std::chrono::milliseconds copyInterval { 200 };
+    constexpr std::chrono::milliseconds pauseBetweenRequests { 60 };
+    constexpr std::chrono::milliseconds lateAfter { 500 };
+    constexpr std::size_t mostCopies = 8; ///< The caller gives up after them.
+
+    void putNumber(std::vector<std::uint8_t>& bytes, std::size_t at, std::size_t size, std::uint32_t value)
+    {
+        for (std::size_t i = 0; i < size; ++i)
+            bytes[at + i] = static_cast<std::uint8_t>(value >> (8 * i));
+    }
+
+    /** A packet from one end to another; the keyed sum is left out, as nobody here checks it. */
+    std::vector<std::uint8_t> packetOf(Endpoint from, Endpoint to, std::uint8_t flags, std::uint32_t sequence,
+        std::uint32_t acknowledged, const std::string& data)
+    {
+        std::vector<std::uint8_t> bytes(headerSize + data.size());
+        putNumber(bytes, 4, 2, static_cast<std::uint32_t>(data.size()));
+        putNumber(bytes, 6, 4, sequence);
+        putNumber(bytes, 10, 4, acknowledged);
+        bytes[flagsAt] = flags;
+        putNumber(bytes, 20, 4, from.address);
+        putNumber(bytes, 24, 4, to.address);
+        putNumber(bytes, 28, 2, from.port);
+        putNumber(bytes, 30, 2, to.port);
+        std::copy(data.begin(), data.end(), bytes.begin() + headerSize);
+        return bytes;
+    }
+
+    std::string base64(const std::string& text)
+    {
+        std::string encoded(boost::beast::detail::base64::encoded_size(text.size()), '\0');
+        encoded.resize(boost::beast::detail::base64::encode(encoded.data(), text.data(), text.size()));
+        return encoded;
+    }
+
+}
+
+DemoStore::DemoStore(boost::asio::io_context& context, Endpoint listen)
+    : m_context(context)
+    , m_listen(listen)
+{
+}
+
+std::string DemoStore::start()
+{
+    return m_server.open(m_context, m_listen,
+        [this](const std::string& path, const TransitHttpServer::Replier& reply) { answer(path, reply); });
+}
+
+void DemoStore::put(const std::string& key, const std::string& value)
+{
+    m_items[key] = { value, ++m_revision, false };
+    answerWatches();
+}
+
+void DemoStore::remove(const std::string& key)
+{
+    m_items[key] = { {}, ++m_revision, true };
+    answerWatches();
+}
+
+void DemoStore::answer(const std::string& path, const TransitHttpServer::Replier& reply)
+{
+    ++m_calls;
+    UrlPath url = splitPath(path);
+    if (path.starts_with("/kv-range")) {
+        reply({ 200, itemsAfter(0, true) });
+        return;
+    }
+    auto watch = std::make_shared<Watch>();
+    watch->after = toNumber(url.query["after"], 0);
+    watch->reply = reply;
+    watch->timer = std::make_shared<boost::asio::steady_timer>(
+        m_context, std::chrono::milliseconds(toNumber(url.query["WaitMs"], 1000)));
+    watch->timer->async_wait([this, watch](boost::system::error_code) {
+        if (!watch->reply)
+            return;
+        watch->reply({ 200, itemsAfter(watch->after, false) });
+        watch->reply = nullptr;
+        std::erase(m_watches, watch);
+    });
+    m_watches.push_back(watch);
+    answerWatches();
+}
+
+void DemoStore::answerWatches()
+{
+    for (const auto& watch : m_watches) {
+        if (watch->after < m_revision)
+            watch->timer->cancel(); // Answers at once.
+    }
+}
+
+std::string DemoStore::itemsAfter(std::uint64_t after, bool isRange) const
+{
+    json::array items;
+    for (const auto& [key, item] : m_items) {
+        if (item.revision <= after || (isRange && item.isRemoved))
+            continue;
+        if (item.isRemoved)
+            items.push_back({ { "Key", key }, { "Revision", item.revision }, { "Deleted", true } });
+        else
+            items.push_back({ { "Key", key }, { "Value", base64(item.value) }, { "Revision", item.revision } });
+    }
+    if (isRange)
+        return json::serialize(json::object { { "items", items }, { "Truncated", false }, { "AsOf", m_revision } });
+    return json::serialize(json::object { { "events", items }, { "AsOf", m_revision } });
+}
+
+DemoTarget::DemoTarget(
+    boost::asio::io_context& context, std::uint32_t address, const DemoPorts& ports, std::string service)
+    : m_socket(context)
+    , m_self { address, ports.target }
+    , m_outbound { address, ports.outbound }
+    , m_service(std::move(service))
+{
+}
+
+std::string DemoTarget::start()
+{
+    std::string error = m_socket.open(m_self);
+    if (error.empty())
+        m_socket.start([this](Endpoint, std::span<const std::uint8_t> bytes) { onPacket(bytes); });
+    return error;
+}
+
+void DemoTarget::onPacket(std::span<const std::uint8_t> bytes)
+{
+    auto packet = PlatformPacketFormat().decode(bytes, false);
+    if (!packet)
+        return;
+    auto found = m_flows.find(packet->flow);
+    if (packet->flags.isOpening) {
+        if (found == m_flows.end()) {
+            ++m_opened;
+            found
+                = m_flows
+                      .emplace(packet->flow, Flow { static_cast<std::uint32_t>(hashOf(packet->flow) ^ m_self.address) })
+                      .first;
+        }
+        send(*packet, flagOpening | flagAcknowledgement, found->second.sequence, packet->sequence + 1, 0);
+        return;
+    }
+    if (found == m_flows.end()) {
+        packet->bytes[flagsAt] |= flagReturned;
+        m_socket.send(m_outbound, packet->bytes);
+        return;
+    }
+    if (packet->flags.isFinal) {
+        m_flows.erase(found);
+        return;
+    }
+    if (!packet->dataSize)
+        return;
+    send(*packet, flagAcknowledgement, found->second.sequence + 1, packet->sequence + packet->dataSize, 200);
+}
+
+void DemoTarget::send(const TransitPacket& packet, std::uint8_t flags, std::uint32_t sequence,
+    std::uint32_t acknowledged, std::size_t data)
+{
+    m_socket.send(m_outbound,
+        packetOf(packet.flow.service, packet.flow.caller, flags, sequence, acknowledged, std::string(data, 'a')));
+}
+
+DemoCaller::DemoCaller(boost::asio::io_context& context, std::uint32_t address, const DemoPorts& ports,
+    Endpoint service, std::size_t requestsPerFlow, std::function<Endpoint(const FlowTuple&)> route)
+    : m_socket(context)
+    , m_timer(context)
+    , m_self { address, ports.data }
+    , m_dataPort(ports.data)
+    , m_requestsPerFlow(requestsPerFlow)
+    , m_route(std::move(route))
+    , m_flow { { address, 30000 }, service }
+{
+}
+
+std::string DemoCaller::start()
+{
+    std::string error = m_socket.open(m_self);
+    if (!error.empty())
+        return error;
+    m_socket.start([this](Endpoint, std::span<const std::uint8_t> bytes) { onPacket(bytes); });
+    openFlow();
+    return {};
+}
+
+void DemoCaller::openFlow()
+{
+    if (m_isStopped)
+        return;
+    ++m_flow.caller.port;
+    m_isOpen = false;
+    m_onFlow = 0;
+    m_copies = 0;
+    if (!m_isWaiting) {
+        m_isWaiting = true;
+        ++m_asked;
+        m_askedAt = std::chrono::steady_clock::now();
+    }
+    m_socket.send(m_route(m_flow), packet(flagOpening, 0, {}));
+    wait(copyInterval, [this] { sendAgain(); });
+}
+
+void DemoCaller::sendRequest()
+{
+    if (!m_isWaiting) {
+        m_isWaiting = true;
+        ++m_asked;
+        m_askedAt = std::chrono::steady_clock::now();
+        m_copies = 0;
+    }
+    m_socket.send(m_route(m_flow), packet(flagAcknowledgement, m_targetSequence + 1, "GET / HTTP/1.1\r\n\r\n"));
+    wait(copyInterval, [this] { sendAgain(); });
+}
+
+void DemoCaller::sendAgain()
+{
+    if (++m_copies > mostCopies) {
+        m_isWaiting = false;
+        openFlow();
+        return;
+    }
+    if (m_isOpen) {
+        sendRequest();
+        return;
+    }
+    m_socket.send(m_route(m_flow), packet(flagOpening, static_cast<std::uint32_t>(m_copies), {}));
+    wait(copyInterval, [this] { sendAgain(); });
+}
+
+void DemoCaller::onPacket(std::span<const std::uint8_t> bytes)
+{
+    auto got = PlatformPacketFormat().decode(bytes, true);
+    if (!got || got->flow != m_flow)
+        return;
+    if (got->flags.isReset) {
+        ++m_resets;
+        wait(std::chrono::milliseconds(5), [this] { openFlow(); });
+        return;
+    }
+    if (got->flags.isOpening) {
+        if (m_isOpen)
+            return;
+        m_isOpen = true;
+        m_targetSequence = got->sequence;
+        sendRequest();
+        return;
+    }
+    if (!got->dataSize || !m_isWaiting)
+        return;
+    m_isWaiting = false;
+    ++m_answered;
+    m_late += std::chrono::steady_clock::now() - m_askedAt > lateAfter;
+    m_sequence += 18;
+    if (m_isStopped) {
+        m_timer.cancel();
+        return;
+    }
+    if (++m_onFlow < m_requestsPerFlow) {
+        wait(pauseBetweenRequests, [this] { sendRequest(); });
+        return;
+    }
+    m_socket.send(m_route(m_flow), packet(flagFinal | flagAcknowledgement, m_targetSequence + 1, {}));
+    wait(pauseBetweenRequests, [this] { openFlow(); });
+}
+
+void DemoCaller::wait(std::chrono::milliseconds time, std::function<void()> action)
+{
+    m_timer.expires_after(time);
+    m_timer.async_wait([action = std::move(action)](boost::system::error_code error) {
+        if (!error)
+            action();
+    });
+}
+
+std::vector<std::uint8_t> DemoCaller::packet(
+    std::uint8_t flags, std::uint32_t acknowledged, const std::string& data) const
+{
+    return packetOf(m_flow.caller, m_flow.service, flags, m_sequence, acknowledged, data);
+}
+
+} // namespace hawthorncroft
--- a/tests/ctl_test.cpp
+++ b/tests/ctl_test.cpp
@@ -209,6 +209,15 @@
         Run run({ "explain", "--log", log, "--flow", "100.64.0.2:1000" });
         CHECK(run.says("cause: the opening packet was sent to an agent that never answered"));
     }
+    SECTION("of a flow with several requests only the one that is asked for is explained")
+    {
+        std::string later = files.write("later.log",
+            R"(1.0 s1 {"t_us":9,"vm":"s1","event":"request_answered","request":"ab","flow":"1.0.0.1:1","to":"2.0.0.1:1"}
+2.0 s1 {"t_us":9,"vm":"s1","event":"request_expired","request":"cd","flow":"1.0.0.1:1","to":"2.0.0.1:1"}
+)");
+        CHECK(Run({ "explain", "--log", later, "--request", "ab" }).says("cause: the target answered"));
+        CHECK(Run({ "explain", "--log", later, "--request", "cd" }).says("cause: the request waited for a slot"));
+    }
     SECTION("an unknown id and missing arguments have a defined result")
     {
         CHECK(Run({ "explain", "--log", log, "--request", "zz" }).status == ctlWarnings);
