Compare configurations by a digest when a delta is taken

Cause: views of the same revision differed. A process that skipped a configuration in which a route was dropped finds the route unchanged in the next one and keeps its old revision; its delta then does not tell a process that saw the drop that the route is back. Ruled out: a late view, as all were at the same revision with an age below 0.6 s. Change: a delta carries a digest of the sender's configuration; when it does not fit, everything is asked for, which replaces what is held up to its revision. The story test fails before; the property test now has readers that skip configurations.

--- a/src/transit_codec_func.cpp
+++ b/src/transit_codec_func.cpp
@@ -30,6 +30,7 @@
     constexpr std::uint8_t flagOpening = 2;
     constexpr std::uint8_t flagWantsReply = 4;
     constexpr std::uint8_t flagKeys = 8;
+    constexpr std::uint8_t flagWantsAll = 16;
 
     wire::Node nodeOf(Endpoint endpoint) { return { endpoint.address, endpoint.port }; }
 
@@ -220,6 +221,7 @@
         out.incarnation = body.incarnation;
         out.age_us = body.age.us;
         out.flags |= body.wantsReply ? flagWantsReply : 0;
+        out.flags |= body.wantsAll ? flagWantsAll : 0;
         putLoad(out, body.load);
         putNodes(out, body.balancers);
     }
@@ -230,6 +232,7 @@
         out.since = body.delta.since.value;
         out.flags |= body.delta.hasKeys ? flagKeys : 0;
         out.keys = body.delta.keys;
+        out.digest = body.delta.digest;
         for (const auto& item : body.delta.items)
             out.items.push_back(wireItemOf(item, now));
     }
@@ -321,10 +324,11 @@
             if (in.role >= static_cast<std::uint8_t>(ProcessRole::End))
                 return std::nullopt;
             return StampMessage { static_cast<ProcessRole>(in.role), in.incarnation, { in.age_us },
-                (in.flags & flagWantsReply) != 0, loadOf(in), endpointsOf(in) };
+                (in.flags & flagWantsReply) != 0, (in.flags & flagWantsAll) != 0, loadOf(in), endpointsOf(in) };
         case Kind::Delta: {
             DeltaMessage message { { in.age_us },
                 { Revision(in.since), Revision(in.through), (in.flags & flagKeys) != 0, in.keys, {} } };
+            message.delta.digest = in.digest;
             for (const auto& item : in.items)
                 message.delta.items.push_back(itemOf(*item, now));
             return message;
--- a/src/transit_fleet.cpp
+++ b/src/transit_fleet.cpp
@@ -76,7 +76,9 @@
         addMember(balancer, ProcessRole::Balancer, now);
     if (stamp.age.us >= 0 && through <= m_view.through())
         confirm(now - stamp.age);
-    if (stamp.wantsReply && through < m_view.through())
+    if (stamp.wantsAll && through <= m_view.through())
+        sendDelta(from, Revision(), now, effects);
+    else if (stamp.wantsReply && through < m_view.through())
         sendDelta(from, through, now, effects);
     else if (isNew)
         sendStamp(from, member, false, now, effects); // A process that just started learns what there is.
@@ -87,7 +89,9 @@
 {
     m_fetchedAt = now - fetchTimeout; // The next one may be asked at once.
     Revision before = m_view.through();
-    bool hasChanged = m_view.applyDelta(message.delta, now);
+    DeltaOutcome outcome = m_view.applyDelta(message.delta, now);
+    if (outcome == DeltaOutcome::Mismatch)
+        askForEverything(from, now, effects);
     if (m_view.through() > before) {
         effects.push_back(WriteLog { "view_from_peer",
             { { "peer", toString(from) }, { "from_revision", static_cast<std::int64_t>(before.value) },
@@ -98,7 +102,17 @@
     }
     if (message.age.us >= 0 && message.delta.through <= m_view.through())
         confirm(now - message.age);
-    return hasChanged;
+    return outcome != DeltaOutcome::Ignored;
+}
+
+void TransitFleet::askForEverything(Endpoint from, TimePoint now, TransitEffects& effects)
+{
+    effects.push_back(WriteLog { "view_differs",
+        { { "peer", toString(from) }, { "revision", static_cast<std::int64_t>(m_view.through().value) } } });
+    m_fetchedAt = now;
+    StampMessage stamp = makeStamp(now, true);
+    stamp.wantsAll = true;
+    effects.push_back(SendMessage { from, std::move(stamp) });
 }
 
 void TransitFleet::onLeaving(Endpoint from, TimePoint now, TransitEffects& effects)
@@ -249,6 +263,7 @@
         .incarnation = m_options.incarnation,
         .age = age.value_or(Duration { -1 }),
         .wantsReply = wantsReply,
+        .wantsAll = false,
         .load = m_load,
         .balancers = {},
     };
--- a/src/transit_fleet_base.h
+++ b/src/transit_fleet_base.h
@@ -108,6 +108,7 @@
     StampMessage makeStamp(TimePoint now, bool wantsReply) const;
     void sendStamp(Endpoint to, Member& member, bool wantsReply, TimePoint now, TransitEffects& effects);
     void sendDelta(Endpoint to, Revision since, TimePoint now, TransitEffects& effects);
+    void askForEverything(Endpoint from, TimePoint now, TransitEffects& effects);
     void sendPeriodicStamps(TimePoint now, TransitEffects& effects);
     Member* memberAt(Endpoint endpoint);
     void expireMembers(TimePoint now, TransitEffects& effects);
--- a/src/transit_message_type.h
+++ b/src/transit_message_type.h
@@ -66,7 +66,8 @@
     ProcessRole role {};
     std::uint64_t incarnation {}; ///< Random number of the process.
     Duration age; ///< Time since the store confirmed the view, directly or through others; negative when never.
-    bool wantsReply {};
+    bool wantsReply {}; ///< Asks for what the sender does not hold.
+    bool wantsAll {}; ///< Asks for everything, as the sender's configuration differs from the receiver's.
     LoadReport load; ///< Agents only.
     std::vector<Endpoint> balancers; ///< Some balancers that the sender heard of lately.
 };
--- a/src/transit_view_base.h
+++ b/src/transit_view_base.h
@@ -51,11 +51,11 @@
 
     /**
      * Takes a delta of another process.
-     * @param delta The delta; ignored when it starts above `through` or ends at or below it.
+     * @param delta The delta; ignored when it starts above `through` or ends below it. One that starts at zero holds
+     * everything and replaces what is held.
      * @param now Current time.
-     * @return Whether anything changed.
      */
-    bool applyDelta(const ViewDelta& delta, TimePoint now);
+    DeltaOutcome applyDelta(const ViewDelta& delta, TimePoint now);
 
     /** Forgets held targets whose time is over and old removals. */
     void expire(TimePoint now);
@@ -63,6 +63,13 @@
     /** @return Everything up to this revision is held; zero before the first reading. */
     Revision through() const { return m_through; }
 
+    /**
+     * A number over all routes, services and evacuations. Two views of the same revision have the same digest. Views
+     * that skipped different configurations may not tell each other what they lack: a route that was dropped and added
+     * again is unchanged for one and removed for the other.
+     */
+    std::uint64_t digest() const { return m_digest; }
+
     /** @return Whether a configuration is held. */
     bool hasConfiguration() const { return m_hasConfiguration; }
 
@@ -94,6 +101,8 @@
 
 private:
     bool apply(ViewItem item);
+    bool replace(ViewItem item);
+    bool applyEverything(const ViewDelta& delta, TimePoint now);
     bool applyOne(const StoreChange& change, TimePoint now, TimePoint holdRemovedUntil, std::set<std::string>* seen);
     bool applyConfiguration(const ConfigurationChange& change, TimePoint now, std::set<std::string>* seen);
     bool removeKey(const std::string& key, Revision revision, TimePoint now, TimePoint holdUntil);
@@ -109,6 +118,7 @@
     std::map<Endpoint, ViewedTarget> m_targets; ///< Newest lifetime at each address.
     std::unordered_map<std::string, std::vector<const ViewedTarget*>> m_byService;
     std::set<std::string> m_evacuated;
+    std::uint64_t m_digest {};
     Revision m_through;
     Revision m_historyFloor; ///< Removals above this revision are still known.
     bool m_hasConfiguration {};
--- a/src/transit_view_cmd.cpp
+++ b/src/transit_view_cmd.cpp
@@ -22,6 +22,34 @@
         return key.starts_with(routePrefix) || key.starts_with(servicePrefix);
     }
 
+    std::string textOf(const RouteRecord& route)
+    {
+        std::string text = std::to_string(route.isIdempotent) + ' ' + std::to_string(route.priority) + ' '
+            + std::to_string(route.timeout.us) + ' ' + std::to_string(route.latencyObjective.us);
+        for (const auto& share : route.shares)
+            text += ' ' + share.service + ' ' + std::to_string(share.weight);
+        return text;
+    }
+
+    std::string textOf(const ServiceRecord& service)
+    {
+        return std::to_string(service.flowLimit) + ' ' + std::to_string(service.warmup.us) + ' '
+            + std::to_string(static_cast<std::int64_t>(service.warmupPerSecond * 1000));
+    }
+
+    std::string textOf(const EvacuationRecord&) { return {}; }
+
+    std::string textOf(const TargetRecord&) { return {}; }
+
+    /** Share of an item in the digest; zero for targets, whose times differ, and for what does not exist. */
+    std::uint64_t digestOf(const ViewItem& item)
+    {
+        if (item.isRemoved || !item.value || item.key.starts_with(targetPrefix))
+            return 0;
+        std::string text = std::visit([](const auto& value) { return textOf(value); }, *item.value);
+        return mix64(hashOfKey(item.key), hashOfKey(text));
+    }
+
     const TargetRecord* targetOf(const ViewItem* item)
     {
         return item && item->value ? std::get_if<TargetRecord>(&*item->value) : nullptr;
@@ -54,14 +82,18 @@
     return hasChanged;
 }
 
-bool TransitView::applyDelta(const ViewDelta& delta, TimePoint now)
+DeltaOutcome TransitView::applyDelta(const ViewDelta& delta, TimePoint now)
 {
-    if (delta.through <= m_through || delta.since > m_through)
-        return false;
-    bool hasChanged = false;
-    for (ViewItem item : delta.items) {
-        item.receivedAt = now;
-        hasChanged |= apply(std::move(item));
+    bool isEverything = !delta.since;
+    if (delta.through < m_through || delta.since > m_through || (delta.through == m_through && !isEverything))
+        return DeltaOutcome::Ignored;
+    bool hasChanged = isEverything && applyEverything(delta, now);
+    for (const ViewItem& item : delta.items) {
+        if (isEverything)
+            break;
+        ViewItem received = item;
+        received.receivedAt = now;
+        hasChanged |= apply(std::move(received));
     }
     if (delta.hasKeys) {
         std::unordered_set<std::uint64_t> present(delta.keys.begin(), delta.keys.end());
@@ -70,7 +102,34 @@
     }
     if (!m_through)
         m_historyFloor = delta.through;
+    bool isNews = hasChanged || delta.through > m_through;
     advance(delta.through);
+    if (m_digest != delta.digest)
+        return DeltaOutcome::Mismatch;
+    return isNews ? DeltaOutcome::Applied : DeltaOutcome::Ignored;
+}
+
+bool TransitView::applyEverything(const ViewDelta& delta, TimePoint now)
+{
+    std::set<std::string> seen;
+    bool hasChanged = false;
+    for (const ViewItem& item : delta.items) {
+        seen.insert(item.key);
+        auto found = m_items.find(item.key);
+        if (found != m_items.end() && found->second.revision > delta.through)
+            continue;
+        bool isSame
+            = found != m_items.end() && found->second.isRemoved == item.isRemoved && found->second.value == item.value;
+        if (isSame)
+            continue;
+        ViewItem received = item;
+        received.receivedAt = now;
+        // What was held told otherwise, so that others may have to be told as well.
+        if (found != m_items.end())
+            received.revision = delta.through;
+        hasChanged |= replace(std::move(received));
+    }
+    hasChanged |= removeMissing([&](const std::string& key) { return seen.contains(key); }, delta.through, now, now);
     return hasChanged;
 }
 
@@ -178,10 +237,17 @@
     auto found = m_items.find(item.key);
     if (found != m_items.end() && found->second.revision >= item.revision)
         return false;
+    return replace(std::move(item));
+}
+
+bool TransitView::replace(ViewItem item)
+{
+    auto found = m_items.find(item.key);
     std::string key = item.key;
     std::optional<ViewItem> before;
     if (found != m_items.end())
         before = std::move(found->second);
+    m_digest ^= (before ? digestOf(*before) : 0) ^ digestOf(item);
     ViewItem& stored = m_items[key] = std::move(item);
     reindex(key, before ? &*before : nullptr, stored);
     return true;
--- a/src/transit_view_query.cpp
+++ b/src/transit_view_query.cpp
@@ -22,6 +22,7 @@
         if (isWanted)
             delta.items.push_back(item);
     }
+    delta.digest = m_digest;
     return delta;
 }
 
--- a/src/transit_view_type.h
+++ b/src/transit_view_type.h
@@ -84,6 +84,14 @@
     bool hasKeys {}; ///< The sender does not know all removals; keys that are not in `keys` do not exist.
     std::vector<std::uint64_t> keys; ///< Hashes of all keys that exist, so that unchanged items need not be sent.
     std::vector<ViewItem> items;
+    std::uint64_t digest {}; ///< Of the sender's configuration; see TransitView::digest.
+};
+
+/** Outcome of taking a delta. */
+enum class DeltaOutcome : std::uint8_t {
+    Ignored, ///< Nothing new, or not fitting to what is held.
+    Applied,
+    Mismatch, ///< Applied, but the configuration differs from the sender's: everything has to be asked for.
 };
 
 /** @return Hash of a key that is the same in every process. */
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -153,7 +153,7 @@
         CHECK(std::get<LocateMessage>(roundTrip(LocateMessage { { 1, 2 }, { packet, packet } })).packets.size() == 2);
         CHECK(std::get<NotHeldFlowsMessage>(roundTrip(NotHeldFlowsMessage { { packet.flow } })).flows.size() == 1);
         CHECK(std::get<StampMessage>(
-                  roundTrip(StampMessage { ProcessRole::Agent, 5, milliseconds(3), true, {}, { { 1, 2 } } }))
+                  roundTrip(StampMessage { ProcessRole::Agent, 5, milliseconds(3), true, true, {}, { { 1, 2 } } }))
                   .balancers.size()
             == 1);
         CHECK(std::get<LeavingMessage>(roundTrip(LeavingMessage { ProcessRole::Agent })).role == ProcessRole::Agent);
@@ -174,10 +174,11 @@
         };
         ViewItem evacuation { .key = "evacuation/a", .revision = Revision(7), .value = EvacuationRecord { "a" } };
         DeltaMessage message { milliseconds(4),
-            { Revision(1), Revision(7), true, { 42 }, { target, route, service, evacuation } } };
+            { Revision(1), Revision(7), true, { 42 }, { target, route, service, evacuation }, 77 } };
         auto body = std::get<DeltaMessage>(roundTrip(message));
         REQUIRE(body.delta.items.size() == 4);
         CHECK(body.delta.keys == std::vector<std::uint64_t> { 42 });
+        CHECK(body.delta.digest == 77);
         CHECK(std::get<TargetRecord>(*body.delta.items[0].value).coldLeft == milliseconds(1500));
         CHECK(body.delta.items[0].heldUntil == now + milliseconds(300));
         CHECK(body.delta.items[1].value == route.value);
--- a/tests/transit_view_test.cpp
+++ b/tests/transit_view_test.cpp
@@ -6,6 +6,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <map>
+
 using namespace hawthorncroft;
 using namespace hawthorncroft::tests;
 
@@ -21,6 +23,13 @@
     return TargetChange { Revision(revision), record };
 }
 
+/** One view learns from another as processes do: by what it lacks, and by everything when they differ. */
+void take(TransitView& to, const TransitView& from)
+{
+    if (to.applyDelta(from.deltaSince(to.through()), start) == DeltaOutcome::Mismatch)
+        to.applyDelta(from.deltaSince(Revision()), start);
+}
+
 StoreChange removal(std::uint64_t revision, const std::string& id) { return TargetRemoval { Revision(revision), id }; }
 
 StoreChange routes(std::uint64_t revision, const std::vector<RouteRecord>& list)
@@ -114,38 +123,86 @@
     SECTION("a delta that starts above what is held is refused, which guards against changes that are missed")
     {
         ViewDelta delta { .since = Revision(8), .through = Revision(9), .hasKeys = false, .keys = {}, .items = {} };
-        CHECK_FALSE(view.applyDelta(delta, start));
+        CHECK(view.applyDelta(delta, start) == DeltaOutcome::Ignored);
         CHECK(view.through() == Revision(6));
     }
 }
 
+TEST_CASE("Views that skipped different configurations end with the same routes", "[transit][view]")
+{
+    RouteRecord back = routeTo("web", { 1, 2 });
+    // One process saw every configuration, another only the first and the last: a route was dropped and came back.
+    TransitView all;
+    TransitView some;
+    all.applySnapshot({ routes(5, { routeTo("web"), back }) }, Revision(5), start, start);
+    some.applySnapshot({ routes(5, { routeTo("web"), back }) }, Revision(5), start, start);
+    all.applyChanges({ routes(6, { routeTo("web") }) }, Revision(6), start, start);
+    some.applyChanges({ routes(7, { routeTo("web"), back }) }, Revision(7), start, start);
+    REQUIRE_FALSE(all.routeAt({ 1, 2 }));
+
+    // The guard: a process that holds the newest revision must not refuse the route for good.
+    CHECK(all.applyDelta(some.deltaSince(all.through()), start) == DeltaOutcome::Mismatch);
+    CHECK(all.applyDelta(some.deltaSince(Revision()), start) == DeltaOutcome::Applied);
+    CHECK(all.routeAt({ 1, 2 }));
+    CHECK(all.digest() == some.digest());
+
+    SECTION("and a third that learns from it does too")
+    {
+        TransitView third;
+        third.applySnapshot({ routes(6, { routeTo("web") }) }, Revision(6), start, start);
+        CHECK(third.applyDelta(all.deltaSince(third.through()), start) == DeltaOutcome::Applied);
+        CHECK(third.routeAt({ 1, 2 }));
+    }
+}
+
 TEST_CASE("Views that exchange deltas in any order end in the same state", "[transit][view]")
 {
     rc::check("views converge", [] {
+        // The store; `source` watches it without a gap, the others learn from it or read all of it now and then.
+        std::map<std::string, StoreChange> store;
+        std::vector<StoreChange> all;
         TransitView source;
         source.applySnapshot({}, Revision(1), start, start);
         std::vector<TransitView> others(3);
         std::uint64_t revision = 1;
+        auto write = [&](const std::string& key, StoreChange change, bool isRemoved) {
+            source.applyChanges({ change }, Revision(revision), start, start);
+            if (isRemoved)
+                store.erase(key);
+            else
+                store[key] = std::move(change);
+        };
         auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
-            rc::gen::pair(rc::gen::inRange(0, 8), rc::gen::inRange(0, 4)));
+            rc::gen::pair(rc::gen::inRange(0, 9), rc::gen::inRange(0, 4)));
         for (auto [kind, which] : steps) {
-            if (kind < 4) {
-                ++revision;
-                std::string id = "t" + std::to_string(which);
-                StoreChange change = kind < 3 ? target(revision, id, static_cast<std::uint32_t>(20 + which), revision)
-                                              : removal(revision, id);
-                source.applyChanges({ change }, Revision(revision), start, start);
+            std::string id = "t" + std::to_string(which);
+            ++revision;
+            if (kind < 2) {
+                write(id, target(revision, id, static_cast<std::uint32_t>(20 + which), revision), false);
+            } else if (kind == 2) {
+                write(id, removal(revision, id), true);
+            } else if (kind < 5) {
+                std::vector<RouteRecord> list(static_cast<std::size_t>(which % 2), routeTo("web", { 1, 2 }));
+                write("configuration", routes(revision, list), false);
+            } else if (kind == 5) {
+                all.clear();
+                for (const auto& [key, change] : store)
+                    all.push_back(change);
+                others[static_cast<std::size_t>(which) % 3].applySnapshot(all, Revision(revision), start, start);
+                source.applyChanges({}, Revision(revision), start, start);
             } else {
                 TransitView& from = which == 3 ? source : others[static_cast<std::size_t>(which)];
                 TransitView& to = others[static_cast<std::size_t>(kind) % 3];
                 if (&from != &to)
-                    to.applyDelta(from.deltaSince(to.through()), start);
+                    take(to, from);
             }
         }
+        source.applyChanges({}, Revision(++revision), start, start);
         source.expire(start);
         for (auto& other : others) {
-            other.applyDelta(source.deltaSince(other.through()), start);
+            take(other, source);
             other.expire(start);
+            RC_ASSERT(other.digest() == source.digest());
             RC_ASSERT(other.through() == source.through());
             RC_ASSERT(other.targets().size() == source.targets().size());
             for (const auto& [address, viewed] : source.targets())
