--- a/Makefile
+++ b/Makefile
@@ -49,6 +49,7 @@
 	$(BUILD)/agent-bench
 	$(BUILD)/loopback-bench
 	$(BUILD)/capacity-bench
+	$(BUILD)/transit-bench
 
 demo: install build
 	$(BUILD)/standin-demo examples/sofia examples/reykjavik
--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -233,6 +233,7 @@
     decisions-bench
     loopback-bench
     replica-bench
+    transit-bench
 )
 
 set(agent-bench_SOURCES
@@ -262,3 +263,7 @@
     bench/replica_bench.cpp
     bench/replica_fleet.cpp
 )
+
+set(transit-bench_SOURCES
+    bench/transit_bench.cpp
+)
