End the demo with a status of its own when a measured bound is missed

It printed 'All promises were kept' with status 0 beside rows marked missed. Now status 3 and a sentence that says so.

--- a/standin/demo_main.cpp
+++ b/standin/demo_main.cpp
@@ -2,7 +2,7 @@
  * @file demo_main.cpp
  * standin-demo: runs the deployments of examples/ under load while balancers, targets and failure domains change, and
  * prints what callers were told against what targets saw. Exit status: 0 all promises kept, 1 a promise was broken or a
- * deployment did not run, 2 wrong command line.
+ * deployment did not run, 2 wrong command line, 3 no promise was broken but a measured bound was missed.
  */
 #include "demo_script.h"
 
@@ -100,14 +100,21 @@
     }
 }
 
-/** Runs one deployment. Returns whether it ran and kept all promises. */
-bool runDeployment(const DemoOptions& options, const std::string& directory)
+/** Exit status of the demo, the worst of its deployments. */
+enum DemoStatus : int {
+    AllKept = 0,
+    PromiseBroken = 1, ///< Or a deployment did not run.
+    BoundMissed = 3, ///< No promise is broken, but a measured bound is missed.
+};
+
+/** Runs one deployment. */
+DemoStatus runDeployment(const DemoOptions& options, const std::string& directory)
 {
     DemoPlan plan;
     std::string fault = loadDemoPlan(directory, plan);
     if (!fault.empty()) {
         std::cerr << "standin-demo: " << fault << '\n';
-        return false;
+        return PromiseBroken;
     }
     auto start = std::chrono::steady_clock::now();
     auto progress = [&](const std::string& text) {
@@ -125,14 +132,19 @@
         std::cerr << "standin-demo: process " << name << " of " << plan.name << " ended by itself\n";
     if (!fault.empty()) {
         std::cerr << "standin-demo: " << plan.name << ": " << fault << '\n';
-        return false;
+        return PromiseBroken;
     }
     writeFailures(options.work + "/" + plan.name + "/failures.txt", records);
     std::vector<DemoFinding> findings = judge(plan, records);
     std::lock_guard lock(outputMutex);
     print(plan.title, findings);
-    auto isBroken = [](const DemoFinding& finding) { return finding.isPromise && !finding.isKept; };
-    return ended.empty() && std::none_of(findings.begin(), findings.end(), isBroken);
+    auto has = [&](const char* mark) {
+        return std::any_of(
+            findings.begin(), findings.end(), [&](const DemoFinding& finding) { return markOf(finding) == mark; });
+    };
+    if (!ended.empty() || has("BROKEN"))
+        return PromiseBroken;
+    return has("missed") ? BoundMissed : AllKept;
 }
 
 }
@@ -143,16 +155,22 @@
     int status = parse(argc, argv, options);
     if (status >= 0)
         return status;
-    std::atomic<bool> areKept { true };
+    std::atomic<bool> isBroken { false };
+    std::atomic<bool> isMissed { false };
     std::vector<std::thread> threads;
     for (const auto& directory : options.deployments) {
         threads.emplace_back([&, directory] {
-            if (!runDeployment(options, directory))
-                areKept = false;
+            DemoStatus result = runDeployment(options, directory);
+            isBroken = isBroken || result == PromiseBroken;
+            isMissed = isMissed || result == BoundMissed;
         });
     }
     for (auto& thread : threads)
         thread.join();
-    std::cout << (areKept ? "All promises were kept." : "A promise was broken.") << std::endl;
-    return areKept ? 0 : 1;
+    if (isBroken) {
+        std::cout << "A promise was broken." << std::endl;
+        return PromiseBroken;
+    }
+    std::cout << (isMissed ? "No promise was broken, but bounds were missed." : "All promises were kept.") << std::endl;
+    return isMissed ? BoundMissed : AllKept;
 }
--- a/standin/demo_type.h
+++ b/standin/demo_type.h
@@ -117,7 +117,7 @@
     std::string what;
     std::string value;
     std::string bound; ///< Text of the bound.
-    bool isPromise {}; ///< A miss fails the demo; otherwise it is only shown.
+    bool isPromise {}; ///< A miss breaks a promise; otherwise it only misses a bound. Both end the demo with a status.
     bool isKept { true };
 };
 
