--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -98,7 +98,8 @@
 
 // Shell.
 inline constexpr Duration tickInterval = milliseconds(10); ///< Resolution of the cores' timers.
-inline constexpr Duration stalePacketAge = milliseconds(1000); ///< Callers send a copy after 200 ms and give up after 1.4 s.
+inline constexpr Duration stalePacketAge
+    = milliseconds(1000); ///< Callers send a copy after 200 ms and give up after 1.4 s.
 inline constexpr std::size_t fragmentSize = 1400; ///< Bytes of a datagram between processes; fits common links.
 inline constexpr Duration fragmentLifetime = seconds(1); ///< Incomplete messages are dropped after it.
 inline constexpr std::size_t maxFragments = 2048; ///< Fragments of one message.
