--- a/src/transit_agent_base.h
+++ b/src/transit_agent_base.h
@@ -52,9 +52,6 @@
     /** @return Whether the agent knows that its target holds the flow. */
     bool holds(const FlowTuple& flow) const;
 
-    /** @return Agent that said that it holds the flow. */
-    std::optional<Endpoint> notedHolderOf(const FlowTuple& flow) const;
-
 private:
     enum class FlowState : std::uint8_t {
         Opening, ///< The target got the opening packet.
@@ -66,7 +63,6 @@
     struct HeldFlow {
         FlowState state {};
         std::uint32_t targetSequence {}; ///< First sequence number of the target; zero when unknown.
-        TimePoint openedAt;
         TimePoint usedAt;
         std::optional<TimePoint> requestAt; ///< A request is under way since then.
         std::string requestId;
@@ -105,7 +101,7 @@
     // Packets of the target, in transit_agent_target.cpp.
     void onReturned(TransitPacket packet, TransitEffects& effects);
     void onUnknownReset(const TransitPacket& packet, TransitEffects& effects);
-    void learnFlow(const TransitPacket& packet, TimePoint now, TransitEffects& effects);
+    void learnFlow(const TransitPacket& packet, TransitEffects& effects);
     void noteFromTarget(HeldFlow& flow, const TransitPacket& packet, TimePoint now, TransitEffects& effects);
     void noteFromCaller(HeldFlow& flow, const TransitPacket& packet, TimePoint now, TransitEffects& effects);
 
--- a/src/transit_agent_cmd.cpp
+++ b/src/transit_agent_cmd.cpp
@@ -97,14 +97,6 @@
     return found != m_flows.end() && found->second.state != FlowState::Ended;
 }
 
-std::optional<Endpoint> TransitAgent::notedHolderOf(const FlowTuple& flow) const
-{
-    auto found = m_noted.find(flow);
-    if (found == m_noted.end())
-        return std::nullopt;
-    return found->second.first;
-}
-
 void TransitAgent::onViewChanged(TimePoint now, TransitEffects& effects)
 {
     TransitLocators before = std::move(m_locators);
--- a/src/transit_agent_message.cpp
+++ b/src/transit_agent_message.cpp
@@ -55,7 +55,7 @@
     m_admission.noteAdmitted(now);
     forgetFlow(flow);
     HeldFlow& held = m_flows[flow];
-    held = { .state = FlowState::Opening, .openedAt = now, .usedAt = now, .isExpected = true };
+    held = { .state = FlowState::Opening, .usedAt = now, .isExpected = true };
     held.startedAt = now - ageOfCopy(forward.packet.acknowledged);
     held.isFirstRequest = true;
     ++m_expected;
--- a/src/transit_agent_target.cpp
+++ b/src/transit_agent_target.cpp
@@ -17,7 +17,7 @@
         return;
     }
     if (found == m_flows.end()) {
-        learnFlow(packet, now, effects);
+        learnFlow(packet, effects);
         found = m_flows.find(packet.flow);
     }
     if (found != m_flows.end())
@@ -71,13 +71,12 @@
     m_askers.erase(asker);
 }
 
-void TransitAgent::learnFlow(const TransitPacket& packet, TimePoint now, TransitEffects& effects)
+void TransitAgent::learnFlow(const TransitPacket& packet, TransitEffects& effects)
 {
     if (m_flows.size() >= maxHeldFlows)
         return;
     HeldFlow& held = m_flows[packet.flow];
     held.state = packet.flags.isOpening ? FlowState::Answered : FlowState::Open;
-    held.openedAt = now;
     if (held.state == FlowState::Open) {
         effects.push_back(WriteLog { "flow_learned",
             { { "flow", toString(packet.flow.caller) }, { "to", toString(packet.flow.service) },
--- a/src/transit_balancer_base.h
+++ b/src/transit_balancer_base.h
@@ -51,8 +51,6 @@
     /** @return Agent that holds the flow as far as this balancer knows. */
     std::optional<Endpoint> holderOf(const FlowTuple& flow) const;
 
-    std::size_t cachedFlows() const { return m_flows.size(); }
-
 private:
     /** Agent that may hold a flow. */
     struct Holder {
--- a/src/transit_balancer_cmd.cpp
+++ b/src/transit_balancer_cmd.cpp
@@ -68,7 +68,7 @@
     } else if (auto* stamp = std::get_if<StampMessage>(&message.body)) {
         m_fleet.onStamp(from, message.through, *stamp, now, effects);
         if (stamp->role == ProcessRole::Agent)
-            m_placement.noteLoad(from.address, stamp->load, now);
+            m_placement.noteLoad(from.address, stamp->load);
     } else if (auto* delta = std::get_if<DeltaMessage>(&message.body)) {
         if (m_fleet.onDelta(from, *delta, now, effects))
             onViewChanged(now, effects);
--- a/src/transit_balancer_open.cpp
+++ b/src/transit_balancer_open.cpp
@@ -104,7 +104,7 @@
 
 void TransitBalancer::onHeld(Endpoint from, const HeldMessage& held, TimePoint now, TransitEffects& effects)
 {
-    m_placement.noteLoad(from.address, held.load, now);
+    m_placement.noteLoad(from.address, held.load);
     if (!held.flow.service)
         return; // A load report only.
     auto pending = m_opens.find(held.flow);
@@ -121,7 +121,7 @@
 
 void TransitBalancer::onDeclined(Endpoint from, DeclinedMessage declined, TimePoint now, TransitEffects& effects)
 {
-    m_placement.noteLoad(from.address, declined.load, now);
+    m_placement.noteLoad(from.address, declined.load);
     ForwardMessage& forward = declined.forward;
     const FlowTuple& flow = forward.packet.flow;
     effects.push_back(CountEvent { TransitCounter::OpensDeclined });
--- a/src/transit_placement.cpp
+++ b/src/transit_placement.cpp
@@ -40,11 +40,10 @@
 
 void TransitPlacement::noteSent(std::uint32_t address) { ++m_estimates[address].sentSince; }
 
-void TransitPlacement::noteLoad(std::uint32_t address, const LoadReport& load, TimePoint now)
+void TransitPlacement::noteLoad(std::uint32_t address, const LoadReport& load)
 {
     Estimate& estimate = m_estimates[address];
     estimate.load = load;
-    estimate.reportedAt = now;
     estimate.sentSince = 0;
     estimate.suspectedUntil = {};
 }
@@ -54,13 +53,6 @@
     m_estimates[address].suspectedUntil = now + suspicionTime;
 }
 
-void TransitPlacement::clearSuspicion(std::uint32_t address)
-{
-    auto found = m_estimates.find(address);
-    if (found != m_estimates.end())
-        found->second.suspectedUntil = {};
-}
-
 double TransitPlacement::loadOf(const ViewedTarget& target, TimePoint now) const
 {
     double load = 0;
--- a/src/transit_placement_base.h
+++ b/src/transit_placement_base.h
@@ -35,14 +35,11 @@
     void noteSent(std::uint32_t address);
 
     /** Notes a load report; it contains everything that the target's agent got before. */
-    void noteLoad(std::uint32_t address, const LoadReport& load, TimePoint now);
+    void noteLoad(std::uint32_t address, const LoadReport& load);
 
     /** Notes that an agent left an opening packet unanswered; it is avoided for a time. */
     void suspect(std::uint32_t address, TimePoint now);
 
-    /** Notes a sign of life of an agent. */
-    void clearSuspicion(std::uint32_t address);
-
     /** @return Load of a target in shares of its slots, as this balancer sees it. */
     double loadOf(const ViewedTarget& target, TimePoint now) const;
 
@@ -51,7 +48,6 @@
 private:
     struct Estimate {
         LoadReport load;
-        TimePoint reportedAt {};
         std::uint32_t sentSince {}; ///< Opening packets that the last report does not contain.
         TimePoint suspectedUntil {};
     };
--- a/src/transit_shell.h
+++ b/src/transit_shell.h
@@ -49,8 +49,6 @@
     /** Writes a log line of the program itself. */
     void log(const WriteLog& line);
 
-    const TransitMetrics& metrics() const { return m_metrics; }
-
 private:
     void onPacket(std::span<const std::uint8_t> bytes);
     void onDatagram(Endpoint from, std::span<const std::uint8_t> bytes);
