Make one piece of what transparent flows had twice, and drop state that nothing reads

Read over the whole change: the test for a caller's opening packet stood four times, the way to send holder notes and to add the view's agents twice, the age of the view as a log field seven times, the end of a flow twice. Dropped: members' load, revision and time of our last stamp, the start of the fleet, the target's lifetime time, and the kind of the store call under way, of which only 'one is under way' was used. Applying a delta has one function for changes and one for everything.

--- a/src/transit_agent_base.h
+++ b/src/transit_agent_base.h
@@ -112,6 +112,7 @@
     void releaseRequests(TimePoint now, TransitEffects& effects);
     void giveUpRequest(const WaitingRequest& request, TimePoint now, TransitEffects& effects);
     void releaseRequest(const WaitingRequest& request, TimePoint now, TransitEffects& effects);
+    void endIfOver(HeldFlow& flow, const TransitPacket& last);
     void endRequest(HeldFlow& flow);
     void endFlow(HeldFlow& flow);
     void forgetFlow(const FlowTuple& flow);
@@ -120,6 +121,7 @@
     void onViewChanged(TimePoint now, TransitEffects& effects) override;
     void onLifetimeChanged(const ViewedTarget& own, TransitEffects& effects);
     std::int64_t coldLimit() const;
+    void sendNotes(Endpoint agent, const std::vector<FlowTuple>& flows, TransitEffects& effects);
     void noteLocators(const FlowTuple& flow, TransitEffects& effects);
     void noteChangedLocators(const TransitLocators& before, TransitEffects& effects);
     void noteRestartedAgent(Endpoint agent, TransitEffects& effects);
--- a/src/transit_agent_cmd.cpp
+++ b/src/transit_agent_cmd.cpp
@@ -101,8 +101,7 @@
 {
     TransitLocators before = std::move(m_locators);
     m_locators = TransitLocators(m_fleet.view());
-    for (const auto& [endpoint, target] : m_fleet.view().targets())
-        m_fleet.addMember(agentOf(endpoint.address), ProcessRole::Agent, now);
+    m_fleet.addAgents(m_options.fleetPort, now);
     if (!(before == m_locators))
         noteChangedLocators(before, effects);
     const ViewedTarget* own = m_admission.ownRecord(m_fleet.view());
@@ -132,14 +131,23 @@
     return service ? static_cast<std::int64_t>(service->warmupPerSecond) : -1;
 }
 
-void TransitAgent::noteLocators(const FlowTuple& flow, TransitEffects& effects)
+void TransitAgent::sendNotes(Endpoint agent, const std::vector<FlowTuple>& flows, TransitEffects& effects)
 {
-    for (std::uint32_t address : m_locators.of(flow, locatorCount)) {
-        if (agentOf(address) != m_fleet.self())
-            effects.push_back(SendMessage { agentOf(address), HolderMessage { { flow } } });
+    if (agent == m_fleet.self())
+        return;
+    for (std::size_t at = 0; at < flows.size(); at += flowsPerNote) {
+        auto begin = flows.begin() + static_cast<std::ptrdiff_t>(at);
+        auto end = flows.begin() + static_cast<std::ptrdiff_t>(std::min(at + flowsPerNote, flows.size()));
+        effects.push_back(SendMessage { agent, HolderMessage { { begin, end } } });
     }
 }
 
+void TransitAgent::noteLocators(const FlowTuple& flow, TransitEffects& effects)
+{
+    for (std::uint32_t address : m_locators.of(flow, locatorCount))
+        sendNotes(agentOf(address), { flow }, effects);
+}
+
 void TransitAgent::noteChangedLocators(const TransitLocators& before, TransitEffects& effects)
 {
     std::unordered_map<std::uint32_t, std::vector<FlowTuple>> notes;
@@ -152,36 +160,21 @@
                 notes[address].push_back(flow);
         }
     }
-    for (auto& [address, flows] : notes) {
-        if (agentOf(address) == m_fleet.self())
-            continue;
-        for (std::size_t at = 0; at < flows.size(); at += flowsPerNote) {
-            auto end = flows.begin() + static_cast<std::ptrdiff_t>(std::min(at + flowsPerNote, flows.size()));
-            effects.push_back(SendMessage {
-                agentOf(address), HolderMessage { { flows.begin() + static_cast<std::ptrdiff_t>(at), end } } });
-        }
-    }
+    for (const auto& [address, flows] : notes)
+        sendNotes(agentOf(address), flows, effects);
 }
 
 void TransitAgent::noteRestartedAgent(Endpoint agent, TransitEffects& effects)
 {
     std::vector<FlowTuple> flows;
-    auto send = [&] {
-        if (!flows.empty())
-            effects.push_back(SendMessage { agent, HolderMessage { std::move(flows) } });
-        flows.clear();
-    };
     for (const auto& [flow, held] : m_flows) {
         if (held.state == FlowState::Ended)
             continue;
         auto locators = m_locators.of(flow, locatorCount);
-        if (std::find(locators.begin(), locators.end(), agent.address) == locators.end())
-            continue;
-        flows.push_back(flow);
-        if (flows.size() >= flowsPerNote)
-            send();
+        if (std::find(locators.begin(), locators.end(), agent.address) != locators.end())
+            flows.push_back(flow);
     }
-    send();
+    sendNotes(agent, flows, effects);
 }
 
 void TransitAgent::expireOpens(TimePoint now, TransitEffects& effects)
--- a/src/transit_agent_message.cpp
+++ b/src/transit_agent_message.cpp
@@ -22,8 +22,7 @@
 {
     Interest& interest = m_interested[forward.replyTo];
     interest.until = now + loadInterest; // The balancer gets load reports.
-    bool isOpening = forward.packet.flags.isOpening && !forward.packet.flags.hasAcknowledgement;
-    if (isOpening)
+    if (forward.packet.flags.asksForFlow())
         onOpen(std::move(forward), now, effects);
     else
         onData(std::move(forward), now, effects);
--- a/src/transit_agent_target.cpp
+++ b/src/transit_agent_target.cpp
@@ -30,11 +30,10 @@
 {
     effects.push_back(CountEvent { TransitCounter::PacketsReturned });
     std::uint32_t tag = packet.tag;
-    bool isOpening = packet.flags.isOpening && !packet.flags.hasAcknowledgement;
     packet.flags.isReturned = false;
     packet.tag = 0;
     auto pending = m_opens.find(packet.flow);
-    if (isOpening) {
+    if (packet.flags.asksForFlow()) {
         if (pending == m_opens.end())
             return; // Declined already.
         ForwardMessage forward = std::move(pending->second.forward);
@@ -117,11 +116,8 @@
         m_answeredAt = now;
         endRequest(flow);
     }
-    if (packet.flags.isFinal)
-        flow.hasTargetEnded = true;
-    if (packet.flags.isReset || (flow.hasTargetEnded && flow.hasCallerEnded)) {
-        endFlow(flow);
-    }
+    flow.hasTargetEnded |= packet.flags.isFinal;
+    endIfOver(flow, packet);
 }
 
 void TransitAgent::noteFromCaller(HeldFlow& flow, const TransitPacket& packet, TimePoint now, TransitEffects& effects)
@@ -145,11 +141,14 @@
                 { "to", toString(packet.flow.service) }, { "target", m_targetId },
                 { "busy", static_cast<std::int64_t>(m_busy) } } });
     }
-    if (packet.flags.isFinal)
-        flow.hasCallerEnded = true;
-    if (packet.flags.isReset || (flow.hasTargetEnded && flow.hasCallerEnded)) {
+    flow.hasCallerEnded |= packet.flags.isFinal;
+    endIfOver(flow, packet);
+}
+
+void TransitAgent::endIfOver(HeldFlow& flow, const TransitPacket& last)
+{
+    if (last.flags.isReset || (flow.hasTargetEnded && flow.hasCallerEnded))
         endFlow(flow);
-    }
 }
 
 void TransitAgent::endRequest(HeldFlow& flow)
--- a/src/transit_balancer_cmd.cpp
+++ b/src/transit_balancer_cmd.cpp
@@ -103,7 +103,7 @@
 void TransitBalancer::handlePacket(TransitPacket packet, TimePoint now, TransitEffects& effects)
 {
     const RouteRecord* route = m_fleet.view().routeAt(packet.flow.service);
-    bool isOpening = packet.flags.isOpening && !packet.flags.hasAcknowledgement;
+    bool isOpening = packet.flags.asksForFlow();
     // An open flow may use a route that others know already; only a route that was dropped ends it.
     bool isRefused = !route && (isOpening || m_fleet.view().wasRouteDropped(packet.flow.service));
     if (isRefused) {
@@ -120,8 +120,7 @@
 void TransitBalancer::onViewChanged(TimePoint now, TransitEffects& effects)
 {
     m_locators = TransitLocators(m_fleet.view());
-    for (const auto& [endpoint, target] : m_fleet.view().targets())
-        m_fleet.addMember(agentOf(endpoint.address), ProcessRole::Agent, now);
+    m_fleet.addAgents(m_options.fleetPort, now);
     releaseWaiting(now, effects);
 }
 
--- a/src/transit_balancer_open.cpp
+++ b/src/transit_balancer_open.cpp
@@ -75,7 +75,7 @@
             { "copy", static_cast<std::int64_t>(forward.packet.acknowledged) },
             { "load_percent", static_cast<std::int64_t>(100 * m_placement.loadOf(*target, now)) },
             { "revision", static_cast<std::int64_t>(target->revision.value) },
-            { "view_age_ms", m_fleet.viewAge(now) ? m_fleet.viewAge(now)->us / 1000 : -1 } } });
+            { "view_age_ms", m_fleet.viewAgeMs(now) } } });
     m_placement.noteSent(address);
     effects.push_back(SendMessage { agent, forward });
     if (m_opens.size() >= maxPendingOpens)
@@ -98,7 +98,7 @@
             { "reason", std::string(reason) }, { "tried", static_cast<std::int64_t>(tried) },
             { "route_revision", static_cast<std::int64_t>(m_fleet.view().routeRevisionAt(packet.flow.service).value) },
             { "revision", static_cast<std::int64_t>(m_fleet.view().through().value) },
-            { "view_age_ms", m_fleet.viewAge(now) ? m_fleet.viewAge(now)->us / 1000 : -1 } } });
+            { "view_age_ms", m_fleet.viewAgeMs(now) } } });
     effects.push_back(ResetCaller { packet.flow, packet.acknowledged });
 }
 
--- a/src/transit_fleet.cpp
+++ b/src/transit_fleet.cpp
@@ -6,6 +6,12 @@
 
 namespace hawthorncroft {
 
+namespace {
+
+    constexpr Duration unknownAge { -1 }; ///< In messages: the store never confirmed the view.
+
+}
+
 TransitFleet::TransitFleet(FleetOptions options)
     : m_options(std::move(options))
     , m_random(m_options.incarnation)
@@ -19,10 +25,6 @@
 void TransitFleet::onTick(TimePoint now, const LoadReport& load, TransitEffects& effects)
 {
     m_load = load;
-    if (!m_startedAt) {
-        m_startedAt = now;
-        m_nextStampAt = now;
-    }
     if (now >= m_nextStampAt) {
         // A process without a view asks more often.
         m_nextStampAt = now + (m_view.through() ? stampInterval : stampInterval / 10);
@@ -37,11 +39,10 @@
     if (isReader != m_wasReader) {
         m_wasReader = isReader;
         effects.push_back(WriteLog { "store_reader",
-            { { "reads", static_cast<std::int64_t>(isReader) },
-                { "view_age_ms", viewAge(now) ? viewAge(now)->us / 1000 : -1 },
+            { { "reads", static_cast<std::int64_t>(isReader) }, { "view_age_ms", viewAgeMs(now) },
                 { "revision", static_cast<std::int64_t>(m_view.through().value) } } });
     }
-    if (isReader && m_storeState == StoreState::Idle && now >= m_nextCallAt)
+    if (isReader && !m_isCalling && now >= m_nextCallAt)
         startStoreCall(effects);
 }
 
@@ -50,13 +51,11 @@
     Member* known = memberAt(from);
     if (!known)
         return;
-    Member& member = *known;
-    member.heardAt = now;
-    member.through = std::max(member.through, through);
+    known->heardAt = now;
     // One process is asked at a time: a delta can be long, and many may offer it at once.
     if (through > m_view.through() && now >= m_fetchedAt + fetchTimeout) {
         m_fetchedAt = now;
-        sendStamp(from, member, true, now, effects);
+        sendStamp(from, true, now, effects);
     }
 }
 
@@ -70,8 +69,6 @@
     bool isNew = member.incarnation != stamp.incarnation;
     member.role = stamp.role;
     member.incarnation = stamp.incarnation;
-    member.load = stamp.load;
-    member.through = through; // The process may have started again with less than before.
     for (Endpoint balancer : stamp.balancers)
         addMember(balancer, ProcessRole::Balancer, now);
     if (stamp.age.us >= 0 && through <= m_view.through())
@@ -81,7 +78,7 @@
     else if (stamp.wantsReply && through < m_view.through())
         sendDelta(from, through, now, effects);
     else if (isNew)
-        sendStamp(from, member, false, now, effects); // A process that just started learns what there is.
+        sendStamp(from, false, now, effects); // A process that just started learns what there is.
     return isNew;
 }
 
@@ -171,7 +168,7 @@
 
 void TransitFleet::onStoreFailure(StoreFailure failure, TimePoint now, TransitEffects& effects)
 {
-    m_storeState = StoreState::Idle;
+    m_isCalling = false;
     m_pages = {};
     m_firstPageAt = {};
     if (failure == StoreFailure::HistoryGone) {
@@ -187,8 +184,7 @@
     effects.push_back(CountEvent { TransitCounter::StoreFailures });
     effects.push_back(WriteLog { m_failures == 1 ? "store_lost" : "store_call_failed",
         { { "reason", std::string(nameOf(failure)) }, { "failures", static_cast<std::int64_t>(m_failures) },
-            { "view_age_ms", viewAge(now) ? viewAge(now)->us / 1000 : -1 },
-            { "revision", static_cast<std::int64_t>(m_view.through().value) } } });
+            { "view_age_ms", viewAgeMs(now) }, { "revision", static_cast<std::int64_t>(m_view.through().value) } } });
 }
 
 void TransitFleet::announceLeaving(TransitEffects& effects)
@@ -207,6 +203,12 @@
     m_nextStampAt = std::min(m_nextStampAt, now);
 }
 
+void TransitFleet::addAgents(std::uint16_t fleetPort, TimePoint now)
+{
+    for (const auto& [endpoint, target] : m_view.targets())
+        addMember({ endpoint.address, fleetPort }, ProcessRole::Agent, now);
+}
+
 void TransitFleet::spreadNews(TimePoint now, TransitEffects& effects)
 {
     if (now < m_newsAt + newsGap) {
@@ -250,6 +252,12 @@
     return now - *m_confirmedAt;
 }
 
+std::int64_t TransitFleet::viewAgeMs(TimePoint now) const
+{
+    auto age = viewAge(now);
+    return age ? age->us / 1000 : -1;
+}
+
 bool TransitFleet::isBaseReader(TimePoint now) const
 {
     return m_options.role == ProcessRole::Balancer && rankAmong(ProcessRole::Balancer, false, now) < baseStoreReaders;
@@ -257,11 +265,10 @@
 
 StampMessage TransitFleet::makeStamp(TimePoint now, bool wantsReply) const
 {
-    auto age = viewAge(now);
     StampMessage stamp {
         .role = m_options.role,
         .incarnation = m_options.incarnation,
-        .age = age.value_or(Duration { -1 }),
+        .age = viewAge(now).value_or(unknownAge),
         .wantsReply = wantsReply,
         .wantsAll = false,
         .load = m_load,
@@ -276,16 +283,14 @@
     return stamp;
 }
 
-void TransitFleet::sendStamp(Endpoint to, Member& member, bool wantsReply, TimePoint now, TransitEffects& effects)
+void TransitFleet::sendStamp(Endpoint to, bool wantsReply, TimePoint now, TransitEffects& effects)
 {
-    member.stampedAt = now;
     effects.push_back(SendMessage { to, makeStamp(now, wantsReply) });
 }
 
 void TransitFleet::sendDelta(Endpoint to, Revision since, TimePoint now, TransitEffects& effects)
 {
-    auto age = viewAge(now);
-    effects.push_back(SendMessage { to, DeltaMessage { age.value_or(Duration { -1 }), m_view.deltaSince(since) } });
+    effects.push_back(SendMessage { to, DeltaMessage { viewAge(now).value_or(unknownAge), m_view.deltaSince(since) } });
 }
 
 void TransitFleet::sendPeriodicStamps(TimePoint now, TransitEffects& effects)
@@ -296,13 +301,13 @@
     // Starts at a random member and goes round, so that every member gets its turn.
     for (int round = 0; round < 2 && sent < most; ++round) {
         std::size_t index = 0;
-        for (auto& [endpoint, member] : m_members) {
+        for (const auto& [endpoint, member] : m_members) {
             bool isInRound = round == 0 ? index >= skip : index < skip;
             ++index;
             if (!isInRound || sent >= most)
                 continue;
             ++sent;
-            sendStamp(endpoint, member, false, now, effects);
+            sendStamp(endpoint, false, now, effects);
         }
     }
 }
@@ -363,18 +368,17 @@
 void TransitFleet::startStoreCall(TransitEffects& effects)
 {
     effects.push_back(CountEvent { TransitCounter::StoreCalls });
+    m_isCalling = true;
     if (m_needsFullRead || !m_view.through()) {
-        m_storeState = StoreState::Reading;
         effects.push_back(ReadStore { {}, readTimeout });
         return;
     }
-    m_storeState = StoreState::Watching;
     effects.push_back(WatchStore { m_view.through(), watchWait, watchWait + watchGrace });
 }
 
 void TransitFleet::noteStoreAnswer(TimePoint now, TransitEffects& effects)
 {
-    m_storeState = StoreState::Idle;
+    m_isCalling = false;
     m_nextCallAt = now;
     m_nextStampAt = now; // Others learn that the view is confirmed.
     if (m_failures) {
--- a/src/transit_fleet_base.h
+++ b/src/transit_fleet_base.h
@@ -26,9 +26,6 @@
     ProcessRole role {};
     std::uint64_t incarnation {};
     TimePoint heardAt {};
-    TimePoint stampedAt {}; ///< When this process last got a stamp of ours.
-    Revision through; ///< Highest revision that the process reported.
-    LoadReport load; ///< Agents only.
 };
 
 /** Members, view and the reading of the store. */
@@ -81,6 +78,9 @@
     /** Makes sure that a process gets stamps, such as the agent of a target in the view. */
     void addMember(Endpoint endpoint, ProcessRole role, TimePoint now);
 
+    /** Makes sure that the agents of all targets in the view get stamps. */
+    void addAgents(std::uint16_t fleetPort, TimePoint now);
+
     /** Sends a stamp to all members at once, because the view has news. */
     void spreadNews(TimePoint now, TransitEffects& effects);
 
@@ -93,20 +93,17 @@
     /** @return Time since the store confirmed the view; none when it never did. */
     std::optional<Duration> viewAge(TimePoint now) const;
 
+    /** @return The same in milliseconds for logs; -1 when the store never confirmed the view. */
+    std::int64_t viewAgeMs(TimePoint now) const;
+
     /** @return Whether this process is one of those that read the store at all times. */
     bool isBaseReader(TimePoint now) const;
 
     Endpoint self() const { return m_options.self; }
 
 private:
-    enum class StoreState : std::uint8_t {
-        Idle,
-        Reading,
-        Watching,
-    };
-
     StampMessage makeStamp(TimePoint now, bool wantsReply) const;
-    void sendStamp(Endpoint to, Member& member, bool wantsReply, TimePoint now, TransitEffects& effects);
+    void sendStamp(Endpoint to, bool wantsReply, TimePoint now, TransitEffects& effects);
     void sendDelta(Endpoint to, Revision since, TimePoint now, TransitEffects& effects);
     void askForEverything(Endpoint from, TimePoint now, TransitEffects& effects);
     void sendPeriodicStamps(TimePoint now, TransitEffects& effects);
@@ -132,10 +129,9 @@
     TimePoint m_newsAt { -seconds(1).us }; ///< When news was last spread at once.
     TimePoint m_nextStampAt;
     TimePoint m_nextExpiryAt;
-    std::optional<TimePoint> m_startedAt;
     std::optional<TimePoint> m_confirmedAt;
 
-    StoreState m_storeState { StoreState::Idle };
+    bool m_isCalling {}; ///< A call to the store is under way.
     TimePoint m_nextCallAt;
     std::uint32_t m_failures {}; ///< Failed calls in a row.
     std::optional<TimePoint> m_storeReturnedAt; ///< First answer after failures.
--- a/src/transit_type.h
+++ b/src/transit_type.h
@@ -38,6 +38,9 @@
     bool isFinal {}; ///< The sender sends nothing after this packet.
     bool isReset {};
     bool isReturned {}; ///< The target did not take the packet and returned it.
+
+    /** @return Whether a caller asks for a flow; a target's answer acknowledges as well. */
+    bool asksForFlow() const { return isOpening && !hasAcknowledgement; }
 };
 
 /** One packet of a transparent flow, decoded once; `bytes` is what is forwarded. */
--- a/src/transit_view_base.h
+++ b/src/transit_view_base.h
@@ -18,7 +18,6 @@
     TargetRecord record;
     Revision revision;
     TimePoint receivedAt; ///< When this process learned of the record.
-    TimePoint lifetimeSeenAt; ///< When this process learned of the lifetime.
 };
 
 /**
@@ -102,6 +101,7 @@
 private:
     bool apply(ViewItem item);
     bool replace(ViewItem item);
+    bool applyItems(const ViewDelta& delta, TimePoint now);
     bool applyEverything(const ViewDelta& delta, TimePoint now);
     bool applyOne(const StoreChange& change, TimePoint now, TimePoint holdRemovedUntil, std::set<std::string>* seen);
     bool applyConfiguration(const ConfigurationChange& change, TimePoint now, std::set<std::string>* seen);
--- a/src/transit_view_cmd.cpp
+++ b/src/transit_view_cmd.cpp
@@ -87,19 +87,7 @@
     bool isEverything = !delta.since;
     if (delta.through < m_through || delta.since > m_through || (delta.through == m_through && !isEverything))
         return DeltaOutcome::Ignored;
-    bool hasChanged = isEverything && applyEverything(delta, now);
-    for (const ViewItem& item : delta.items) {
-        if (isEverything)
-            break;
-        ViewItem received = item;
-        received.receivedAt = now;
-        hasChanged |= apply(std::move(received));
-    }
-    if (delta.hasKeys) {
-        std::unordered_set<std::uint64_t> present(delta.keys.begin(), delta.keys.end());
-        hasChanged |= removeMissing(
-            [&](const std::string& key) { return present.contains(hashOfKey(key)); }, delta.through, now, now);
-    }
+    bool hasChanged = isEverything ? applyEverything(delta, now) : applyItems(delta, now);
     if (!m_through)
         m_historyFloor = delta.through;
     bool isNews = hasChanged || delta.through > m_through;
@@ -109,6 +97,21 @@
     return isNews ? DeltaOutcome::Applied : DeltaOutcome::Ignored;
 }
 
+bool TransitView::applyItems(const ViewDelta& delta, TimePoint now)
+{
+    bool hasChanged = false;
+    for (ViewItem item : delta.items) {
+        item.receivedAt = now;
+        hasChanged |= apply(std::move(item));
+    }
+    if (!delta.hasKeys)
+        return hasChanged;
+    std::unordered_set<std::uint64_t> present(delta.keys.begin(), delta.keys.end());
+    bool isMissing = removeMissing(
+        [&](const std::string& key) { return present.contains(hashOfKey(key)); }, delta.through, now, now);
+    return hasChanged || isMissing;
+}
+
 bool TransitView::applyEverything(const ViewDelta& delta, TimePoint now)
 {
     std::set<std::string> seen;
@@ -316,8 +319,6 @@
     }
     const TargetRecord& record = *targetOf(newest);
     ViewedTarget& viewed = m_targets[address];
-    if (viewed.record.id != record.id || viewed.record.startedAt != record.startedAt)
-        viewed.lifetimeSeenAt = newest->receivedAt;
     viewed.record = record;
     viewed.revision = newest->revision;
     viewed.receivedAt = newest->receivedAt;
