--- a/standin/transit_demo_world.cpp
+++ b/standin/transit_demo_world.cpp
@@ -11,41 +11,15 @@
 
 namespace {
 
-    constexpr std::uint8_t flagFinal = 1;
-    constexpr std::uint8_t flagReset = 2;
-    constexpr std::uint8_t flagOpening = 8;
-    constexpr std::uint8_t flagAcknowledgement = 32;
-    constexpr std::uint8_t flagReturned = 128;
-    constexpr std::size_t headerSize = 32;
-    constexpr std::size_t flagsAt = 14;
+    constexpr PacketFlags opening { .isOpening = true };
+    constexpr PacketFlags acknowledging { .hasAcknowledgement = true };
+    constexpr PacketFlags openingAnswer { .isOpening = true, .hasAcknowledgement = true };
+    constexpr PacketFlags closing { .hasAcknowledgement = true, .isFinal = true };
     constexpr std::chrono::milliseconds copyInterval { 200 };
     constexpr std::chrono::milliseconds pauseBetweenRequests { 60 };
     constexpr std::chrono::milliseconds lateAfter { 500 };
     constexpr std::size_t mostCopies = 8; ///< The caller gives up after them.
 
-    void putNumber(std::vector<std::uint8_t>& bytes, std::size_t at, std::size_t size, std::uint32_t value)
-    {
-        for (std::size_t i = 0; i < size; ++i)
-            bytes[at + i] = static_cast<std::uint8_t>(value >> (8 * i));
-    }
-
-    /** A packet from one end to another; the keyed sum is left out, as nobody here checks it. */
-    std::vector<std::uint8_t> packetOf(Endpoint from, Endpoint to, std::uint8_t flags, std::uint32_t sequence,
-        std::uint32_t acknowledged, const std::string& data)
-    {
-        std::vector<std::uint8_t> bytes(headerSize + data.size());
-        putNumber(bytes, 4, 2, static_cast<std::uint32_t>(data.size()));
-        putNumber(bytes, 6, 4, sequence);
-        putNumber(bytes, 10, 4, acknowledged);
-        bytes[flagsAt] = flags;
-        putNumber(bytes, 20, 4, from.address);
-        putNumber(bytes, 24, 4, to.address);
-        putNumber(bytes, 28, 2, from.port);
-        putNumber(bytes, 30, 2, to.port);
-        std::copy(data.begin(), data.end(), bytes.begin() + headerSize);
-        return bytes;
-    }
-
     std::string base64(const std::string& text)
     {
         std::string encoded(boost::beast::detail::base64::encoded_size(text.size()), '\0');
@@ -158,12 +132,15 @@
                       .emplace(packet->flow, Flow { static_cast<std::uint32_t>(hashOf(packet->flow) ^ m_self.address) })
                       .first;
         }
-        send(*packet, flagOpening | flagAcknowledgement, found->second.sequence, packet->sequence + 1, 0);
+        send(*packet, openingAnswer, found->second.sequence, packet->sequence + 1, 0);
         return;
     }
     if (found == m_flows.end()) {
-        packet->bytes[flagsAt] |= flagReturned;
-        m_socket.send(m_outbound, packet->bytes);
+        packet->flags.isReturned = true;
+        PacketHead head { packet->flow.caller, packet->flow.service, packet->flags, packet->sequence,
+            packet->acknowledged, packet->tag };
+        std::string data(packet->bytes.end() - packet->dataSize, packet->bytes.end());
+        m_socket.send(m_outbound, encodePacket(head, data));
         return;
     }
     if (packet->flags.isFinal) {
@@ -172,14 +149,15 @@
     }
     if (!packet->dataSize)
         return;
-    send(*packet, flagAcknowledgement, found->second.sequence + 1, packet->sequence + packet->dataSize, 200);
+    send(*packet, acknowledging, found->second.sequence + 1, packet->sequence + packet->dataSize, 200);
 }
 
-void DemoTarget::send(const TransitPacket& packet, std::uint8_t flags, std::uint32_t sequence,
+void DemoTarget::send(const TransitPacket& packet, PacketFlags flags, std::uint32_t sequence,
     std::uint32_t acknowledged, std::size_t data)
 {
     m_socket.send(m_outbound,
-        packetOf(packet.flow.service, packet.flow.caller, flags, sequence, acknowledged, std::string(data, 'a')));
+        encodePacket(
+            { packet.flow.service, packet.flow.caller, flags, sequence, acknowledged }, std::string(data, 'a')));
 }
 
 DemoCaller::DemoCaller(boost::asio::io_context& context, std::uint32_t address, const DemoPorts& ports,
@@ -217,7 +195,7 @@
         ++m_asked;
         m_askedAt = std::chrono::steady_clock::now();
     }
-    m_socket.send(m_route(m_flow), packet(flagOpening, 0, {}));
+    m_socket.send(m_route(m_flow), packet(opening, 0, {}));
     wait(copyInterval, [this] { sendAgain(); });
 }
 
@@ -229,7 +207,7 @@
         m_askedAt = std::chrono::steady_clock::now();
         m_copies = 0;
     }
-    m_socket.send(m_route(m_flow), packet(flagAcknowledgement, m_targetSequence + 1, "GET / HTTP/1.1\r\n\r\n"));
+    m_socket.send(m_route(m_flow), packet(acknowledging, m_targetSequence + 1, "GET / HTTP/1.1\r\n\r\n"));
     wait(copyInterval, [this] { sendAgain(); });
 }
 
@@ -244,7 +222,7 @@
         sendRequest();
         return;
     }
-    m_socket.send(m_route(m_flow), packet(flagOpening, static_cast<std::uint32_t>(m_copies), {}));
+    m_socket.send(m_route(m_flow), packet(opening, static_cast<std::uint32_t>(m_copies), {}));
     wait(copyInterval, [this] { sendAgain(); });
 }
 
@@ -280,7 +258,7 @@
         wait(pauseBetweenRequests, [this] { sendRequest(); });
         return;
     }
-    m_socket.send(m_route(m_flow), packet(flagFinal | flagAcknowledgement, m_targetSequence + 1, {}));
+    m_socket.send(m_route(m_flow), packet(closing, m_targetSequence + 1, {}));
     wait(pauseBetweenRequests, [this] { openFlow(); });
 }
 
@@ -294,9 +272,9 @@
 }
 
 std::vector<std::uint8_t> DemoCaller::packet(
-    std::uint8_t flags, std::uint32_t acknowledged, const std::string& data) const
+    PacketFlags flags, std::uint32_t acknowledged, const std::string& data) const
 {
-    return packetOf(m_flow.caller, m_flow.service, flags, m_sequence, acknowledged, data);
+    return encodePacket({ m_flow.caller, m_flow.service, flags, m_sequence, acknowledged }, data);
 }
 
 } // namespace hawthorncroft
--- a/standin/transit_demo_world.h
+++ b/standin/transit_demo_world.h
@@ -83,7 +83,7 @@
     };
 
     void onPacket(std::span<const std::uint8_t> bytes);
-    void send(const TransitPacket& packet, std::uint8_t flags, std::uint32_t sequence, std::uint32_t acknowledged,
+    void send(const TransitPacket& packet, PacketFlags flags, std::uint32_t sequence, std::uint32_t acknowledged,
         std::size_t data);
 
     UdpSocket m_socket;
@@ -115,7 +115,7 @@
     void onPacket(std::span<const std::uint8_t> bytes);
     void sendAgain();
     void wait(std::chrono::milliseconds time, std::function<void()> action);
-    std::vector<std::uint8_t> packet(std::uint8_t flags, std::uint32_t acknowledged, const std::string& data) const;
+    std::vector<std::uint8_t> packet(PacketFlags flags, std::uint32_t acknowledged, const std::string& data) const;
 
     UdpSocket m_socket;
     boost::asio::steady_timer m_timer;
