Avoid targets that return opening packets

Ruled out: full targets (busy 0), targets that drain (their records say ready), cold limits (reason is returned_by_target).

Change: a balancer avoids a target that returned an opening packet for 200 ms, doubled with each further return up to 1.6 s, whatever its load, until it takes one.

--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -50,6 +50,9 @@
     = 8; ///< Questions for lost flows may use one part in so many of the link.
 inline constexpr std::size_t maxOpenAttempts = 5; ///< Agents that one opening packet is sent to.
 inline constexpr Duration suspicionTime = milliseconds(1000); ///< Agents that left an opening packet unanswered.
+inline constexpr Duration returnedTime = milliseconds(
+    200); ///< A target that returned an opening packet is avoided; as long as a caller waits for its copy.
+inline constexpr std::uint32_t maxReturnedDoublings = 3; ///< Each further return doubles it, up to 1.6 s.
 inline constexpr Duration locateBroadcastAfter = milliseconds(30); ///< Locators answer in a few ms.
 inline constexpr Duration lateTick
     = milliseconds(30); ///< A tick this late means that answers wait in the sockets, unread.
--- a/src/transit_balancer_open.cpp
+++ b/src/transit_balancer_open.cpp
@@ -112,6 +112,7 @@
         effects.push_back(CountEvent { TransitCounter::FlowsOpened });
         effects.push_back(RecordTime { TransitDistribution::OpenTime, now - pending->second.startedAt });
         m_repeatBudget.noteSuccess(repeatPercent);
+        m_placement.noteTaken(from.address);
         m_opens.erase(pending);
     }
     cacheHolder(held.flow, { from, held.targetSequence }, held.isOpening, now);
@@ -131,6 +132,8 @@
             { "busy", static_cast<std::int64_t>(declined.load.busy) } } });
     if (declined.reason == DeclineReason::Silent || declined.reason == DeclineReason::Leaving)
         m_placement.suspect(from.address, now);
+    if (declined.reason == DeclineReason::Returned)
+        m_placement.noteReturned(from.address, now);
     auto pending = m_opens.find(flow);
     if (pending == m_opens.end() || pending->second.agent != from)
         return; // Another agent was asked since, or took the flow.
--- a/src/transit_placement.cpp
+++ b/src/transit_placement.cpp
@@ -53,6 +53,21 @@
     m_estimates[address].suspectedUntil = now + suspicionTime;
 }
 
+void TransitPlacement::noteReturned(std::uint32_t address, TimePoint now)
+{
+    Estimate& estimate = m_estimates[address];
+    Duration avoided = returnedTime * (std::int64_t { 1 } << std::min(estimate.returned, maxReturnedDoublings));
+    estimate.returnsUntil = now + avoided;
+    ++estimate.returned;
+}
+
+void TransitPlacement::noteTaken(std::uint32_t address)
+{
+    Estimate& estimate = m_estimates[address];
+    estimate.returnsUntil = {};
+    estimate.returned = 0;
+}
+
 double TransitPlacement::loadOf(const ViewedTarget& target, TimePoint now) const
 {
     double load = 0;
@@ -72,7 +87,9 @@
 bool TransitPlacement::isSuspected(std::uint32_t address, TimePoint now) const
 {
     auto found = m_estimates.find(address);
-    return found != m_estimates.end() && now < found->second.suspectedUntil;
+    if (found == m_estimates.end())
+        return false;
+    return now < found->second.suspectedUntil || now < found->second.returnsUntil;
 }
 
 bool TransitPlacement::isEligible(
--- a/src/transit_placement_base.h
+++ b/src/transit_placement_base.h
@@ -1,7 +1,8 @@
 /**
  * @file transit_placement_base.h
  * Choice of a target for a new flow at a balancer. It answers three loads: a steady one, where all targets are to be
- * equally busy; a herd, where many balancers see the same idle target; and targets that are slow, cold or silent.
+ * equally busy; a herd, where many balancers see the same idle target; and targets that are slow, cold, silent or
+ * return what they get.
  */
 #pragma once
 
@@ -40,9 +41,19 @@
     /** Notes that an agent left an opening packet unanswered; it is avoided for a time. */
     void suspect(std::uint32_t address, TimePoint now);
 
+    /**
+     * Notes that a target returned an opening packet. Such a target looks idle, since it takes nothing: it is avoided
+     * for a time whatever its load.
+     */
+    void noteReturned(std::uint32_t address, TimePoint now);
+
+    /** Notes that a target took an opening packet. */
+    void noteTaken(std::uint32_t address);
+
     /** @return Load of a target in shares of its slots, as this balancer sees it. */
     double loadOf(const ViewedTarget& target, TimePoint now) const;
 
+    /** @return Whether a target is avoided as long as there is another one. */
     bool isSuspected(std::uint32_t address, TimePoint now) const;
 
 private:
@@ -50,6 +61,8 @@
         LoadReport load;
         std::uint32_t sentSince {}; ///< Opening packets that the last report does not contain.
         TimePoint suspectedUntil {};
+        TimePoint returnsUntil {}; ///< The target is taken to return opening packets until then.
+        std::uint32_t returned {}; ///< Opening packets returned in a row.
     };
 
     bool isEligible(const TransitView& view, const ViewedTarget& target, const std::vector<std::uint32_t>& tried) const;
--- a/tests/transit_flow_test.cpp
+++ b/tests/transit_flow_test.cpp
@@ -248,6 +248,34 @@
             CHECK(fleet.caller(flowOf(200 + i)).openedAt);
         }
     }
+    SECTION("a target that runs and returns all is left by its agent's word, which guards against a herd to what only "
+            "looks idle")
+    {
+        FakeTransitTarget& closed = fleet.target(fleet.agents[0].address);
+        closed.returnsOpens = true;
+        constexpr std::uint32_t count = 300;
+        for (std::uint32_t i = 0; i < count; ++i) {
+            fleet.sendOpen(fleet.balancers[i % 3], flowOf(100 + i));
+            fleet.run(milliseconds(10));
+            fleet.sendRequest(fleet.balancers[i % 3], flowOf(100 + i));
+        }
+        fleet.run(milliseconds(50));
+        for (std::uint32_t i = 0; i < count; ++i)
+            CHECK(fleet.caller(flowOf(100 + i)).answers == 1);
+        // Each of three balancers asks again after 0.2, 0.4, 0.8 and 1.6 s.
+        CHECK(closed.returned <= 3 * 5);
+
+        SECTION("and gets flows again once it takes them")
+        {
+            closed.returnsOpens = false;
+            fleet.run(seconds(2));
+            for (std::uint32_t i = 0; i < 60; ++i) {
+                fleet.sendOpen(fleet.balancers[i % 3], flowOf(1000 + i));
+                fleet.run(milliseconds(5));
+            }
+            CHECK(closed.opened.size() >= 15);
+        }
+    }
     SECTION("repeats have a budget, which guards against load that an outage multiplies")
     {
         for (Endpoint agent : fleet.agents)
--- a/tests/transit_sim.cpp
+++ b/tests/transit_sim.cpp
@@ -317,6 +317,13 @@
     FakeTransitTarget& target = m_targets[address];
     if (!target.isAlive)
         return;
+    if (packet.flags.isOpening && target.returnsOpens) {
+        ++target.returned;
+        packet.flags.isReturned = true;
+        packet.tag = tag;
+        targetSends(address, packet);
+        return;
+    }
     if (packet.flags.isOpening) {
         if (target.flows.insert(packet.flow).second)
             target.opened.emplace_back(m_now, packet.flow);
