Let an agent ask the others for lost flows in fleets of more than 24 agents

Ruled out: processor time of balancers (a tenth of their share).

Change: the balancer sends the packets once to one agent, in turn, with the list of the agents to ask; these answer to the balancer, which alone decides that a flow is lost. Up to 24 agents are asked directly as before.

Left: agents of VMs that are gone but still registered never answer, so that no flow can be declared lost while the store keeps their entries.

--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -60,6 +60,9 @@
 inline constexpr Duration locateTimeout = milliseconds(400); ///< After it the caller's next copy starts again.
 inline constexpr std::size_t locatorCount = 2; ///< Agents told of a flow that they do not hold.
 inline constexpr std::size_t maxLocateBroadcast = 128; ///< Agents asked when the locators do not know.
+inline constexpr std::size_t maxDirectQuestions
+    = 24; ///< Agents that a balancer asks itself; in larger fleets one agent asks the others.
+inline constexpr std::size_t endpointBytes = 8; ///< Bytes of an endpoint in a message.
 inline constexpr std::size_t maxLocates = 4096; ///< Flows that are being located.
 inline constexpr std::size_t maxPacketsPerLocate = 16; ///< Callers have at most 16 packets in flight.
 inline constexpr std::size_t maxPendingOpens = 8192; ///< Opening packets whose agent has not answered.
--- a/src/transit_agent_message.cpp
+++ b/src/transit_agent_message.cpp
@@ -127,6 +127,15 @@
 
 void TransitAgent::onLocate(LocateMessage locate, TimePoint now, TransitEffects& effects)
 {
+    std::size_t passed = 0;
+    for (Endpoint agent : locate.passTo) {
+        if (agent == m_fleet.self())
+            continue;
+        if (++passed > maxLocateBroadcast)
+            break;
+        effects.push_back(SendMessage {
+            agent, LocateMessage { .replyTo = locate.replyTo, .packets = locate.packets, .passTo = {} } });
+    }
     for (auto& packet : locate.packets) {
         ForwardMessage forward {
             .replyTo = locate.replyTo, .isLocating = true, .hops = finalHops, .packet = std::move(packet)
--- a/src/transit_balancer_base.h
+++ b/src/transit_balancer_base.h
@@ -96,7 +96,10 @@
     void askLocators(const FlowTuple& flow, Locate& locate, TimePoint now, TransitEffects& effects);
     void broadcastLocate(const FlowTuple& flow, Locate& locate, TimePoint now);
     void refillLocateBytes(Duration elapsed);
-    void sendQuestions(TransitEffects& effects);
+    void sendQuestions(TimePoint now, TransitEffects& effects);
+    void sendQuestion(Endpoint agent, const std::vector<FlowTuple>& flows, const std::vector<Endpoint>& passTo,
+        TransitEffects& effects);
+    std::optional<Endpoint> chooseRelay(TimePoint now);
     void noteNotHeld(Endpoint from, const FlowTuple& flow, TimePoint now, TransitEffects& effects);
     void askAgent(Endpoint agent, Locate& locate, TransitEffects& effects);
     void onNotHeld(Endpoint from, NotHeldMessage message, TimePoint now, TransitEffects& effects);
@@ -123,6 +126,8 @@
     std::unordered_map<FlowTuple, Locate> m_locates;
     std::int64_t m_locateBytes {}; ///< Bytes that questions to all agents may use now.
     std::map<Endpoint, std::vector<FlowTuple>> m_questions; ///< Flows that each agent is asked for with the next tick.
+    std::vector<FlowTuple> m_relayed; ///< Flows that an agent asks the others for with the next tick.
+    std::size_t m_nextRelay {}; ///< Turn of the agent that passes questions on.
     std::deque<std::pair<TimePoint, TransitPacket>> m_waiting; ///< Packets that wait for the first view.
     TimePoint m_nextSweepAt;
     std::optional<TimePoint> m_tickedAt;
--- a/src/transit_balancer_locate.cpp
+++ b/src/transit_balancer_locate.cpp
@@ -79,7 +79,9 @@
 void TransitBalancer::broadcastLocate(const FlowTuple& flow, Locate& locate, TimePoint now)
 {
     std::vector<Endpoint> agents = agentsThatMayHold(now);
-    auto cost = static_cast<std::int64_t>(agents.size() * locate.packets.front().bytes.size());
+    bool isRelayed = agents.size() > maxDirectQuestions;
+    std::size_t bytes = locate.packets.front().bytes.size();
+    auto cost = static_cast<std::int64_t>(isRelayed ? bytes + agents.size() * endpointBytes : agents.size() * bytes);
     if (cost > m_locateBytes)
         return; // Asked with a later tick, while the caller repeats its packet.
     m_locateBytes -= cost;
@@ -100,8 +102,11 @@
             break;
         locate.waitingFor.push_back(agent);
         locate.asked.push_back(agent);
-        m_questions[agent].push_back(flow);
+        if (!isRelayed)
+            m_questions[agent].push_back(flow);
     }
+    if (isRelayed)
+        m_relayed.push_back(flow);
 }
 
 void TransitBalancer::refillLocateBytes(Duration elapsed)
@@ -110,25 +115,50 @@
     m_locateBytes = std::min(perSecond, m_locateBytes + perSecond * elapsed.us / seconds(1).us);
 }
 
-void TransitBalancer::sendQuestions(TransitEffects& effects)
+void TransitBalancer::sendQuestions(TimePoint now, TransitEffects& effects)
 {
     // After an outage many flows are unknown at once; one message asks an agent for several.
-    for (const auto& [agent, flows] : m_questions) {
-        LocateMessage question { .replyTo = m_fleet.self(), .packets = {} };
-        for (const auto& flow : flows) {
-            auto found = m_locates.find(flow);
-            if (found == m_locates.end())
-                continue;
-            question.packets.push_back(found->second.packets.front());
-            if (question.packets.size() < maxFlowsInQuestion)
-                continue;
-            effects.push_back(SendMessage { agent, std::move(question) });
-            question = { .replyTo = m_fleet.self(), .packets = {} };
-        }
-        if (!question.packets.empty())
-            effects.push_back(SendMessage { agent, std::move(question) });
-    }
+    for (const auto& [agent, flows] : m_questions)
+        sendQuestion(agent, flows, {}, effects);
     m_questions.clear();
+    if (m_relayed.empty())
+        return;
+    auto relay = chooseRelay(now);
+    if (!relay)
+        return; // No agent was heard of yet; asked with a later tick.
+    std::vector<Endpoint> agents = agentsThatMayHold(now);
+    agents.resize(std::min(agents.size(), maxLocateBroadcast));
+    sendQuestion(*relay, std::exchange(m_relayed, {}), agents, effects);
+}
+
+void TransitBalancer::sendQuestion(
+    Endpoint agent, const std::vector<FlowTuple>& flows, const std::vector<Endpoint>& passTo, TransitEffects& effects)
+{
+    LocateMessage question { .replyTo = m_fleet.self(), .packets = {}, .passTo = passTo };
+    for (const auto& flow : flows) {
+        auto found = m_locates.find(flow);
+        if (found == m_locates.end())
+            continue; // Located or given up meanwhile.
+        question.packets.push_back(found->second.packets.front());
+        if (question.packets.size() < maxFlowsInQuestion)
+            continue;
+        effects.push_back(SendMessage { agent, question });
+        question.packets.clear();
+    }
+    if (!question.packets.empty())
+        effects.push_back(SendMessage { agent, std::move(question) });
+}
+
+std::optional<Endpoint> TransitBalancer::chooseRelay(TimePoint now)
+{
+    std::vector<Endpoint> alive;
+    for (const auto& [endpoint, member] : m_fleet.members()) {
+        if (member.role == ProcessRole::Agent && m_fleet.isAlive(endpoint, now))
+            alive.push_back(endpoint);
+    }
+    if (alive.empty())
+        return std::nullopt;
+    return alive[(std::hash<Endpoint> {}(m_fleet.self()) + m_nextRelay++) % alive.size()];
 }
 
 void TransitBalancer::onNotHeld(Endpoint from, NotHeldMessage message, TimePoint now, TransitEffects& effects)
@@ -225,7 +255,7 @@
                     locate.waitingFor.empty() ? std::string() : toString(locate.waitingFor.front()) } } });
         entry = m_locates.erase(entry);
     }
-    sendQuestions(effects);
+    sendQuestions(now, effects);
 }
 
 } // namespace hawthorncroft
--- a/src/transit_codec_func.cpp
+++ b/src/transit_codec_func.cpp
@@ -250,6 +250,7 @@
             item->bytes = packet.bytes;
             out.packets.push_back(std::move(item));
         }
+        putNodes(out, body.passTo);
     }
 
     void putBody(wire::MessageT& out, const NotHeldFlowsMessage& body, TimePoint)
@@ -270,7 +271,7 @@
     {
         if (!in.reply_to)
             return std::nullopt;
-        LocateMessage locate { .replyTo = endpointOf(in.reply_to), .packets = {} };
+        LocateMessage locate { .replyTo = endpointOf(in.reply_to), .packets = {}, .passTo = endpointsOf(in) };
         for (const auto& item : in.packets) {
             auto packet = format.decode(item->bytes, false);
             if (!packet)
--- a/src/transit_message_type.h
+++ b/src/transit_message_type.h
@@ -32,11 +32,13 @@
 
 /**
  * Asks every agent for flows that their locators do not know. The packets go with the question, so that a holder can
- * pass them on at once; the answer of the others is one message for all flows.
+ * pass them on at once; the answer of the others is one message for all flows. In a large fleet one agent passes the
+ * question on: the links of entry VMs are narrow, those of the VMs beside targets are not.
  */
 struct LocateMessage {
     Endpoint replyTo;
     std::vector<TransitPacket> packets; ///< First packet of each flow.
+    std::vector<Endpoint> passTo; ///< Agents that the receiver asks on behalf of the balancer; they answer to it.
 };
 
 /** The sender's target did not take an opening packet, which was not run. */
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -150,7 +150,8 @@
             == DeclineReason::Cold);
         CHECK(std::get<NotHeldMessage>(roundTrip(NotHeldMessage { packet })).packet.flow == packet.flow);
         CHECK(std::get<HolderMessage>(roundTrip(HolderMessage { { packet.flow } })).flows.front() == packet.flow);
-        CHECK(std::get<LocateMessage>(roundTrip(LocateMessage { { 1, 2 }, { packet, packet } })).packets.size() == 2);
+        CHECK(
+            std::get<LocateMessage>(roundTrip(LocateMessage { { 1, 2 }, { packet, packet }, {} })).packets.size() == 2);
         CHECK(std::get<NotHeldFlowsMessage>(roundTrip(NotHeldFlowsMessage { { packet.flow } })).flows.size() == 1);
         CHECK(std::get<StampMessage>(
                   roundTrip(StampMessage { ProcessRole::Agent, 5, milliseconds(3), true, true, {}, { { 1, 2 } } }))
--- a/tests/transit_flow_test.cpp
+++ b/tests/transit_flow_test.cpp
@@ -14,8 +14,9 @@
     std::vector<Endpoint> balancers;
     std::vector<Endpoint> agents;
 
-    explicit Fleet(std::uint32_t targets = 3)
+    explicit Fleet(std::uint32_t targets = 3, std::int64_t linkBytesPerSecond = 125000000)
     {
+        setLink(linkBytesPerSecond);
         for (std::uint32_t i = 1; i <= 3; ++i)
             balancers.push_back(addBalancer(i));
         for (std::uint32_t i = 11; i < 11 + targets; ++i)
@@ -502,3 +503,46 @@
         CHECK(times.usual(routeAddress) >= milliseconds(55));
     }
 }
+
+TEST_CASE("After all targets of a large fleet started again, callers of lost flows are told at once", "[transit]")
+{
+    // Links of 10 Mbit/s, which guards against questions that wait for a narrow link of their balancer.
+    Fleet fleet(40, 1250000);
+    constexpr std::uint32_t count = 150;
+    for (std::uint32_t i = 0; i < count; ++i)
+        REQUIRE(fleet.open(fleet.balancers[0], flowOf(i)));
+    for (std::uint32_t i = 0; i < count; ++i)
+        fleet.sendRequest(fleet.balancers[0], flowOf(i));
+    fleet.run(milliseconds(300));
+    for (Endpoint agent : fleet.agents) {
+        fleet.restart(agent);
+        fleet.restartTarget(agent.address, "new" + std::to_string(agent.address));
+    }
+    fleet.restart(fleet.balancers[0]);
+    fleet.run(seconds(1));
+    TimePoint sentAt = fleet.now();
+    for (std::uint32_t i = 0; i < count; ++i)
+        fleet.sendRequest(fleet.balancers[0], flowOf(i), 2);
+    fleet.run(milliseconds(400));
+    std::size_t told = 0;
+    for (std::uint32_t i = 0; i < count; ++i) {
+        const CallerView& caller = fleet.caller(flowOf(i));
+        told += caller.resetAt && *caller.resetAt - sentAt <= milliseconds(120);
+    }
+    CHECK(told == count);
+
+    SECTION("but a flow whose holder does not answer is not, which guards against an answer by the one that asks")
+    {
+        FlowTuple flow = flowOf(1000);
+        std::uint32_t holder = fleet.open(fleet.balancers[0], flow);
+        REQUIRE(holder);
+        fleet.sendRequest(fleet.balancers[0], flow, 3);
+        fleet.run(milliseconds(50));
+        fleet.cut(holder);
+        fleet.restart(fleet.balancers[0]);
+        fleet.run(seconds(1));
+        fleet.sendRequest(fleet.balancers[0], flow, 4);
+        fleet.run(milliseconds(800));
+        CHECK_FALSE(fleet.caller(flow).resetAt);
+    }
+}
--- a/tests/transit_sim.cpp
+++ b/tests/transit_sim.cpp
@@ -87,8 +87,10 @@
         .incarnation = settings.incarnation,
         .seeds = m_seeds };
     if (!settings.isAgent)
-        return std::make_unique<TransitBalancer>(
-            TransitBalancerOptions { .fleet = fleet, .failureDomain = settings.domain, .fleetPort = fleetPort });
+        return std::make_unique<TransitBalancer>(TransitBalancerOptions { .fleet = fleet,
+            .failureDomain = settings.domain,
+            .fleetPort = fleetPort,
+            .linkBytesPerSecond = m_linkBytesPerSecond });
     return std::make_unique<TransitAgent>(TransitAgentOptions {
         .fleet = fleet,
         .admission = { .service = settings.service, .target = { process.address, targetPort } },
--- a/tests/transit_sim.h
+++ b/tests/transit_sim.h
@@ -80,6 +80,9 @@
     void removeTarget(const std::string& id);
     void evacuate(const std::string& domain, bool isOut);
 
+    /** Sets the bandwidth that balancers started from now on believe to have. */
+    void setLink(std::int64_t bytesPerSecond) { m_linkBytesPerSecond = bytesPerSecond; }
+
     /** Replaces the lifetime of a target: its flows are gone. */
     void restartTarget(std::uint32_t address, const std::string& id);
 
@@ -155,6 +158,7 @@
     std::vector<Watch> m_watches;
     Revision m_revision { 10 };
     bool m_isStoreDown {};
+    std::int64_t m_linkBytesPerSecond { 125000000 };
     std::size_t m_messages {};
     std::size_t m_storeCalls {};
     std::map<std::string, std::size_t> m_logged;
