Compare three drawn targets instead of sixteen, and add a bench of placement and order

Cause: every balancer sends to the one least loaded target by reports that are as old as some answers take, so that balancers herd.

Change: two targets of the own failure domain and one of another are drawn by the flow's hash; the least loaded one is taken. Suspected ones are not drawn while another is left.

--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,7 @@
 bench: build
 	$(BUILD)/decisions-bench
 	$(BUILD)/replica-bench
+	$(BUILD)/transit-policy-bench
 
 bench-core: build
 	$(BUILD)/core-bench
--- /dev/null
+++ b/bench/transit_policy_bench.cpp
@@ -0,0 +1,297 @@
+/**
+ * @file transit_policy_bench.cpp
+ * Compares the choice of a target and the order of waiting requests with baselines, on simulated time: three balancers
+ * before seven targets, requests with log-normal service times, load reports at the product's intervals. The same
+ * arrivals for each way.
+ */
+#include "table/transit_limits.h"
+#include "transit_placement_base.h"
+#include "transit_queue_base.h"
+#include "transit_service_time_base.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <functional>
+#include <queue>
+#include <random>
+
+using namespace hawthorncroft;
+
+namespace {
+
+constexpr std::uint32_t targetCount = 7;
+constexpr std::uint32_t balancerCount = 3;
+constexpr std::uint32_t slots = 4;
+constexpr Duration meanService = milliseconds(22);
+constexpr double serviceSpread = 0.5;
+constexpr Duration objective = milliseconds(120);
+constexpr Duration timeBudget = seconds(2);
+constexpr Duration messageTime = milliseconds(1); ///< Between processes.
+constexpr Duration callerTime = milliseconds(7); ///< Ways from and to the caller, beside messageTime.
+constexpr Duration warmup = seconds(1); ///< Not measured.
+constexpr Duration measured = seconds(20);
+constexpr std::uint32_t firstTarget = 0x0a000100;
+constexpr Endpoint routeAddress { 0x0a630001, 443 };
+const char* const domains[balancerCount] = { "a", "b", "c" };
+
+/** Load that the ways are compared under. */
+struct Load {
+    const char* name;
+    double share; ///< Of the capacity of all targets.
+    double slowFactor { 1 }; ///< Service times of the first target are so many times longer.
+};
+
+/** What one run showed. */
+struct Outcome {
+    double inTime {}; ///< Share of the requests answered within the objective.
+    double answered {}; ///< Share answered within the time budget.
+    double imbalance {}; ///< Requests of the busiest target by the mean.
+    double p99Ms {}; ///< Of the answered ones.
+};
+
+struct Target {
+    std::uint32_t running {};
+    std::uint32_t assigned {};
+    TransitQueue queue;
+    std::vector<WaitingRequest> line; ///< For the order of arrival.
+    ServiceTimes times;
+};
+
+struct Simulation;
+
+/** A way to choose a target: index of the target for a flow at a balancer. */
+using Chooser = std::uint32_t (Simulation::*)(std::uint32_t balancer, const FlowTuple& flow);
+
+struct Simulation {
+    const Load& load;
+    Chooser chooser;
+    bool isNewestFirst;
+    std::mt19937_64 random { 7 };
+    TransitView view;
+    std::vector<TransitPlacement> placements;
+    std::vector<std::vector<std::uint32_t>> believed; ///< Busy by balancer and target, for two choices.
+    std::vector<Target> targets { targetCount };
+    std::uint32_t turn {};
+    using Event = std::pair<TimePoint, std::function<void()>>;
+    struct Later {
+        bool operator()(const Event& a, const Event& b) const { return a.first > b.first; }
+    };
+    std::priority_queue<Event, std::vector<Event>, Later> events;
+    TimePoint now { seconds(100).us };
+    TimePoint measureFrom;
+    std::vector<Duration> latencies;
+    std::vector<std::uint32_t> counted;
+    std::size_t offered {};
+    std::size_t inTime {};
+
+    Simulation(const Load& of, Chooser by, bool newestFirst)
+        : load(of)
+        , chooser(by)
+        , isNewestFirst(newestFirst)
+        , believed(balancerCount, std::vector<std::uint32_t>(targetCount))
+        , counted(targetCount)
+    {
+        measureFrom = now + warmup;
+        std::vector<StoreChange> changes;
+        for (std::uint32_t i = 0; i < targetCount; ++i) {
+            changes.emplace_back(TargetChange { Revision(1),
+                { .id = "t" + std::to_string(i),
+                    .service = "web",
+                    .address = { firstTarget + i, 8000 },
+                    .failureDomain = domains[i % balancerCount],
+                    .slots = slots,
+                    .startedAt = 1 } });
+        }
+        view.applySnapshot(changes, Revision(1), now - seconds(60), now);
+        for (std::uint32_t i = 0; i < balancerCount; ++i)
+            placements.emplace_back(domains[i]);
+    }
+
+    void at(TimePoint time, std::function<void()> action) { events.emplace(time, std::move(action)); }
+
+    std::uint32_t roundRobin(std::uint32_t, const FlowTuple&) { return turn++ % targetCount; }
+
+    std::uint32_t byRank(std::uint32_t, const FlowTuple& flow)
+    {
+        return static_cast<std::uint32_t>(mix64(hashOf(flow)) % targetCount);
+    }
+
+    std::uint32_t fewestSent(std::uint32_t balancer, const FlowTuple&)
+    {
+        std::vector<std::uint32_t>& sent = believed[balancer];
+        auto least = static_cast<std::uint32_t>(std::min_element(sent.begin(), sent.end()) - sent.begin());
+        ++sent[least];
+        return least;
+    }
+
+    std::uint32_t twoChoices(std::uint32_t balancer, const FlowTuple&)
+    {
+        auto a = static_cast<std::uint32_t>(random() % targetCount);
+        auto b = static_cast<std::uint32_t>(random() % targetCount);
+        return believed[balancer][a] <= believed[balancer][b] ? a : b;
+    }
+
+    std::uint32_t byLoad(std::uint32_t balancer, const FlowTuple& flow)
+    {
+        const ViewedTarget* target = placements[balancer].choose(view, "web", flow, {}, now);
+        placements[balancer].noteSent(target->record.address.address);
+        return target->record.address.address - firstTarget;
+    }
+
+    std::uint32_t busyOf(const Target& target) const
+    {
+        return target.running + static_cast<std::uint32_t>(target.queue.size() + target.line.size());
+    }
+
+    void report(std::uint32_t balancer, std::uint32_t index)
+    {
+        LoadReport report { .busy = busyOf(targets[index]), .slots = slots, .flows = 0 };
+        at(now + messageTime, [this, balancer, index, report] {
+            placements[balancer].noteLoad(firstTarget + index, report);
+            if (chooser == &Simulation::twoChoices)
+                believed[balancer][index] = report.busy;
+        });
+    }
+
+    void reportAll()
+    {
+        for (std::uint32_t balancer = 0; balancer < balancerCount; ++balancer) {
+            for (std::uint32_t index = 0; index < targetCount; ++index)
+                report(balancer, index);
+        }
+        at(now + loadReportGap, [this] { reportAll(); });
+    }
+
+    void arrive(std::uint32_t number)
+    {
+        double perSecond = load.share * targetCount * slots * seconds(1).us / meanService.us;
+        std::exponential_distribution<double> gap(perSecond);
+        if (now < measureFrom + measured)
+            at(now + Duration { static_cast<std::int64_t>(gap(random) * seconds(1).us) },
+                [this, number] { arrive(number + 1); });
+        FlowTuple flow { { 0x64000000 + number, 40000 }, routeAddress };
+        auto balancer = static_cast<std::uint32_t>(random() % balancerCount);
+        std::uint32_t index = (this->*chooser)(balancer, flow);
+        if (now >= measureFrom) {
+            ++offered;
+            ++counted[index];
+        }
+        at(now + messageTime, [this, balancer, index, flow, since = now] {
+            take(index, flow, since);
+            report(balancer, index);
+        });
+    }
+
+    void take(std::uint32_t index, const FlowTuple& flow, TimePoint since)
+    {
+        Target& target = targets[index];
+        WaitingRequest request { .flow = flow,
+            .startedAt = since,
+            .latencyObjective = objective,
+            .timeout = timeBudget,
+            .serviceTime = target.times.usual(routeAddress) };
+        if (target.running < slots)
+            start(index, request);
+        else if (isNewestFirst)
+            target.queue.push(request);
+        else
+            target.line.push_back(request);
+    }
+
+    void start(std::uint32_t index, const WaitingRequest& request)
+    {
+        ++targets[index].running;
+        double sigma = serviceSpread;
+        std::lognormal_distribution<double> service(std::log(meanService.us) - sigma * sigma / 2, sigma);
+        double factor = index == 0 ? load.slowFactor : 1;
+        Duration work { static_cast<std::int64_t>(service(random) * factor) };
+        at(now + work, [this, index, request, work] {
+            Target& target = targets[index];
+            --target.running;
+            target.times.note(routeAddress, work);
+            if (request.startedAt >= measureFrom) {
+                Duration latency = now + messageTime + callerTime - request.startedAt;
+                latencies.push_back(latency);
+                inTime += latency <= objective;
+            }
+            startNext(index);
+        });
+    }
+
+    void startNext(std::uint32_t index)
+    {
+        Target& target = targets[index];
+        while (target.queue.popExpired(now)) { }
+        std::erase_if(
+            target.line, [&](const WaitingRequest& waiting) { return now >= waiting.startedAt + timeBudget; });
+        if (!target.line.empty()) {
+            WaitingRequest request = target.line.front();
+            target.line.erase(target.line.begin());
+            start(index, request);
+        } else if (auto request = target.queue.pop(now, target.times.mean() / slots)) {
+            start(index, *request);
+        }
+    }
+
+    Outcome run()
+    {
+        arrive(0);
+        reportAll();
+        TimePoint end = measureFrom + measured + timeBudget;
+        while (events.top().first < end) {
+            Event event = events.top();
+            events.pop();
+            now = event.first;
+            event.second();
+        }
+        std::sort(latencies.begin(), latencies.end());
+        std::uint32_t total = 0;
+        for (std::uint32_t count : counted)
+            total += count;
+        auto of = static_cast<double>(offered);
+        return { .inTime = static_cast<double>(inTime) / of,
+            .answered = static_cast<double>(latencies.size()) / of,
+            .imbalance = static_cast<double>(*std::max_element(counted.begin(), counted.end())) * targetCount / total,
+            .p99Ms = static_cast<double>(latencies[latencies.size() * 99 / 100].us) / 1000 };
+    }
+};
+
+void print(const char* load, const char* way, const Outcome& outcome)
+{
+    std::printf("%-34s %-26s %8.3f %9.3f %10.3f %8.1f\n", load, way, outcome.inTime, outcome.answered,
+        outcome.imbalance, outcome.p99Ms);
+}
+
+}
+
+int main()
+{
+    const std::pair<const char*, Chooser> choosers[] = {
+        { "round robin", &Simulation::roundRobin },
+        { "plain ranks", &Simulation::byRank },
+        { "fewest flows sent", &Simulation::fewestSent },
+        { "two choices", &Simulation::twoChoices },
+        { "by load (product)", &Simulation::byLoad },
+    };
+    const Load placementLoads[] = {
+        { .name = "0.6 of the capacity", .share = 0.6 },
+        { .name = "0.9 of the capacity", .share = 0.9 },
+        { .name = "0.6, one target four times slower", .share = 0.6, .slowFactor = 4 },
+    };
+    const Load orderLoads[] = {
+        { .name = "0.9 of the capacity", .share = 0.9 },
+        { .name = "1.2 times the capacity", .share = 1.2 },
+        { .name = "2 times the capacity", .share = 2 },
+    };
+    std::printf("%-34s %-26s %8s %9s %10s %8s\n", "load", "way", "in time", "answered", "imbalance", "p99 ms");
+    for (const Load& load : placementLoads) {
+        for (const auto& [name, chooser] : choosers)
+            print(load.name, name, Simulation(load, chooser, true).run());
+    }
+    for (const Load& load : orderLoads) {
+        print(load.name, "order of arrival", Simulation(load, &Simulation::byLoad, false).run());
+        print(load.name, "newest first (product)", Simulation(load, &Simulation::byLoad, true).run());
+    }
+    return 0;
+}
--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -235,6 +235,7 @@
     loopback-bench
     replica-bench
     transit-bench
+    transit-policy-bench
 )
 
 set(agent-bench_SOURCES
@@ -268,3 +269,7 @@
 set(transit-bench_SOURCES
     bench/transit_bench.cpp
 )
+
+set(transit-policy-bench_SOURCES
+    bench/transit_policy_bench.cpp
+)
--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -73,7 +73,11 @@
 inline constexpr double flowWeight = 0.03; ///< Share of a slot that an open flow is expected to use.
 inline constexpr double remoteWeight = 0.25; ///< Load by which a target of another failure domain seems busier.
 inline constexpr double coldWeight = 0.5; ///< Load by which a cold target seems busier.
-inline constexpr std::size_t maxCandidates = 16; ///< Targets compared for one opening packet.
+inline constexpr std::size_t nearCandidates
+    = 2; ///< Targets of the own failure domain compared for a flow; comparing all makes balancers herd to one.
+inline constexpr std::size_t farCandidates = 1; ///< Targets of other failure domains compared for a flow.
+inline constexpr std::size_t maxDraws = 16; ///< Targets drawn for the candidates of one flow.
+inline constexpr std::size_t maxCandidates = 64; ///< Targets looked at when no drawn one may take the flow.
 inline constexpr Duration drainTime
     = milliseconds(3000); ///< Routers leave a balancer after two probes a half second apart.
 
--- a/src/transit_placement.cpp
+++ b/src/transit_placement.cpp
@@ -17,25 +17,40 @@
     const auto& targets = view.targetsOf(service);
     if (targets.empty())
         return nullptr;
-    std::uint64_t hash = hashOf(flow);
-    const ViewedTarget* best = nullptr;
-    double bestScore = 0;
-    std::size_t compared = 0;
-    // In a large service only some targets are compared, starting at a place that depends on the flow.
-    for (std::size_t i = 0; i < targets.size() && compared < maxCandidates; ++i) {
-        const ViewedTarget& target = *targets[(hash + i) % targets.size()];
-        if (!isEligible(view, target, tried))
-            continue;
-        ++compared;
-        double score = loadOf(target, now);
-        if (isSuspected(target.record.address.address, now))
-            score += 100; // Only when all others are suspected too.
-        if (!best || score < bestScore) {
-            best = &target;
-            bestScore = score;
-        }
+    Choice choice;
+    std::uint64_t random = hashOf(flow);
+    for (std::size_t draw = 0; draw < maxDraws && !choice.isComplete(); ++draw) {
+        random = mix64(random);
+        const ViewedTarget& target = *targets[random % targets.size()];
+        if (isEligible(view, target, tried) && !isSuspected(target.record.address.address, now))
+            consider(choice, target, now);
     }
-    return best;
+    // Few targets are left, or none that is not suspected.
+    for (std::size_t i = 0; i < targets.size() && i < maxCandidates && !choice.best; ++i) {
+        const ViewedTarget& target = *targets[(random + i) % targets.size()];
+        if (isEligible(view, target, tried) && !isSuspected(target.record.address.address, now))
+            consider(choice, target, now);
+    }
+    for (std::size_t i = 0; i < targets.size() && !choice.best; ++i) {
+        const ViewedTarget& target = *targets[(random + i) % targets.size()];
+        if (isEligible(view, target, tried))
+            consider(choice, target, now);
+    }
+    return choice.best;
+}
+
+void TransitPlacement::consider(Choice& choice, const ViewedTarget& target, TimePoint now) const
+{
+    bool isNear = target.record.failureDomain == m_failureDomain;
+    std::size_t& compared = isNear ? choice.near : choice.far;
+    if (&target == choice.best || compared >= (isNear ? nearCandidates : farCandidates))
+        return;
+    ++compared;
+    double load = loadOf(target, now);
+    if (choice.best && load >= choice.load)
+        return;
+    choice.best = &target;
+    choice.load = load;
 }
 
 void TransitPlacement::noteSent(std::uint32_t address) { ++m_estimates[address].sentSince; }
--- a/src/transit_placement_base.h
+++ b/src/transit_placement_base.h
@@ -6,6 +6,7 @@
  */
 #pragma once
 
+#include "table/transit_limits.h"
 #include "transit_view_base.h"
 
 #include <optional>
@@ -65,6 +66,17 @@
         std::uint32_t returned {}; ///< Opening packets returned in a row.
     };
 
+    /** What was compared so far for one flow. */
+    struct Choice {
+        const ViewedTarget* best {};
+        double load {}; ///< Of the best one.
+        std::size_t near {}; ///< Compared targets of the own failure domain.
+        std::size_t far {}; ///< Compared targets of others.
+
+        bool isComplete() const { return near >= nearCandidates && far >= farCandidates; }
+    };
+
+    void consider(Choice& choice, const ViewedTarget& target, TimePoint now) const;
     bool isEligible(const TransitView& view, const ViewedTarget& target, const std::vector<std::uint32_t>& tried) const;
 
     std::string m_failureDomain;
--- a/tests/transit_flow_test.cpp
+++ b/tests/transit_flow_test.cpp
@@ -546,3 +546,37 @@
         CHECK_FALSE(fleet.caller(flow).resetAt);
     }
 }
+
+TEST_CASE("Balancers do not all prefer the target that was idle last", "[transit]")
+{
+    // Reports are as old as some answers take; a herd to the one least loaded target makes it the busiest.
+    Fleet fleet(7);
+    TransitPlacement placement("a");
+    for (Endpoint agent : fleet.agents) {
+        bool isIdle = agent == fleet.agents[3];
+        placement.noteLoad(agent.address, { .busy = isIdle ? 0U : 3U, .slots = 4, .flows = 0 });
+    }
+    const TransitView& view = fleet.balancer(fleet.balancers[0]).fleet().view();
+    std::size_t toIdle = 0;
+    std::set<std::uint32_t> chosen;
+    constexpr std::uint32_t count = 700;
+    for (std::uint32_t i = 0; i < count; ++i) {
+        const ViewedTarget* target = placement.choose(view, "web", flowOf(i), {}, fleet.now());
+        REQUIRE(target);
+        chosen.insert(target->record.address.address);
+        toIdle += target->record.address.address == fleet.agents[3].address;
+    }
+    CHECK(toIdle > count / 7);
+    CHECK(toIdle < count / 2);
+    CHECK(chosen.size() == 7);
+
+    SECTION("but a target that is left is found among those that were tried")
+    {
+        std::vector<std::uint32_t> tried;
+        for (std::size_t i = 0; i + 1 < fleet.agents.size(); ++i)
+            tried.push_back(fleet.agents[i].address);
+        const ViewedTarget* target = placement.choose(view, "web", flowOf(1), tried, fleet.now());
+        REQUIRE(target);
+        CHECK(target->record.address.address == fleet.agents.back().address);
+    }
+}
