Give a target that resets its requests no more than single probes

They look idle, so that every balancer prefers them: 2,860 requests of 55,500 end by their resets, and a fifth to a third of each window from 8 to 16 s.

Ruled out: balancers stopped or cut at that time (requests reach a target and are answered by its reset within 10 ms).

Change: an agent counts requests that its target reset in a row. After three it declines new flows but for one every 300 ms until a request is answered; a balancer avoids such a target as it does one that returns opening packets.

--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -118,6 +118,7 @@
     src/transit_balancer_open.cpp
     src/transit_codec_func.cpp
     src/transit_fleet.cpp
+    src/transit_health.cpp
     src/transit_http.cpp
     src/transit_locator.cpp
     src/transit_log.cpp
--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -98,6 +98,10 @@
 inline constexpr Duration flowLifetime = seconds(60); ///< Flows older than this may be discarded.
 inline constexpr std::size_t maxQueuedRequests
     = 512; ///< Requests that wait for a slot; far above what is answered in time.
+inline constexpr std::uint32_t resetsOfFaultyTarget
+    = 3; ///< Requests reset in a row; single ones come from flows that were idle too long.
+inline constexpr Duration faultyProbeGap
+    = milliseconds(300); ///< Between two flows that a faulty target gets; its return is seen by then.
 inline constexpr std::uint32_t slotsInAdvance = 1; ///< Requests handed over beyond the slots, to keep all slots busy.
 inline constexpr Duration initialServiceTime
     = milliseconds(30); ///< Before the target has answered; the users' sheets name 5 to 39 ms.
--- a/src/table/transit_names.h
+++ b/src/table/transit_names.h
@@ -24,6 +24,7 @@
     "leaving",
     "returned_by_target",
     "target_silent",
+    "target_faulty",
     "overloaded",
 };
 
--- a/src/transit_agent_base.h
+++ b/src/transit_agent_base.h
@@ -7,6 +7,7 @@
 
 #include "transit_admission_base.h"
 #include "transit_core_base.h"
+#include "transit_health_base.h"
 #include "transit_locator_base.h"
 #include "transit_queue_base.h"
 #include "transit_service_time_base.h"
@@ -115,6 +116,7 @@
     void giveUpRequest(const WaitingRequest& request, TimePoint now, TransitEffects& effects);
     void releaseRequest(const WaitingRequest& request, TimePoint now, TransitEffects& effects);
     void endIfOver(HeldFlow& flow, const TransitPacket& last);
+    void noteRequestReset(const HeldFlow& flow, const TransitPacket& packet, TransitEffects& effects);
     void endRequest(HeldFlow& flow);
     void endFlow(HeldFlow& flow);
     void forgetFlow(const FlowTuple& flow);
@@ -155,6 +157,7 @@
     std::unordered_map<Endpoint, std::vector<FlowTuple>> m_notHeld; ///< Answers to locating balancers, sent together.
     TransitQueue m_queue;
     ServiceTimes m_serviceTimes;
+    TargetHealth m_health;
     TimePoint m_answeredAt; ///< When the target last answered a request, or got one while none was under way.
     std::uint32_t m_busy {}; ///< Flows with a request under way at the target.
     std::uint32_t m_ended {}; ///< Flows in m_flows that ended.
--- a/src/transit_agent_cmd.cpp
+++ b/src/transit_agent_cmd.cpp
@@ -121,6 +121,7 @@
         { { "target", own.record.id }, { "started_at", static_cast<std::int64_t>(own.record.startedAt) },
             { "revision", static_cast<std::int64_t>(own.revision.value) }, { "cold_ms", own.record.coldLeft.us / 1000 },
             { "cold_limit_per_s", coldLimit() }, { "flows_before", static_cast<std::int64_t>(m_flows.size()) } } });
+    m_health = {};
     m_targetId = own.record.id;
     m_targetStartedAt = own.record.startedAt;
 }
--- a/src/transit_agent_message.cpp
+++ b/src/transit_agent_message.cpp
@@ -43,6 +43,8 @@
     }
     OpenRequest request { forward.service, flow.service, forward.routeRevision };
     auto reason = m_admission.test(m_fleet.view(), request, load(), now);
+    if (!reason && !m_health.mayTake(now))
+        reason = DeclineReason::Faulty;
     if (m_stoppedAt)
         reason = DeclineReason::Leaving;
     if (m_flows.size() >= maxHeldFlows)
@@ -52,6 +54,7 @@
         return;
     }
     m_admission.noteAdmitted(now);
+    m_health.noteTaken(now);
     forgetFlow(flow);
     HeldFlow& held = m_flows[flow];
     held = { .state = FlowState::Opening, .usedAt = now, .isExpected = true };
--- a/src/transit_agent_target.cpp
+++ b/src/transit_agent_target.cpp
@@ -114,13 +114,28 @@
                 { "to", toString(packet.flow.service) }, { "target", m_targetId },
                 { "took_us", (now - *flow.requestAt).us }, { "busy", static_cast<std::int64_t>(m_busy) } } });
         m_answeredAt = now;
+        m_health.noteAnswer();
         m_serviceTimes.note(packet.flow.service, now - *flow.requestAt);
         endRequest(flow);
     }
+    if (packet.flags.isReset && flow.requestAt)
+        noteRequestReset(flow, packet, effects);
     flow.hasTargetEnded |= packet.flags.isFinal;
     endIfOver(flow, packet);
 }
 
+void TransitAgent::noteRequestReset(const HeldFlow& flow, const TransitPacket& packet, TransitEffects& effects)
+{
+    bool wasFaulty = m_health.isFaulty();
+    m_health.noteReset();
+    effects.push_back(WriteLog { "request_reset",
+        { { "request", flow.requestId }, { "flow", toString(packet.flow.caller) },
+            { "to", toString(packet.flow.service) }, { "target", m_targetId },
+            { "is_faulty", static_cast<std::int64_t>(m_health.isFaulty()) } } });
+    if (!wasFaulty && m_health.isFaulty())
+        effects.push_back(WriteLog { "target_faulty", { { "target", m_targetId } } });
+}
+
 void TransitAgent::noteFromCaller(HeldFlow& flow, const TransitPacket& packet, TimePoint now, TransitEffects& effects)
 {
     flow.usedAt = now;
--- a/src/transit_balancer_open.cpp
+++ b/src/transit_balancer_open.cpp
@@ -132,7 +132,7 @@
             { "busy", static_cast<std::int64_t>(declined.load.busy) } } });
     if (declined.reason == DeclineReason::Silent || declined.reason == DeclineReason::Leaving)
         m_placement.suspect(from.address, now);
-    if (declined.reason == DeclineReason::Returned)
+    if (declined.reason == DeclineReason::Returned || declined.reason == DeclineReason::Faulty)
         m_placement.noteReturned(from.address, now);
     auto pending = m_opens.find(flow);
     if (pending == m_opens.end() || pending->second.agent != from)
--- a/tests/transit_flow_test.cpp
+++ b/tests/transit_flow_test.cpp
@@ -277,6 +277,35 @@
             CHECK(closed.opened.size() >= 15);
         }
     }
+    SECTION("a target that takes flows and resets their requests gets few, which guards against a herd to what serves "
+            "nothing")
+    {
+        FakeTransitTarget& faulty = fleet.target(fleet.agents[0].address);
+        faulty.resetsRequests = true;
+        constexpr std::uint32_t count = 300;
+        auto serve = [&](std::uint32_t first) {
+            std::size_t resets = 0;
+            for (std::uint32_t i = first; i < first + count; ++i) {
+                fleet.sendOpen(fleet.balancers[i % 3], flowOf(i));
+                fleet.run(milliseconds(5));
+                fleet.sendRequest(fleet.balancers[i % 3], flowOf(i));
+                fleet.run(milliseconds(5));
+                resets += fleet.caller(flowOf(i)).resetAt.has_value();
+            }
+            return resets;
+        };
+        // Three until it is known, and one every 300 ms in three seconds.
+        CHECK(serve(100) <= 3 + 10 + 2);
+
+        SECTION("and gets flows again once it serves them")
+        {
+            faulty.resetsRequests = false;
+            serve(1000);
+            std::size_t before = faulty.started.size();
+            serve(2000);
+            CHECK(faulty.started.size() - before >= count / 6);
+        }
+    }
     SECTION("repeats have a budget, which guards against load that an outage multiplies")
     {
         for (Endpoint agent : fleet.agents)
--- a/tests/transit_sim.cpp
+++ b/tests/transit_sim.cpp
@@ -349,6 +349,11 @@
     if (!packet.dataSize)
         return;
     ++target.handed;
+    if (target.resetsRequests) {
+        target.flows.erase(packet.flow);
+        targetSends(address, { .flow = packet.flow, .flags = { .isReset = true } });
+        return;
+    }
     if (target.seen.emplace(packet.flow, packet.sequence).second)
         target.queue.push_back(packet.flow);
     startNext(address);
--- a/tests/transit_sim.h
+++ b/tests/transit_sim.h
@@ -26,6 +26,7 @@
     std::uint32_t slots { 4 };
     Duration work { milliseconds(20) };
     bool isAlive { true };
+    bool resetsRequests {}; ///< Takes flows and resets them with their first request.
     bool returnsOpens {}; ///< Runs, but takes no flows.
     bool resetsUnknown {}; ///< Resets what it does not hold, instead of returning it.
     std::set<FlowTuple> flows;
