--- a/src/ctl_metrics.cpp
+++ b/src/ctl_metrics.cpp
@@ -12,7 +12,8 @@
 
     constexpr const char* metricsUsage = "Usage: hawthorncroftctl metrics --settings FILE [--at ENDPOINT...] [--json]\n"
                                          "Prints the counters and distributions of all processes, added up.\n"
-                                         "Ends with 1 when a process does not answer.";
+                                         "Ends with 1 when a process does not answer.\n"
+                                         "Processes for the users' platform are not asked: see their metrics pages.";
 
     std::string parseMetrics(std::string_view text, Metrics& metrics)
     {
--- a/src/ctl_status.cpp
+++ b/src/ctl_status.cpp
@@ -14,8 +14,10 @@
 
 namespace {
 
-    constexpr const char* statusUsage = "Usage: hawthorncroftctl status --settings FILE [--at ENDPOINT...] [--json]\n"
-                                        "Says of each process whether it serves and which configuration it has.";
+    constexpr const char* statusUsage
+        = "Usage: hawthorncroftctl status --settings FILE [--at ENDPOINT...] [--json]\n"
+          "Says of each process whether it serves and which configuration it has.\n"
+          "Processes for the users' platform are not asked: see their readiness and metrics pages.";
 
     constexpr const char* waitUsage
         = "Usage: hawthorncroftctl wait-in-force REVISION --settings FILE [--at ENDPOINT...] [--timeout SECONDS] "
--- a/tests/ctl_test.cpp
+++ b/tests/ctl_test.cpp
@@ -217,6 +217,11 @@
 )");
         CHECK(Run({ "explain", "--log", later, "--request", "ab" }).says("cause: the target answered"));
         CHECK(Run({ "explain", "--log", later, "--request", "cd" }).says("cause: the request waited for a slot"));
+        std::string reset = files.write("reset.log",
+            R"(1.0 s1 {"t_us":9,"vm":"s1","event":"request_started","request":"ef","flow":"1.0.0.2:1","to":"2.0.0.1:1"}
+2.0 s1 {"t_us":9,"vm":"s1","event":"request_reset","request":"ef","flow":"1.0.0.2:1","to":"2.0.0.1:1"}
+)");
+        CHECK(Run({ "explain", "--log", reset, "--request", "ef" }).says("cause: the target reset the flow"));
     }
     SECTION("an unknown id and missing arguments have a defined result")
     {
