--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -223,6 +223,7 @@
     tests/trace_config_test.cpp
     tests/trace_test.cpp
     tests/transit_flow_test.cpp
+    tests/transit_load_test.cpp
     tests/transit_sim.cpp
     tests/transit_view_test.cpp
     tests/udp_test.cpp
