Bound the flows that wait for an agent to ask the others; remove an unused reason

Cause: found by reading the change. While no agent was heard of, flows to be asked for were kept and each new copy added to them, without a bound. An agent that passes a question on wrote no line.

Change: such flows are dropped, and the caller's next copy asks again; the reason is removed; question_passed is logged.

--- a/src/transit_agent_message.cpp
+++ b/src/transit_agent_message.cpp
@@ -130,6 +130,11 @@
 
 void TransitAgent::onLocate(LocateMessage locate, TimePoint now, TransitEffects& effects)
 {
+    if (!locate.passTo.empty()) {
+        effects.push_back(WriteLog { "question_passed",
+            { { "balancer", toString(locate.replyTo) }, { "flows", static_cast<std::int64_t>(locate.packets.size()) },
+                { "agents", static_cast<std::int64_t>(locate.passTo.size()) } } });
+    }
     std::size_t passed = 0;
     for (Endpoint agent : locate.passTo) {
         if (agent == m_fleet.self())
--- a/src/transit_balancer_locate.cpp
+++ b/src/transit_balancer_locate.cpp
@@ -123,12 +123,13 @@
     m_questions.clear();
     if (m_relayed.empty())
         return;
+    std::vector<FlowTuple> flows = std::exchange(m_relayed, {});
     auto relay = chooseRelay(now);
     if (!relay)
-        return; // No agent was heard of yet; asked with a later tick.
+        return; // No agent was heard of yet; asked again with the caller's next copy.
     std::vector<Endpoint> agents = agentsThatMayHold(now);
     agents.resize(std::min(agents.size(), maxLocateBroadcast));
-    sendQuestion(*relay, std::exchange(m_relayed, {}), agents, effects);
+    sendQuestion(*relay, flows, agents, effects);
 }
 
 void TransitBalancer::sendQuestion(
--- a/src/transit_type.h
+++ b/src/transit_type.h
@@ -93,7 +93,6 @@
     Returned, ///< The target returned the packet.
     Silent, ///< The target did not answer.
     Faulty, ///< The target reset all of its last requests.
-    Overloaded, ///< Requests that wait run out of their time budgets, and a new one would be late as well.
     End,
 };
 
