Share the loss of all flows between two tests

Two tests of transparent flows started everything again by the same six lines. The fixture does it now (loseAllFlows).

--- a/tests/transit_fixture.h
+++ b/tests/transit_fixture.h
@@ -23,6 +23,17 @@
         run(seconds(2));
     }
 
+    /** Starts all agents, targets and the first balancer again with nothing of what they knew, and lets them settle. */
+    void loseAllFlows()
+    {
+        for (Endpoint agent : agents) {
+            restart(agent);
+            restartTarget(agent.address, "new" + std::to_string(agent.address));
+        }
+        restart(balancers[0]);
+        run(seconds(1));
+    }
+
     std::size_t startedInAll()
     {
         std::size_t count = 0;
--- a/tests/transit_flow_test.cpp
+++ b/tests/transit_flow_test.cpp
@@ -91,12 +91,7 @@
     SECTION("after everything started again a single caller is told without waiting for ticks, which guards against "
             "an answer that comes just too late")
     {
-        for (Endpoint agent : fleet.agents) {
-            fleet.restart(agent);
-            fleet.restartTarget(agent.address, "new" + std::to_string(agent.address));
-        }
-        fleet.restart(fleet.balancers[0]);
-        fleet.run(seconds(1));
+        fleet.loseAllFlows();
         TimePoint sentAt = fleet.now();
         fleet.sendRequest(fleet.balancers[0], flow, 2);
         fleet.run(milliseconds(200));
--- a/tests/transit_load_test.cpp
+++ b/tests/transit_load_test.cpp
@@ -279,12 +279,7 @@
     for (std::uint32_t i = 0; i < count; ++i)
         fleet.sendRequest(fleet.balancers[0], flowOf(i));
     fleet.run(milliseconds(300));
-    for (Endpoint agent : fleet.agents) {
-        fleet.restart(agent);
-        fleet.restartTarget(agent.address, "new" + std::to_string(agent.address));
-    }
-    fleet.restart(fleet.balancers[0]);
-    fleet.run(seconds(1));
+    fleet.loseAllFlows();
     TimePoint sentAt = fleet.now();
     for (std::uint32_t i = 0; i < count; ++i)
         fleet.sendRequest(fleet.balancers[0], flowOf(i), 2);
