--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -110,6 +110,7 @@
     src/placement_func.cpp
     src/transit_admission.cpp
     src/transit_agent_cmd.cpp
+    src/transit_agent_locator.cpp
     src/transit_agent_message.cpp
     src/transit_agent_queue.cpp
     src/transit_agent_target.cpp
@@ -120,6 +121,7 @@
     src/transit_fleet.cpp
     src/transit_health.cpp
     src/transit_http.cpp
+    src/transit_inventory.cpp
     src/transit_locator.cpp
     src/transit_log.cpp
     src/transit_metrics.cpp
@@ -223,7 +225,9 @@
     tests/trace_config_test.cpp
     tests/trace_test.cpp
     tests/transit_flow_test.cpp
+    tests/transit_inventory_test.cpp
     tests/transit_load_test.cpp
+    tests/transit_lost_test.cpp
     tests/transit_sim.cpp
     tests/transit_view_test.cpp
     tests/udp_test.cpp
--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -58,10 +58,16 @@
     = milliseconds(30); ///< A tick this late means that answers wait in the sockets, unread.
 inline constexpr std::size_t maxFlowsInQuestion = 24; ///< Flows in one message to an agent; some datagrams.
 inline constexpr Duration locateTimeout = milliseconds(400); ///< After it the caller's next copy starts again.
+inline constexpr Duration vouchWait = milliseconds(
+    60); ///< Locators wait for notes under way before they vouch; beyond it a balancer takes one word for both.
+inline constexpr Duration silentWait = milliseconds(
+    150); ///< For an agent whose flows its locators knew until it fell silent; agents answer in a few ms.
 inline constexpr std::size_t locatorCount = 2; ///< Agents told of a flow that they do not hold.
-inline constexpr std::size_t maxLocateBroadcast = 128; ///< Agents asked when the locators do not know.
+inline constexpr std::size_t agentsPerShard
+    = 128; ///< Agents for each shard of flows; two locators of one get some 600 notes and confirmations a second.
+inline constexpr std::size_t maxLocateBroadcast = 256; ///< Agents asked when no locator vouches; hundreds of machines.
 inline constexpr std::size_t maxDirectQuestions
-    = 24; ///< Agents that a balancer asks itself; in larger fleets one agent asks the others.
+    = 8; ///< Agents that a balancer asks itself; otherwise locators vouch, and one agent asks the doubtful ones.
 inline constexpr std::size_t endpointBytes = 8; ///< Bytes of an endpoint in a message.
 inline constexpr std::uint32_t maxPromptQuestions
     = 4; ///< Questions to all agents that are sent at once in a tick; further ones go together with the next.
@@ -94,6 +100,21 @@
     = milliseconds(60); ///< A flow that opened brings its first request by then.
 inline constexpr Duration loadReportGap = milliseconds(150); ///< Between two reports to one balancer.
 inline constexpr Duration loadInterest = seconds(2); ///< Balancers that sent nothing for this time get no reports.
+inline constexpr Duration confirmInterval
+    = milliseconds(250); ///< Between confirmations of the notes to a locator; two may be lost within vouchLease.
+inline constexpr Duration unregisteredConfirmInterval
+    = milliseconds(50); ///< The same while the agent's target is not registered: such a VM ends without a word.
+inline constexpr Duration unregisteredLease
+    = milliseconds(170); ///< Silence after which such an agent is not asked; two confirmations may be lost.
+inline constexpr Duration confirmAfterNote
+    = milliseconds(20); ///< Between confirmations until the locator has everything; a lost note is noticed by then.
+inline constexpr Duration vouchLease = milliseconds(700); ///< Silence after which a locator does not vouch; below
+                                                          ///< stalePacketAge, so that a pause that drops notes ends it.
+inline constexpr Duration vouchSettle
+    = milliseconds(30); ///< Before a locator vouches: a note and its confirmation after 20 ms, and 10 ms of way.
+inline constexpr Duration lastWordTime
+    = milliseconds(60); ///< An agent that ends confirms its last notes until then, so that one may be lost.
+inline constexpr Duration repeatNotesGap = milliseconds(100); ///< Between two requests for all notes of an agent.
 inline constexpr Duration askerLifetime = seconds(1); ///< Time for which a flow's asker is remembered.
 inline constexpr Duration endedFlowTime = seconds(10); ///< Ended flows are remembered while late packets may come.
 inline constexpr std::size_t maxHeldFlows = 20000; ///< Flows that one agent remembers.
--- a/src/transit_agent_base.h
+++ b/src/transit_agent_base.h
@@ -8,7 +8,7 @@
 #include "transit_admission_base.h"
 #include "transit_core_base.h"
 #include "transit_health_base.h"
-#include "transit_locator_base.h"
+#include "transit_inventory_base.h"
 #include "transit_queue_base.h"
 #include "transit_service_time_base.h"
 
@@ -72,6 +72,7 @@
         bool isFirstRequest {}; ///< The first request of the flow began when the flow was asked for.
         std::vector<ForwardMessage> waiting; ///< Packets of a request that waits for a slot.
         bool isExpected {}; ///< Counted in m_expected.
+        bool isNoted {}; ///< The locators were told.
         bool hasCallerEnded {};
         bool hasTargetEnded {};
     };
@@ -99,12 +100,24 @@
     void noteNotHeld(Endpoint balancer, const FlowTuple& flow, TransitEffects& effects);
     void answerNotHeld(const ForwardMessage& forward, TransitEffects& effects);
     void handToTarget(const ForwardMessage& forward, TransitEffects& effects);
-    void onHolder(Endpoint from, const HolderMessage& holder, TimePoint now);
+
+    // Notes to locators, and this agent as a locator, in transit_agent_locator.cpp.
+    void onHolder(Endpoint from, const HolderMessage& holder, TimePoint now, TransitEffects& effects);
+    void onRepeatNotes(Endpoint from, TimePoint now, TransitEffects& effects);
+    void noteLocators(HeldFlow& held, const FlowTuple& flow, TimePoint now, TransitEffects& effects);
+    void sendNotes(InventoryMessages messages, TransitEffects& effects);
+    void sendLists(TimePoint now, TransitEffects& effects);
+    InventoryClaim inventoryClaim() const;
+    VouchMessage wordOn(const FlowTuple& flow, TimePoint now) const;
+    bool mayStillHold(Endpoint holder, TimePoint now) const;
+    void vouchLater(const ForwardMessage& question, TimePoint now, TransitEffects& effects);
+    void vouch(TimePoint now, TransitEffects& effects);
+    void tickLocator(TimePoint now, TransitEffects& effects);
 
     // Packets of the target, in transit_agent_target.cpp.
     void onReturned(TransitPacket packet, TransitEffects& effects);
     void onUnknownReset(const TransitPacket& packet, TransitEffects& effects);
-    void learnFlow(const TransitPacket& packet, TransitEffects& effects);
+    void learnFlow(const TransitPacket& packet, TimePoint now, TransitEffects& effects);
     void noteFromTarget(HeldFlow& flow, const TransitPacket& packet, TimePoint now, TransitEffects& effects);
     void noteFromCaller(HeldFlow& flow, const TransitPacket& packet, TimePoint now, TransitEffects& effects);
 
@@ -126,10 +139,6 @@
     void onViewChanged(TimePoint now, TransitEffects& effects) override;
     void onLifetimeChanged(const ViewedTarget& own, TransitEffects& effects);
     std::int64_t coldLimit() const;
-    void sendNotes(Endpoint agent, const std::vector<FlowTuple>& flows, TransitEffects& effects);
-    void noteLocators(const FlowTuple& flow, TransitEffects& effects);
-    void noteChangedLocators(const TransitLocators& before, TransitEffects& effects);
-    void noteRestartedAgent(Endpoint agent, TransitEffects& effects);
     void expireOpens(TimePoint now, TransitEffects& effects);
     void expireExpected(TimePoint now);
     void sweepFlows(TimePoint now);
@@ -145,7 +154,14 @@
     std::deque<std::pair<TimePoint, FlowTuple>> m_openTimers;
     std::deque<std::pair<TimePoint, FlowTuple>> m_expectedTimers;
     std::unordered_map<FlowTuple, Asker> m_askers;
-    std::unordered_map<FlowTuple, std::pair<Endpoint, TimePoint>> m_noted; ///< Holders of flows of other agents.
+    InventoryStreams m_streams; ///< What this agent tells its locators.
+    InventoryRecords m_records; ///< What this agent was told as a locator.
+    struct PendingVouch {
+        TimePoint at;
+        Endpoint balancer;
+        FlowTuple flow;
+    };
+    std::deque<PendingVouch> m_vouches; ///< In order of time.
     std::deque<std::pair<TimePoint, ForwardMessage>> m_waiting; ///< Opening packets that wait for the first view.
     std::vector<Endpoint> m_balancers; ///< Index is the tag of packets handed to the target.
     std::unordered_map<Endpoint, std::uint32_t> m_balancerTags;
--- a/src/transit_agent_cmd.cpp
+++ b/src/transit_agent_cmd.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-    constexpr std::size_t flowsPerNote = 40; ///< Flows in one message to a locator; fits a datagram.
     constexpr std::size_t maxBalancerTags = 1U << 20; ///< Balancers told apart in the tags of packets.
 
 }
@@ -17,6 +16,7 @@
     : TransitCore(options.fleet)
     , m_options(std::move(options))
     , m_admission(m_options.admission)
+    , m_streams(m_options.fleet.incarnation)
     , m_knowsAllFlows(m_options.isFirstStart)
 {
 }
@@ -42,6 +42,7 @@
     }
     sendLoads(now, effects);
     m_promptAnswers = 0;
+    tickLocator(now, effects);
     sendNotHeldFlows(effects);
 }
 
@@ -54,10 +55,17 @@
     } else if (auto* locate = std::get_if<LocateMessage>(&message.body)) {
         onLocate(std::move(*locate), now, effects);
     } else if (auto* holder = std::get_if<HolderMessage>(&message.body)) {
-        onHolder(from, *holder, now);
+        onHolder(from, *holder, now, effects);
+    } else if (auto* taken = std::get_if<NotesTakenMessage>(&message.body)) {
+        m_streams.noteTaken(from.address, *taken);
+    } else if (std::get_if<RepeatNotesMessage>(&message.body)) {
+        onRepeatNotes(from, now, effects);
     } else if (auto* stamp = std::get_if<StampMessage>(&message.body)) {
-        if (m_fleet.onStamp(from, message.through, *stamp, now, effects) && stamp->role == ProcessRole::Agent)
-            noteRestartedAgent(from, effects);
+        bool isNew = m_fleet.onStamp(from, message.through, *stamp, now, effects);
+        if (isNew && stamp->role == ProcessRole::Agent) {
+            m_records.noteRestart(from, stamp->incarnation);
+            onRepeatNotes(from, now, effects);
+        }
     } else if (auto* delta = std::get_if<DeltaMessage>(&message.body)) {
         if (m_fleet.onDelta(from, *delta, now, effects))
             onViewChanged(now, effects);
@@ -75,11 +83,14 @@
     effects.push_back(WriteLog { "stopping",
         { { "busy", static_cast<std::int64_t>(m_busy) }, { "flows", static_cast<std::int64_t>(m_flows.size()) } } });
     m_fleet.announceLeaving(effects);
+    sendNotes(m_streams.confirmAll(inventoryClaim(), now), effects);
 }
 
 bool TransitAgent::isFinished(TimePoint now) const
 {
-    return m_stoppedAt && ((!m_busy && m_queue.empty()) || now >= *m_stoppedAt + finishTime);
+    if (!m_stoppedAt || now < *m_stoppedAt + lastWordTime)
+        return false; // The last notes are confirmed until then.
+    return (!m_busy && m_queue.empty()) || now >= *m_stoppedAt + finishTime;
 }
 
 LoadReport TransitAgent::load() const
@@ -100,14 +111,13 @@
 
 void TransitAgent::onViewChanged(TimePoint now, TransitEffects& effects)
 {
-    TransitLocators before = std::move(m_locators);
     m_locators = TransitLocators(m_fleet.view());
     m_fleet.addAgents(m_options.fleetPort, now);
-    if (!(before == m_locators))
-        noteChangedLocators(before, effects);
     const ViewedTarget* own = m_admission.ownRecord(m_fleet.view());
     if (own && (own->record.id != m_targetId || own->record.startedAt != m_targetStartedAt))
         onLifetimeChanged(*own, effects);
+    m_streams.assign(m_locators, m_fleet.self().address);
+    sendLists(now, effects);
     if (!m_fleet.view().hasConfiguration())
         return;
     auto waiting = std::move(m_waiting);
@@ -123,6 +133,8 @@
             { "revision", static_cast<std::int64_t>(own.revision.value) }, { "cold_ms", own.record.coldLeft.us / 1000 },
             { "cold_limit_per_s", coldLimit() }, { "flows_before", static_cast<std::int64_t>(m_flows.size()) } } });
     m_health = {};
+    // This lifetime began after the agent did, so that the agent saw every flow of it.
+    m_knowsAllFlows |= !m_targetId.empty();
     m_targetId = own.record.id;
     m_targetStartedAt = own.record.startedAt;
 }
@@ -133,52 +145,6 @@
     return service ? static_cast<std::int64_t>(service->warmupPerSecond) : -1;
 }
 
-void TransitAgent::sendNotes(Endpoint agent, const std::vector<FlowTuple>& flows, TransitEffects& effects)
-{
-    if (agent == m_fleet.self())
-        return;
-    for (std::size_t at = 0; at < flows.size(); at += flowsPerNote) {
-        auto begin = flows.begin() + static_cast<std::ptrdiff_t>(at);
-        auto end = flows.begin() + static_cast<std::ptrdiff_t>(std::min(at + flowsPerNote, flows.size()));
-        effects.push_back(SendMessage { agent, HolderMessage { { begin, end } } });
-    }
-}
-
-void TransitAgent::noteLocators(const FlowTuple& flow, TransitEffects& effects)
-{
-    for (std::uint32_t address : m_locators.of(flow, locatorCount))
-        sendNotes(agentOf(address), { flow }, effects);
-}
-
-void TransitAgent::noteChangedLocators(const TransitLocators& before, TransitEffects& effects)
-{
-    std::unordered_map<std::uint32_t, std::vector<FlowTuple>> notes;
-    for (const auto& [flow, held] : m_flows) {
-        if (held.state == FlowState::Ended)
-            continue;
-        auto old = before.of(flow, locatorCount);
-        for (std::uint32_t address : m_locators.of(flow, locatorCount)) {
-            if (std::find(old.begin(), old.end(), address) == old.end())
-                notes[address].push_back(flow);
-        }
-    }
-    for (const auto& [address, flows] : notes)
-        sendNotes(agentOf(address), flows, effects);
-}
-
-void TransitAgent::noteRestartedAgent(Endpoint agent, TransitEffects& effects)
-{
-    std::vector<FlowTuple> flows;
-    for (const auto& [flow, held] : m_flows) {
-        if (held.state == FlowState::Ended)
-            continue;
-        auto locators = m_locators.of(flow, locatorCount);
-        if (std::find(locators.begin(), locators.end(), agent.address) != locators.end())
-            flows.push_back(flow);
-    }
-    sendNotes(agent, flows, effects);
-}
-
 void TransitAgent::expireOpens(TimePoint now, TransitEffects& effects)
 {
     while (!m_openTimers.empty() && m_openTimers.front().first <= now) {
@@ -215,7 +181,7 @@
     }
     for (const auto& flow : over)
         forgetFlow(flow);
-    std::erase_if(m_noted, [&](const auto& entry) { return now >= entry.second.second + flowLifetime; });
+    m_records.expire(now);
     std::erase_if(m_askers, [&](const auto& entry) { return now >= entry.second.until; });
     std::erase_if(m_interested, [&](const auto& entry) { return now >= entry.second.until; });
 }
--- /dev/null
+++ b/src/transit_agent_locator.cpp
@@ -0,0 +1,143 @@
+#include "transit_agent_base.h"
+
+#include "table/transit_limits.h"
+
+#include <algorithm>
+
+namespace hawthorncroft {
+
+InventoryClaim TransitAgent::inventoryClaim() const
+{
+    return {
+        .isWhole = m_knowsAllFlows,
+        .isFinal = m_stoppedAt.has_value(),
+        .isRegistered = m_admission.ownRecord(m_fleet.view()) != nullptr,
+    };
+}
+
+void TransitAgent::sendNotes(InventoryMessages messages, TransitEffects& effects)
+{
+    for (auto& message : messages)
+        effects.push_back(SendMessage { agentOf(message.locator), std::move(message.body) });
+}
+
+void TransitAgent::noteLocators(HeldFlow& held, const FlowTuple& flow, TimePoint now, TransitEffects& effects)
+{
+    if (held.isNoted)
+        return;
+    held.isNoted = true;
+    sendNotes(m_streams.note(flow, inventoryClaim(), now), effects);
+}
+
+void TransitAgent::sendLists(TimePoint now, TransitEffects& effects)
+{
+    if (!m_streams.needsLists())
+        return;
+    std::vector<FlowTuple> held;
+    for (auto& [flow, state] : m_flows) {
+        if (state.state == FlowState::Ended)
+            continue;
+        state.isNoted = true;
+        held.push_back(flow);
+    }
+    sendNotes(m_streams.lists(held, inventoryClaim(), now), effects);
+}
+
+void TransitAgent::onRepeatNotes(Endpoint from, TimePoint now, TransitEffects& effects)
+{
+    m_streams.restart(from.address);
+    sendLists(now, effects);
+}
+
+void TransitAgent::onHolder(Endpoint from, const HolderMessage& holder, TimePoint now, TransitEffects& effects)
+{
+    auto answer = m_records.note(from, holder, now);
+    if (auto* taken = std::get_if<NotesTakenMessage>(&answer))
+        effects.push_back(SendMessage { from, *taken });
+    if (!std::get_if<RepeatNotesMessage>(&answer))
+        return;
+    effects.push_back(WriteLog { "notes_missing",
+        { { "agent", toString(from) }, { "stream", static_cast<std::int64_t>(holder.stream) },
+            { "sequence", static_cast<std::int64_t>(holder.sequence) } } });
+    effects.push_back(SendMessage { from, RepeatNotesMessage {} });
+}
+
+VouchMessage TransitAgent::wordOn(const FlowTuple& flow, TimePoint now) const
+{
+    std::vector<Endpoint> agents = m_records.heardAgents(now);
+    for (const auto& [endpoint, target] : m_fleet.view().targets())
+        agents.push_back(agentOf(endpoint.address));
+    auto holder = m_records.holderOf(flow);
+    if (holder && mayStillHold(*holder, now))
+        agents.push_back(*holder);
+    std::sort(agents.begin(), agents.end());
+    agents.erase(std::unique(agents.begin(), agents.end()), agents.end());
+    VouchMessage word { .flows = {}, .agentsDigest = m_locators.digest(), .doubtful = {}, .silent = {} };
+    for (Endpoint agent : agents) {
+        auto known = m_records.wordOn(agent, flow, now);
+        if (agent == m_fleet.self())
+            known = m_knowsAllFlows ? InventoryWord::Certain : InventoryWord::Doubtful;
+        if (known == InventoryWord::Doubtful || agent == holder)
+            word.doubtful.push_back(agent);
+        else if (known == InventoryWord::Silent)
+            word.silent.push_back(agent);
+    }
+    return word;
+}
+
+bool TransitAgent::mayStillHold(Endpoint holder, TimePoint now) const
+{
+    // The entry of a target that is gone lapses, and its agent is not heard any more.
+    const auto& targets = m_fleet.view().targets();
+    auto found = targets.lower_bound({ holder.address, 0 });
+    bool isRegistered = found != targets.end() && found->first.address == holder.address;
+    return isRegistered || m_records.wasHeardWithin(holder, memberLifetime, now);
+}
+
+void TransitAgent::vouchLater(const ForwardMessage& question, TimePoint now, TransitEffects& effects)
+{
+    if (m_vouches.size() >= maxLocates) {
+        effects.push_back(CountEvent { TransitCounter::PacketsDropped });
+        return;
+    }
+    // Without doubt the word has to wait for notes under way; with doubt others are asked anyway.
+    VouchMessage word = wordOn(question.packet.flow, now);
+    bool hasDoubt = !word.doubtful.empty() || !word.silent.empty();
+    PendingVouch pending { now + (hasDoubt ? Duration {} : vouchSettle), question.replyTo, question.packet.flow };
+    auto later = std::find_if(
+        m_vouches.rbegin(), m_vouches.rend(), [&](const PendingVouch& other) { return other.at <= pending.at; });
+    m_vouches.insert(later.base(), pending);
+    if (hasDoubt && m_promptAnswers < maxPromptAnswers) {
+        ++m_promptAnswers;
+        vouch(now, effects);
+    }
+}
+
+void TransitAgent::vouch(TimePoint now, TransitEffects& effects)
+{
+    // After an outage many flows are asked for at once; one message tells a balancer of several.
+    using Doubts = std::pair<std::vector<Endpoint>, std::vector<Endpoint>>;
+    std::map<std::pair<Endpoint, Doubts>, std::vector<FlowTuple>> words;
+    while (!m_vouches.empty() && m_vouches.front().at <= now) {
+        PendingVouch pending = m_vouches.front();
+        m_vouches.pop_front();
+        VouchMessage word = wordOn(pending.flow, now);
+        if (word.doubtful.size() + word.silent.size() <= maxLocateBroadcast)
+            words[{ pending.balancer, { std::move(word.doubtful), std::move(word.silent) } }].push_back(pending.flow);
+    }
+    for (auto& [to, flows] : words) {
+        effects.push_back(SendMessage { to.first,
+            VouchMessage { .flows = std::move(flows),
+                .agentsDigest = m_locators.digest(),
+                .doubtful = to.second.first,
+                .silent = to.second.second } });
+    }
+}
+
+void TransitAgent::tickLocator(TimePoint now, TransitEffects& effects)
+{
+    vouch(now, effects);
+    sendNotes(m_streams.confirm(inventoryClaim(), now), effects);
+}
+
+} // namespace hawthorncroft
--- a/src/transit_agent_message.cpp
+++ b/src/transit_agent_message.cpp
@@ -64,6 +64,8 @@
     m_expectedTimers.emplace_back(now + expectedRequestTime, flow);
     m_openTimers.emplace_back(now + targetAnswerTime, flow);
     handToTarget(forward, effects);
+    // Before the target can answer, so that no caller has a flow that its locators do not know.
+    noteLocators(held, flow, now, effects);
     m_opens[flow] = { std::move(forward), now + targetAnswerTime };
 }
 
@@ -84,7 +86,7 @@
     }
     if (held.state == FlowState::Answered) {
         held.state = FlowState::Open;
-        noteLocators(forward.packet.flow, effects);
+        noteLocators(held, forward.packet.flow, now, effects);
     }
     if (forward.isLocating)
         effects.push_back(SendMessage { forward.replyTo,
@@ -95,12 +97,13 @@
 void TransitAgent::onUnknownData(ForwardMessage forward, TimePoint now, TransitEffects& effects)
 {
     const FlowTuple& flow = forward.packet.flow;
-    auto noted = m_noted.find(flow);
-    bool mayPassOn = forward.isLocating && !forward.hops;
-    if (mayPassOn && noted != m_noted.end()) {
-        forward.hops = 1;
-        Endpoint holder = noted->second.first;
-        effects.push_back(SendMessage { holder, std::move(forward) });
+    bool isAskedAsLocator = forward.isLocating && !forward.hops;
+    if (isAskedAsLocator)
+        vouchLater(forward, now, effects);
+    auto holder = m_records.holderOf(flow);
+    if (isAskedAsLocator && holder) {
+        forward.hops = finalHops;
+        effects.push_back(SendMessage { *holder, std::move(forward) });
         return;
     }
     if (m_knowsAllFlows) {
@@ -183,12 +186,4 @@
     effects.push_back(HandToTarget { forward.packet, tagOf(forward.replyTo, forward.isLocating) });
 }
 
-void TransitAgent::onHolder(Endpoint from, const HolderMessage& holder, TimePoint now)
-{
-    for (const auto& flow : holder.flows) {
-        if (m_noted.size() < maxNotedFlows || m_noted.contains(flow))
-            m_noted[flow] = { from, now };
-    }
-}
-
 } // namespace hawthorncroft
--- a/src/transit_agent_target.cpp
+++ b/src/transit_agent_target.cpp
@@ -17,7 +17,7 @@
         return;
     }
     if (found == m_flows.end()) {
-        learnFlow(packet, effects);
+        learnFlow(packet, now, effects);
         found = m_flows.find(packet.flow);
     }
     if (found != m_flows.end())
@@ -41,6 +41,7 @@
         decline(std::move(forward), DeclineReason::Returned, effects);
         return;
     }
+    bool wasBelieved = m_flows.contains(packet.flow);
     forgetFlow(packet.flow);
     m_askers.erase(packet.flow);
     std::size_t index = tag >> 1;
@@ -49,7 +50,8 @@
         return;
     }
     Endpoint balancer = m_balancers[index - 1];
-    bool isLocating = tag & 1;
+    // A balancer that was told that the flow is held here waits for no answer and has to ask again.
+    bool isLocating = tag & 1 && !wasBelieved;
     effects.push_back(WriteLog { "packet_returned",
         { { "flow", toString(packet.flow.caller) }, { "to", toString(packet.flow.service) }, { "target", m_targetId },
             { "balancer", toString(balancer) } } });
@@ -70,7 +72,7 @@
     m_askers.erase(asker);
 }
 
-void TransitAgent::learnFlow(const TransitPacket& packet, TransitEffects& effects)
+void TransitAgent::learnFlow(const TransitPacket& packet, TimePoint now, TransitEffects& effects)
 {
     if (m_flows.size() >= maxHeldFlows)
         return;
@@ -80,7 +82,7 @@
         effects.push_back(WriteLog { "flow_learned",
             { { "flow", toString(packet.flow.caller) }, { "to", toString(packet.flow.service) },
                 { "target", m_targetId } } });
-        noteLocators(packet.flow, effects);
+        noteLocators(held, packet.flow, now, effects);
     }
     auto asker = m_askers.find(packet.flow);
     if (asker == m_askers.end())
--- a/src/transit_balancer_base.h
+++ b/src/transit_balancer_base.h
@@ -75,9 +75,14 @@
         std::vector<TransitPacket> packets;
         std::vector<Endpoint> waitingFor; ///< Agents that have not answered.
         std::vector<Endpoint> asked;
+        std::vector<Endpoint> answered; ///< Agents whose targets do not hold the flow.
+        std::vector<Endpoint> vouchers; ///< Locators that gave their word.
+        std::vector<Endpoint> doubtful; ///< Agents that none of them vouches for, and that must answer.
+        std::vector<Endpoint> silent; ///< Agents that none of them vouches for, but did until they fell silent.
+        TimePoint askedAt; ///< When the agents that nobody vouches for were asked.
         TimePoint startedAt;
-        bool isBroadcast {}; ///< Every agent was asked.
-        bool isComplete {}; ///< `asked` contains every agent that may hold the flow.
+        bool isBroadcast {}; ///< Every agent that no locator vouches for was asked.
+        bool isComplete {}; ///< `asked` contains every one of them.
     };
 
     // Opening packets, in transit_balancer_open.cpp.
@@ -94,7 +99,14 @@
     void forwardData(TransitPacket packet, TimePoint now, TransitEffects& effects);
     void startLocate(TransitPacket packet, TimePoint now, TransitEffects& effects);
     void askLocators(const FlowTuple& flow, Locate& locate, TimePoint now, TransitEffects& effects);
-    void broadcastLocate(const FlowTuple& flow, Locate& locate, TimePoint now);
+    void broadcastLocate(const FlowTuple& flow, Locate& locate, std::vector<Endpoint> agents, TimePoint now);
+    void onVouch(Endpoint from, const VouchMessage& word, TimePoint now, TransitEffects& effects);
+    static void takeWord(Locate& locate, const VouchMessage& word, bool isFirst);
+    void considerWords(const FlowTuple& flow, TimePoint now, TransitEffects& effects);
+    void endIfLost(const FlowTuple& flow, TimePoint now, TransitEffects& effects);
+    void giveUpLocate(const FlowTuple& flow, const Locate& locate, TransitEffects& effects);
+    void sendPromptQuestions(TimePoint now, TransitEffects& effects);
+    bool asksDirectly(TimePoint now) const;
     void refillLocateBytes(Duration elapsed);
     void sendQuestions(TimePoint now, TransitEffects& effects);
     void sendQuestion(Endpoint agent, const std::vector<FlowTuple>& flows, const std::vector<Endpoint>& passTo,
@@ -126,7 +138,8 @@
     std::unordered_map<FlowTuple, Locate> m_locates;
     std::int64_t m_locateBytes {}; ///< Bytes that questions to all agents may use now.
     std::map<Endpoint, std::vector<FlowTuple>> m_questions; ///< Flows that each agent is asked for with the next tick.
-    std::vector<FlowTuple> m_relayed; ///< Flows that an agent asks the others for with the next tick.
+    std::map<std::vector<Endpoint>, std::vector<FlowTuple>>
+        m_relayed; ///< Flows that an agent asks these agents for with the next tick.
     std::uint32_t m_promptQuestions {}; ///< Sent at once since the last tick.
     std::size_t m_nextRelay {}; ///< Turn of the agent that passes questions on.
     std::deque<std::pair<TimePoint, TransitPacket>> m_waiting; ///< Packets that wait for the first view.
--- a/src/transit_balancer_locate.cpp
+++ b/src/transit_balancer_locate.cpp
@@ -6,6 +6,15 @@
 
 namespace hawthorncroft {
 
+namespace {
+
+    bool contains(const std::vector<Endpoint>& agents, Endpoint agent)
+    {
+        return std::find(agents.begin(), agents.end(), agent) != agents.end();
+    }
+
+}
+
 void TransitBalancer::forwardData(TransitPacket packet, TimePoint now, TransitEffects& effects)
 {
     auto found = m_flows.find(packet.flow);
@@ -48,10 +57,10 @@
 
 void TransitBalancer::askLocators(const FlowTuple& flow, Locate& locate, TimePoint now, TransitEffects& effects)
 {
-    for (std::uint32_t address : m_locators.of(flow, locatorCount))
+    for (std::uint32_t address : m_locators.of(flow))
         askAgent(agentOf(address), locate, effects);
     if (locate.asked.empty())
-        broadcastLocate(flow, locate, now);
+        broadcastLocate(flow, locate, agentsThatMayHold(now), now);
 }
 
 void TransitBalancer::askAgent(Endpoint agent, Locate& locate, TransitEffects& effects)
@@ -76,9 +85,12 @@
     return agents;
 }
 
-void TransitBalancer::broadcastLocate(const FlowTuple& flow, Locate& locate, TimePoint now)
+void TransitBalancer::broadcastLocate(
+    const FlowTuple& flow, Locate& locate, std::vector<Endpoint> agents, TimePoint now)
 {
-    std::vector<Endpoint> agents = agentsThatMayHold(now);
+    bool isComplete = agents.size() <= maxLocateBroadcast;
+    std::erase_if(agents, [&](Endpoint agent) { return contains(locate.answered, agent); });
+    agents.resize(std::min(agents.size(), maxLocateBroadcast));
     bool isRelayed = agents.size() > maxDirectQuestions;
     std::size_t bytes = locate.packets.front().bytes.size();
     auto cost = static_cast<std::int64_t>(isRelayed ? bytes + agents.size() * endpointBytes : agents.size() * bytes);
@@ -86,27 +98,14 @@
         return; // Asked with a later tick, while the caller repeats its packet.
     m_locateBytes -= cost;
     locate.isBroadcast = true;
-    std::vector<Endpoint> answered;
-    for (Endpoint agent : locate.asked) {
-        bool isWaiting
-            = std::find(locate.waitingFor.begin(), locate.waitingFor.end(), agent) != locate.waitingFor.end();
-        if (!isWaiting)
-            answered.push_back(agent);
-    }
-    locate.waitingFor.clear();
-    locate.isComplete = !agents.empty() && agents.size() <= maxLocateBroadcast;
-    for (Endpoint agent : agents) {
-        if (std::find(answered.begin(), answered.end(), agent) != answered.end())
-            continue;
-        if (locate.waitingFor.size() >= maxLocateBroadcast)
-            break;
-        locate.waitingFor.push_back(agent);
-        locate.asked.push_back(agent);
-        if (!isRelayed)
-            m_questions[agent].push_back(flow);
-    }
+    locate.askedAt = now;
+    locate.isComplete = isComplete && !(agents.empty() && locate.answered.empty() && locate.vouchers.empty());
+    locate.asked.insert(locate.asked.end(), agents.begin(), agents.end());
+    for (std::size_t i = 0; i < agents.size() && !isRelayed; ++i)
+        m_questions[agents[i]].push_back(flow);
     if (isRelayed)
-        m_relayed.push_back(flow);
+        m_relayed[agents].push_back(flow);
+    locate.waitingFor = std::move(agents);
 }
 
 void TransitBalancer::refillLocateBytes(Duration elapsed)
@@ -121,15 +120,12 @@
     for (const auto& [agent, flows] : m_questions)
         sendQuestion(agent, flows, {}, effects);
     m_questions.clear();
-    if (m_relayed.empty())
-        return;
-    std::vector<FlowTuple> flows = std::exchange(m_relayed, {});
-    auto relay = chooseRelay(now);
-    if (!relay)
-        return; // No agent was heard of yet; asked again with the caller's next copy.
-    std::vector<Endpoint> agents = agentsThatMayHold(now);
-    agents.resize(std::min(agents.size(), maxLocateBroadcast));
-    sendQuestion(*relay, flows, agents, effects);
+    for (const auto& [agents, flows] : std::exchange(m_relayed, {})) {
+        auto relay = chooseRelay(now);
+        if (!relay)
+            return; // No agent was heard of yet; asked again with the caller's next copy.
+        sendQuestion(*relay, flows, agents, effects);
+    }
 }
 
 void TransitBalancer::sendQuestion(
@@ -193,19 +189,101 @@
         return; // Located or given up meanwhile.
     Locate& locate = found->second;
     std::erase(locate.waitingFor, from);
+    locate.answered.push_back(from);
     if (!locate.waitingFor.empty())
         return;
-    if (!locate.isBroadcast) {
-        broadcastLocate(flow, locate, now);
-        // A single caller waits for the answer; after an outage there are many, which are asked for together.
-        if (m_promptQuestions++ < maxPromptQuestions)
-            sendQuestions(now, effects);
+    if (!locate.isBroadcast && asksDirectly(now)) {
+        broadcastLocate(flow, locate, agentsThatMayHold(now), now);
+        sendPromptQuestions(now, effects);
+    }
+    endIfLost(flow, now, effects);
+}
+
+bool TransitBalancer::asksDirectly(TimePoint now) const
+{
+    // In a small fleet asking all costs hardly more than asking the locators, and needs no wait for their word.
+    return agentsThatMayHold(now).size() <= maxDirectQuestions;
+}
+
+void TransitBalancer::sendPromptQuestions(TimePoint now, TransitEffects& effects)
+{
+    // A single caller waits for the answer; after an outage there are many, which are asked for together.
+    if (m_promptQuestions++ < maxPromptQuestions)
+        sendQuestions(now, effects);
+}
+
+void TransitBalancer::onVouch(Endpoint from, const VouchMessage& word, TimePoint now, TransitEffects& effects)
+{
+    if (word.agentsDigest != m_locators.digest()) {
+        effects.push_back(WriteLog { "word_of_other_view",
+            { { "agent", toString(from) }, { "flows", static_cast<std::int64_t>(word.flows.size()) } } });
+        return; // One of the two knows an agent that the other does not know; all are asked.
+    }
+    for (const auto& flow : word.flows) {
+        auto found = m_locates.find(flow);
+        if (found == m_locates.end())
+            continue;
+        Locate& locate = found->second;
+        bool isFirst = locate.vouchers.empty();
+        if (contains(locate.vouchers, from) || !contains(locate.asked, from))
+            continue;
+        locate.vouchers.push_back(from);
+        takeWord(locate, word, isFirst);
+        considerWords(flow, now, effects);
+    }
+}
+
+void TransitBalancer::takeWord(Locate& locate, const VouchMessage& word, bool isFirst)
+{
+    if (isFirst) {
+        locate.doubtful = word.doubtful;
+        locate.silent = word.silent;
+        return;
     }
-    if (locate.isBroadcast && locate.waitingFor.empty()) {
-        Locate lost = std::move(locate);
-        m_locates.erase(found);
-        declareLost(flow, lost, now, effects);
+    // An agent that one of the locators can say more about needs no more doubt than that one has.
+    auto isDoubtfulHere = [&](Endpoint agent) { return contains(word.doubtful, agent); };
+    auto isSilentHere = [&](Endpoint agent) { return contains(word.silent, agent); };
+    std::vector<Endpoint> silent;
+    for (Endpoint agent : locate.doubtful) {
+        if (isSilentHere(agent))
+            silent.push_back(agent);
+    }
+    for (Endpoint agent : locate.silent) {
+        if (isSilentHere(agent) || isDoubtfulHere(agent))
+            silent.push_back(agent);
+    }
+    std::erase_if(locate.doubtful, [&](Endpoint agent) { return !isDoubtfulHere(agent); });
+    locate.silent = std::move(silent);
+}
+
+void TransitBalancer::considerWords(const FlowTuple& flow, TimePoint now, TransitEffects& effects)
+{
+    Locate& locate = m_locates.at(flow);
+    bool isEach = locate.vouchers.size() >= m_locators.of(flow).size();
+    if (!isEach && now < locate.startedAt + vouchWait)
+        return;
+    if (!locate.isBroadcast) {
+        std::vector<Endpoint> agents = locate.doubtful;
+        agents.insert(agents.end(), locate.silent.begin(), locate.silent.end());
+        broadcastLocate(flow, locate, std::move(agents), now);
+        sendPromptQuestions(now, effects);
     }
+    // An agent that does not answer this balancer either need not do so when its flows are known.
+    bool isSilent = now >= locate.askedAt + silentWait;
+    std::erase_if(locate.waitingFor, [&](Endpoint agent) {
+        return !contains(locate.doubtful, agent) && (isSilent || !contains(locate.silent, agent));
+    });
+    endIfLost(flow, now, effects);
+}
+
+void TransitBalancer::endIfLost(const FlowTuple& flow, TimePoint now, TransitEffects& effects)
+{
+    auto found = m_locates.find(flow);
+    if (!found->second.isBroadcast || !found->second.waitingFor.empty())
+        return;
+    Locate lost = std::move(found->second);
+    m_locates.erase(found);
+    declareLost(flow, lost, now, effects);
 }
 
 void TransitBalancer::finishLocate(const FlowTuple& flow, Endpoint holder, TimePoint now, TransitEffects& effects)
@@ -230,6 +308,8 @@
     effects.push_back(WriteLog { locate.isComplete ? "flow_lost" : "locate_incomplete",
         { { "flow", toString(flow.caller) }, { "to", toString(flow.service) },
             { "asked", static_cast<std::int64_t>(locate.asked.size()) },
+            { "answered", static_cast<std::int64_t>(locate.answered.size()) },
+            { "vouchers", static_cast<std::int64_t>(locate.vouchers.size()) },
             { "revision", static_cast<std::int64_t>(m_fleet.view().through().value) },
             { "took_us", (now - locate.startedAt).us } } });
     if (!locate.isComplete || packet.flags.isReset) {
@@ -243,25 +323,36 @@
 
 void TransitBalancer::tickLocates(TimePoint now, TransitEffects& effects)
 {
+    Duration patience = asksDirectly(now) ? locateBroadcastAfter : vouchWait;
+    std::vector<FlowTuple> narrowed;
     for (auto entry = m_locates.begin(); entry != m_locates.end();) {
         Locate& locate = entry->second;
-        if (!locate.isBroadcast && now >= locate.startedAt + locateBroadcastAfter)
-            broadcastLocate(entry->first, locate, now);
-        if (now < locate.startedAt + locateTimeout) {
-            ++entry;
+        if (now >= locate.startedAt + locateTimeout) {
+            giveUpLocate(entry->first, locate, effects);
+            entry = m_locates.erase(entry);
             continue;
         }
-        effects.push_back(CountEvent { TransitCounter::LocatesUnanswered });
-        effects.push_back(WriteLog { "locate_unanswered",
-            { { "flow", toString(entry->first.caller) }, { "to", toString(entry->first.service) },
-                { "asked", static_cast<std::int64_t>(locate.asked.size()) },
-                { "silent", static_cast<std::int64_t>(locate.waitingFor.size()) },
-                { "first_silent",
-                    locate.waitingFor.empty() ? std::string() : toString(locate.waitingFor.front()) } } });
-        entry = m_locates.erase(entry);
+        if (!locate.vouchers.empty() && now >= locate.startedAt + vouchWait)
+            narrowed.push_back(entry->first);
+        else if (!locate.isBroadcast && now >= locate.startedAt + patience)
+            broadcastLocate(entry->first, locate, agentsThatMayHold(now), now);
+        ++entry;
     }
+    for (const auto& flow : narrowed)
+        considerWords(flow, now, effects);
     m_promptQuestions = 0;
     sendQuestions(now, effects);
 }
 
+void TransitBalancer::giveUpLocate(const FlowTuple& flow, const Locate& locate, TransitEffects& effects)
+{
+    effects.push_back(CountEvent { TransitCounter::LocatesUnanswered });
+    effects.push_back(WriteLog { "locate_unanswered",
+        { { "flow", toString(flow.caller) }, { "to", toString(flow.service) },
+            { "asked", static_cast<std::int64_t>(locate.asked.size()) },
+            { "vouchers", static_cast<std::int64_t>(locate.vouchers.size()) },
+            { "silent", static_cast<std::int64_t>(locate.waitingFor.size()) },
+            { "first_silent", locate.waitingFor.empty() ? std::string() : toString(locate.waitingFor.front()) } } });
+}
+
 } // namespace hawthorncroft
--- a/src/transit_codec_func.cpp
+++ b/src/transit_codec_func.cpp
@@ -24,6 +24,9 @@
         Leaving,
         Locate,
         NotHeldFlows,
+        RepeatNotes,
+        Vouch,
+        NotesTaken,
     };
 
     constexpr std::uint8_t flagLocating = 1;
@@ -31,6 +34,10 @@
     constexpr std::uint8_t flagWantsReply = 4;
     constexpr std::uint8_t flagKeys = 8;
     constexpr std::uint8_t flagWantsAll = 16;
+    constexpr std::uint8_t flagConfirming = 32;
+    constexpr std::uint8_t flagWhole = 64;
+    constexpr std::uint8_t flagFinal = 128;
+    constexpr std::uint8_t flagRegistered = 1; ///< Of a HolderMessage, which locates nothing.
 
     wire::Node nodeOf(Endpoint endpoint) { return { endpoint.address, endpoint.port }; }
 
@@ -209,12 +216,27 @@
 
     void putBody(wire::MessageT& out, const NotHeldMessage& body, TimePoint) { out.packet = body.packet.bytes; }
 
-    void putBody(wire::MessageT& out, const HolderMessage& body, TimePoint)
+    void putFlows(wire::MessageT& out, const std::vector<FlowTuple>& flows)
     {
-        for (const auto& flow : body.flows)
+        for (const auto& flow : flows)
             out.flows.push_back(flowOf(flow));
     }
 
+    void putBody(wire::MessageT& out, const HolderMessage& body, TimePoint)
+    {
+        putFlows(out, body.flows);
+        out.incarnation = body.incarnation;
+        out.stream = body.stream;
+        out.sequence = body.sequence;
+        out.shard_count = body.shardCount;
+        out.shards = body.shards;
+        out.flags |= body.isConfirming ? flagConfirming : 0;
+        out.flags |= body.wantsReply ? flagWantsReply : 0;
+        out.flags |= body.isWhole ? flagWhole : 0;
+        out.flags |= body.isFinal ? flagFinal : 0;
+        out.flags |= body.isRegistered ? flagRegistered : 0;
+    }
+
     void putBody(wire::MessageT& out, const StampMessage& body, TimePoint)
     {
         out.role = static_cast<std::uint8_t>(body.role);
@@ -253,10 +275,23 @@
         putNodes(out, body.passTo);
     }
 
-    void putBody(wire::MessageT& out, const NotHeldFlowsMessage& body, TimePoint)
+    void putBody(wire::MessageT& out, const NotHeldFlowsMessage& body, TimePoint) { putFlows(out, body.flows); }
+
+    void putBody(wire::MessageT&, const RepeatNotesMessage&, TimePoint) { }
+
+    void putBody(wire::MessageT& out, const NotesTakenMessage& body, TimePoint)
     {
-        for (const auto& flow : body.flows)
-            out.flows.push_back(flowOf(flow));
+        out.stream = body.stream;
+        out.sequence = body.sequence;
+    }
+
+    void putBody(wire::MessageT& out, const VouchMessage& body, TimePoint)
+    {
+        putFlows(out, body.flows);
+        out.digest = body.agentsDigest;
+        putNodes(out, body.doubtful);
+        for (Endpoint agent : body.silent)
+            out.silent_nodes.push_back(nodeOf(agent));
     }
 
     std::vector<FlowTuple> flowsOf(const wire::MessageT& in)
@@ -267,6 +302,16 @@
         return flows;
     }
 
+    VouchMessage vouchOf(const wire::MessageT& in)
+    {
+        VouchMessage word {
+            .flows = flowsOf(in), .agentsDigest = in.digest, .doubtful = endpointsOf(in), .silent = {}
+        };
+        for (const auto& node : in.silent_nodes)
+            word.silent.push_back(endpointOf(node));
+        return word;
+    }
+
     std::optional<LocateMessage> locateOf(const wire::MessageT& in, const PacketFormat& format)
     {
         if (!in.reply_to)
@@ -320,7 +365,19 @@
             return NotHeldMessage { std::move(*packet) };
         }
         case Kind::Holder:
-            return HolderMessage { flowsOf(in) };
+            return HolderMessage {
+                .flows = flowsOf(in),
+                .incarnation = in.incarnation,
+                .stream = in.stream,
+                .sequence = in.sequence,
+                .shardCount = in.shard_count,
+                .shards = in.shards,
+                .isConfirming = (in.flags & flagConfirming) != 0,
+                .wantsReply = (in.flags & flagWantsReply) != 0,
+                .isWhole = (in.flags & flagWhole) != 0,
+                .isFinal = (in.flags & flagFinal) != 0,
+                .isRegistered = (in.flags & flagRegistered) != 0,
+            };
         case Kind::Stamp:
             if (in.role >= static_cast<std::uint8_t>(ProcessRole::End))
                 return std::nullopt;
@@ -344,6 +401,12 @@
         }
         case Kind::NotHeldFlows:
             return NotHeldFlowsMessage { flowsOf(in) };
+        case Kind::RepeatNotes:
+            return RepeatNotesMessage {};
+        case Kind::Vouch:
+            return vouchOf(in);
+        case Kind::NotesTaken:
+            return NotesTakenMessage { in.stream, in.sequence };
         }
         return std::nullopt;
     }
--- a/src/transit_fleet.cpp
+++ b/src/transit_fleet.cpp
@@ -297,6 +297,7 @@
 {
     std::size_t sent = 0;
     std::size_t most = fanout();
+    const StampMessage stamp = makeStamp(now, false);
     std::size_t skip = most == m_members.size() ? 0 : nextRandom() % m_members.size();
     // Starts at a random member and goes round, so that every member gets its turn.
     for (int round = 0; round < 2 && sent < most; ++round) {
@@ -307,7 +308,7 @@
             if (!isInRound || sent >= most)
                 continue;
             ++sent;
-            sendStamp(endpoint, false, now, effects);
+            effects.push_back(SendMessage { endpoint, stamp });
         }
     }
 }
@@ -348,9 +349,13 @@
 {
     if (!m_view.through() || isBaseReader(now))
         return true;
-    std::size_t rank = rankAmong(m_options.role, true, now);
     auto age = viewAge(now);
-    return !age || *age > ageLimit() + viewAgeStep * static_cast<std::int64_t>(rank);
+    if (!age)
+        return true;
+    if (*age <= ageLimit())
+        return false; // The usual case, without looking at all members.
+    std::size_t rank = rankAmong(m_options.role, true, now);
+    return *age > ageLimit() + viewAgeStep * static_cast<std::int64_t>(rank);
 }
 
 std::size_t TransitFleet::rankAmong(ProcessRole role, bool isAnyRole, TimePoint now) const
--- a/src/transit_locator.cpp
+++ b/src/transit_locator.cpp
@@ -1,29 +1,94 @@
 #include "transit_locator_base.h"
 
+#include "table/transit_limits.h"
+
+#include <algorithm>
+#include <bit>
+
 namespace hawthorncroft {
 
+namespace {
+
+    struct Candidate {
+        std::uint32_t address {};
+        const std::string* failureDomain {};
+    };
+
+    std::uint64_t scoreOf(const Candidate& candidate, std::uint32_t shard)
+    {
+        return mix64(mix64(shard), candidate.address);
+    }
+
+    /** @return The candidate with the highest score outside of some, and outside of a failure domain if there is one.
+     */
+    const Candidate* bestOf(const std::vector<Candidate>& candidates, std::uint32_t shard,
+        const std::vector<std::uint32_t>& taken, const std::string* avoided)
+    {
+        const Candidate* best = nullptr;
+        auto better = std::pair(false, std::uint64_t {});
+        for (const auto& candidate : candidates) {
+            auto rank = std::pair(!avoided || *candidate.failureDomain != *avoided, scoreOf(candidate, shard));
+            if (best && rank <= better)
+                continue;
+            if (std::find(taken.begin(), taken.end(), candidate.address) != taken.end())
+                continue;
+            best = &candidate;
+            better = rank;
+        }
+        return best;
+    }
+
+    /** @return Locators of a shard; the second in another failure domain, so that the loss of one leaves a locator. */
+    std::vector<std::uint32_t> locatorsOf(const std::vector<Candidate>& candidates, std::uint32_t shard)
+    {
+        std::vector<std::uint32_t> ranks;
+        const std::string* avoided = nullptr;
+        while (ranks.size() < locatorCount && ranks.size() < candidates.size()) {
+            const Candidate* best = bestOf(candidates, shard, ranks, avoided);
+            ranks.push_back(best->address);
+            avoided = best->failureDomain;
+        }
+        return ranks;
+    }
+
+}
+
+std::uint32_t shardOf(const FlowTuple& flow, std::uint32_t count)
+{
+    return count ? static_cast<std::uint32_t>(mix64(hashOf(flow)) % count) : 0;
+}
+
 TransitLocators::TransitLocators(const TransitView& view)
 {
-    std::vector<RankedTarget> ranked;
+    std::vector<Candidate> candidates;
     for (const auto& [endpoint, target] : view.targets()) {
-        if (!m_addresses.empty() && m_addresses.back() == endpoint.address)
+        if (!candidates.empty() && candidates.back().address == endpoint.address)
             continue; // Two ports of one VM share an agent.
-        m_addresses.push_back(endpoint.address);
-        ranked.push_back({ TargetId(endpoint.address), 1 });
+        candidates.push_back({ endpoint.address, &target.record.failureDomain });
+        m_digest = mix64(m_digest, endpoint.address);
     }
-    m_table = RankTable(std::move(ranked));
+    if (candidates.empty())
+        return;
+    // A power of two, so that a change of few targets seldom moves all flows to other shards.
+    std::size_t count = std::max<std::size_t>(1, std::bit_ceil(candidates.size()) / agentsPerShard);
+    for (std::uint32_t shard = 0; shard < count; ++shard)
+        m_shards.push_back(locatorsOf(candidates, shard));
 }
 
-std::vector<std::uint32_t> TransitLocators::of(const FlowTuple& flow, std::size_t count) const
+const std::vector<std::uint32_t>& TransitLocators::of(const FlowTuple& flow) const
 {
-    std::vector<TargetId> ranks(std::min(count, m_addresses.size()));
-    std::uint64_t hash = hashOf(flow);
-    ranks.resize(m_table.rank({ CallerId(hash), FlowId(mix64(hash)) }, ranks));
-    std::vector<std::uint32_t> addresses;
-    addresses.reserve(ranks.size());
-    for (TargetId id : ranks)
-        addresses.push_back(id.value);
-    return addresses;
+    static const std::vector<std::uint32_t> none;
+    return m_shards.empty() ? none : m_shards[shardOf(flow, shardCount())];
+}
+
+std::map<std::uint32_t, std::vector<std::uint32_t>> TransitLocators::duties() const
+{
+    std::map<std::uint32_t, std::vector<std::uint32_t>> duties;
+    for (std::uint32_t shard = 0; shard < shardCount(); ++shard) {
+        for (std::uint32_t address : m_shards[shard])
+            duties[address].push_back(shard);
+    }
+    return duties;
 }
 
 } // namespace hawthorncroft
--- a/src/transit_message_type.h
+++ b/src/transit_message_type.h
@@ -58,9 +58,48 @@
     std::vector<FlowTuple> flows;
 };
 
-/** Flows that the sender's target holds, sent to the agents that are asked for them. */
+/**
+ * Flows that the sender's target holds, sent to the agents that are asked for them; see transit_inventory_base.h. The
+ * first message of a stream begins a list of all flows, further ones add to it.
+ */
 struct HolderMessage {
     std::vector<FlowTuple> flows;
+    std::uint64_t incarnation {}; ///< Random number of the sending process.
+    std::uint32_t stream {}; ///< Counts the streams of the process.
+    std::uint32_t sequence {}; ///< Number of the message in its stream, from one.
+    std::uint32_t shardCount {}; ///< Shards that the sender divides flows into.
+    std::vector<std::uint32_t> shards; ///< Those that the sender tells the receiver about.
+    bool isConfirming {}; ///< Repeats the number of the last message that had flows.
+    bool wantsReply {}; ///< The receiver has not said yet that it has everything up to this number.
+    bool isWhole {}; ///< With this message the receiver knows all flows of the sender's target in these shards.
+    bool isFinal {}; ///< The sender ends; its target gets no new flow until another process starts there.
+    bool isRegistered {}; ///< The sender's target is registered; another one may go at any time without a word.
+
+    bool operator==(const HolderMessage&) const = default;
+};
+
+/** The sender has all notes of the receiver's stream up to a number. */
+struct NotesTakenMessage {
+    std::uint32_t stream {};
+    std::uint32_t sequence {};
+
+    bool operator==(const NotesTakenMessage&) const = default;
+};
+
+/** The sender lacks notes of the receiver, which is to tell all flows again. */
+struct RepeatNotesMessage { };
+
+/**
+ * Word of a locator on flows that it has no note of: no agent that it knows holds them but those named here. Answers a
+ * ForwardMessage that locates, beside the answer for the locator's own target.
+ */
+struct VouchMessage {
+    std::vector<FlowTuple> flows;
+    std::uint64_t agentsDigest {}; ///< Of the agents that the sender knows; see TransitLocators::digest.
+    std::vector<Endpoint> doubtful; ///< Agents that may hold the flows, or whose notes are not complete.
+    std::vector<Endpoint> silent; ///< Agents that did not hold them when the sender heard them last.
+
+    bool operator==(const VouchMessage&) const = default;
 };
 
 /** What a process holds and knows. Sent at intervals and with news. */
@@ -86,7 +125,8 @@
 };
 
 using MessageBody = std::variant<ForwardMessage, HeldMessage, DeclinedMessage, NotHeldMessage, HolderMessage,
-    StampMessage, DeltaMessage, LeavingMessage, LocateMessage, NotHeldFlowsMessage>;
+    StampMessage, DeltaMessage, LeavingMessage, LocateMessage, NotHeldFlowsMessage, RepeatNotesMessage, VouchMessage,
+    NotesTakenMessage>;
 
 /** A message with the sender's revision, so that news travels on every datagram. */
 struct Message {
--- /dev/null
+++ b/tests/transit_inventory_test.cpp
@@ -0,0 +1,131 @@
+#include "transit_fixture.h"
+
+#include "table/transit_limits.h"
+#include "transit_inventory_base.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hawthorncroft;
+using namespace hawthorncroft::tests;
+
+namespace {
+
+constexpr Endpoint teller { 11, fleetPort }; ///< The agent whose notes are sent.
+constexpr InventoryClaim whole { .isWhole = true, .isFinal = false, .isRegistered = true };
+
+/** An agent's streams to the locators of a small fleet, and the records of one of these. */
+struct Pair : Fleet {
+    TransitLocators locators { balancer(balancers[0]).fleet().view() };
+    std::uint32_t locator { locators.of(flowOf(1)).front() };
+    InventoryStreams streams { 5 };
+    InventoryRecords records;
+    TimePoint at { seconds(50).us };
+
+    Pair()
+        : Fleet(12)
+    {
+        streams.assign(locators, locator == 11 ? 12 : 11);
+    }
+
+    /** Delivers what is for the locator; returns whether it asks for all notes. */
+    bool deliver(const InventoryMessages& messages)
+    {
+        bool isAsking = false;
+        for (const auto& message : messages) {
+            if (message.locator == locator)
+                isAsking |= std::holds_alternative<RepeatNotesMessage>(records.note(teller, message.body, at));
+        }
+        return isAsking;
+    }
+
+    InventoryWord word(const FlowTuple& flow) const { return records.wordOn(teller, flow, at); }
+};
+
+}
+
+TEST_CASE("A locator vouches for an agent while it has all its notes", "[transit]")
+{
+    Pair pair;
+    CHECK(pair.word(flowOf(1)) == InventoryWord::Doubtful);
+    CHECK_FALSE(pair.deliver(pair.streams.lists({ flowOf(1) }, whole, pair.at)));
+    CHECK(pair.word(flowOf(2)) == InventoryWord::Certain);
+    CHECK(pair.records.holderOf(flowOf(1)) == teller);
+
+    SECTION("a note that was lost is noticed by the next one, and all is told again")
+    {
+        pair.streams.note(flowOf(3), whole, pair.at);
+        CHECK(pair.deliver(pair.streams.note(flowOf(4), whole, pair.at)));
+        CHECK(pair.word(flowOf(3)) == InventoryWord::Doubtful);
+        pair.streams.restart(pair.locator);
+        CHECK_FALSE(pair.deliver(pair.streams.lists({ flowOf(1), flowOf(3), flowOf(4) }, whole, pair.at)));
+        CHECK(pair.records.holderOf(flowOf(3)) == teller);
+        CHECK(pair.word(flowOf(5)) == InventoryWord::Certain);
+    }
+    SECTION("or by the confirmation that follows it, which guards against a flow that nobody knows")
+    {
+        pair.streams.note(flowOf(3), whole, pair.at);
+        pair.at = pair.at + confirmAfterNote;
+        CHECK(pair.deliver(pair.streams.confirm(whole, pair.at)));
+        CHECK(pair.word(flowOf(3)) == InventoryWord::Doubtful);
+    }
+    SECTION("a list whose beginning was lost is not taken for a whole one")
+    {
+        pair.streams.restart(pair.locator);
+        pair.streams.lists({ flowOf(1), flowOf(6) }, whole, pair.at);
+        pair.at = pair.at + confirmAfterNote;
+        CHECK(pair.deliver(pair.streams.confirm(whole, pair.at)));
+        CHECK(pair.word(flowOf(6)) == InventoryWord::Doubtful);
+    }
+    SECTION("notes that arrive twice, or after a newer stream began, change nothing")
+    {
+        auto late = pair.streams.note(flowOf(3), whole, pair.at);
+        pair.deliver(late);
+        CHECK_FALSE(pair.deliver(late));
+        pair.streams.restart(pair.locator);
+        pair.deliver(pair.streams.lists({ flowOf(1), flowOf(3) }, whole, pair.at));
+        CHECK_FALSE(pair.deliver(late));
+        CHECK(pair.word(flowOf(5)) == InventoryWord::Certain);
+    }
+    SECTION("an agent that started beside its target is doubted until it knows all flows")
+    {
+        pair.records.noteRestart(teller, 6);
+        CHECK(pair.word(flowOf(2)) == InventoryWord::Doubtful);
+        InventoryStreams restarted(6);
+        restarted.assign(pair.locators, pair.locator == 11 ? 12 : 11);
+        pair.deliver(restarted.lists({}, { .isRegistered = true }, pair.at));
+        CHECK(pair.word(flowOf(2)) == InventoryWord::Doubtful);
+        pair.at = pair.at + seconds(1);
+        pair.deliver(restarted.confirm(whole, pair.at));
+        CHECK(pair.word(flowOf(2)) == InventoryWord::Certain);
+    }
+    SECTION("an agent that falls silent is certain no longer, as others may still reach it")
+    {
+        pair.at = pair.at + vouchLease;
+        CHECK(pair.word(flowOf(2)) == InventoryWord::Silent);
+    }
+    SECTION("but the word of one that ended stands until another process starts there")
+    {
+        InventoryClaim last = whole;
+        last.isFinal = true;
+        pair.deliver(pair.streams.confirmAll(last, pair.at));
+        pair.at = pair.at + seconds(20);
+        CHECK(pair.word(flowOf(2)) == InventoryWord::Certain);
+        pair.records.noteRestart(teller, 6);
+        CHECK(pair.word(flowOf(2)) == InventoryWord::Doubtful);
+    }
+}
+
+TEST_CASE("Locators of a shard are in different failure domains", "[transit]")
+{
+    TransitSim sim;
+    Endpoint balancer = sim.addBalancer(1);
+    for (std::uint32_t i = 0; i < 40; ++i)
+        sim.addAgent(11 + i, "web", i % 4 ? "a" : "b");
+    sim.run(seconds(2));
+    TransitLocators locators(sim.balancer(balancer).fleet().view());
+    for (std::uint32_t i = 0; i < 50; ++i) {
+        const auto& pair = locators.of(flowOf(i));
+        REQUIRE(pair.size() == 2);
+        CHECK(((pair[0] - 11) % 4 == 0) != ((pair[1] - 11) % 4 == 0));
+    }
+}
--- /dev/null
+++ b/tests/transit_lost_test.cpp
@@ -0,0 +1,191 @@
+#include "transit_fixture.h"
+
+#include "table/transit_limits.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hawthorncroft;
+using namespace hawthorncroft::tests;
+
+namespace {
+
+/** A fleet in which one flow lost its target, which started again; its first balancer forgot it. */
+struct LostFlow : Fleet {
+    FlowTuple flow { flowOf(1) };
+    std::uint32_t holder {};
+
+    explicit LostFlow(std::uint32_t targets)
+        : Fleet(targets)
+    {
+        holder = open(balancers[0], flow);
+        sendRequest(balancers[0], flow);
+        run(milliseconds(100));
+        restartTarget(holder, "new");
+        run(milliseconds(600));
+    }
+
+    /** An agent beside which the flow never was. @param n Which of them. */
+    Endpoint bystander(std::size_t n = 0) const
+    {
+        for (Endpoint agent : agents) {
+            if (agent.address != holder && !n--)
+                return agent;
+        }
+        return {};
+    }
+
+    /** @return Time until the caller is told; none within a second. */
+    std::optional<Duration> timeUntilTold()
+    {
+        TimePoint sentAt = now();
+        sendRequest(balancers[1], flow, 2);
+        run(seconds(1));
+        auto at = caller(flow).resetAt;
+        return at ? std::optional(*at - sentAt) : std::nullopt;
+    }
+};
+
+std::size_t questionsForLostFlow(std::uint32_t targets)
+{
+    LostFlow fleet(targets);
+    std::size_t before = fleet.questions();
+    REQUIRE(fleet.timeUntilTold());
+    return fleet.questions() - before;
+}
+
+}
+
+TEST_CASE("A lost flow costs the same number of messages in a small and in a large fleet", "[transit]")
+{
+    std::size_t few = questionsForLostFlow(10);
+    // The holder believes in the flow until its target returns the packet, so that it is asked for twice: each time two
+    // questions, which two locators pass on, an answer to each, two words, and a last question with its answer.
+    CHECK(few <= 2 * 10);
+    CHECK(questionsForLostFlow(136) == few);
+    CHECK(questionsForLostFlow(1000) == few);
+}
+
+TEST_CASE("An agent that is gone blocks no decision on a lost flow", "[transit]")
+{
+    LostFlow fleet(40);
+    Endpoint gone = fleet.bystander();
+
+    SECTION("when it left as planned while its target is still registered")
+    {
+        fleet.stop(gone);
+        auto told = fleet.timeUntilTold();
+        REQUIRE(told);
+        CHECK(*told < milliseconds(100));
+    }
+    SECTION("when it was killed beside a living target")
+    {
+        fleet.kill(gone);
+        fleet.run(seconds(1));
+        auto told = fleet.timeUntilTold();
+        REQUIRE(told);
+        CHECK(*told < milliseconds(300));
+    }
+    SECTION("when its VM went after its target was removed from the list")
+    {
+        fleet.restart(gone);
+        fleet.removeTarget(fleet.target(gone.address).id);
+        fleet.run(milliseconds(300));
+        fleet.kill(gone);
+        fleet.run(milliseconds(200));
+        auto told = fleet.timeUntilTold();
+        REQUIRE(told);
+        CHECK(*told < milliseconds(300));
+    }
+    SECTION("when both locators of the flow are gone, all agents are asked")
+    {
+        TransitLocators locators(fleet.balancer(fleet.balancers[1]).fleet().view());
+        for (std::uint32_t locator : locators.of(fleet.flow)) {
+            if (locator == fleet.holder)
+                continue;
+            fleet.restart({ locator, fleetPort });
+        }
+        auto told = fleet.timeUntilTold();
+        REQUIRE(told);
+        CHECK(*told < milliseconds(100));
+    }
+}
+
+TEST_CASE("An open flow is not reset while its holder cannot answer", "[transit]")
+{
+    Fleet fleet(40);
+    FlowTuple flow = flowOf(7);
+    std::uint32_t holder = fleet.open(fleet.balancers[0], flow);
+    REQUIRE(holder);
+    fleet.sendRequest(fleet.balancers[0], flow);
+    fleet.run(milliseconds(50));
+    Endpoint agent { holder, fleetPort };
+
+    auto askMeanwhile = [&] {
+        for (std::uint32_t i = 0; i < 8; ++i) {
+            fleet.sendRequest(fleet.balancers[1 + i % 2], flow, 2);
+            fleet.run(milliseconds(250));
+        }
+        CHECK_FALSE(fleet.caller(flow).resetAt);
+    };
+
+    SECTION("since it was killed and starts again")
+    {
+        fleet.kill(agent);
+        askMeanwhile();
+        fleet.restart(agent);
+        fleet.run(milliseconds(300));
+        fleet.sendRequest(fleet.balancers[1], flow, 3);
+        fleet.run(milliseconds(300));
+        CHECK(fleet.caller(flow).answers == 2);
+        CHECK_FALSE(fleet.caller(flow).resetAt);
+    }
+    SECTION("since it left as planned and starts again")
+    {
+        fleet.stop(agent);
+        askMeanwhile();
+        fleet.restart(agent);
+        fleet.run(milliseconds(300));
+        fleet.sendRequest(fleet.balancers[1], flow, 3);
+        fleet.run(milliseconds(300));
+        CHECK(fleet.caller(flow).answers == 2);
+    }
+    SECTION("since it is paused")
+    {
+        fleet.pause(agent);
+        askMeanwhile();
+    }
+    SECTION("and a locator was restarted meanwhile")
+    {
+        TransitLocators locators(fleet.balancer(fleet.balancers[1]).fleet().view());
+        fleet.cut(holder);
+        fleet.restart({ locators.of(flow).front(), fleetPort });
+        askMeanwhile();
+    }
+    SECTION("and both locators were")
+    {
+        TransitLocators locators(fleet.balancer(fleet.balancers[1]).fleet().view());
+        fleet.cut(holder);
+        for (std::uint32_t locator : locators.of(flow))
+            fleet.restart({ locator, fleetPort });
+        askMeanwhile();
+    }
+    SECTION("and it was opened while its agent was already cut off from the locators")
+    {
+        FlowTuple young = flowOf(8);
+        TransitLocators locators(fleet.balancer(fleet.balancers[1]).fleet().view());
+        for (std::uint32_t locator : locators.of(young))
+            fleet.cut(locator);
+        std::uint32_t at = fleet.open(fleet.balancers[0], young);
+        REQUIRE(at);
+        fleet.sendRequest(fleet.balancers[0], young);
+        fleet.run(milliseconds(20));
+        for (std::uint32_t locator : locators.of(young))
+            fleet.heal(locator);
+        for (std::uint32_t i = 0; i < 4; ++i) {
+            fleet.sendRequest(fleet.balancers[1 + i % 2], young, 2);
+            fleet.run(milliseconds(100));
+        }
+        CHECK_FALSE(fleet.caller(young).resetAt);
+        CHECK(fleet.caller(young).answers >= 2);
+    }
+}
--- a/tests/transit_sim.cpp
+++ b/tests/transit_sim.cpp
@@ -11,6 +11,14 @@
     constexpr Duration delay = milliseconds(1); ///< Of every message.
     constexpr Duration localDelay = microseconds(100); ///< Between an agent and its target.
 
+    bool isQuestion(const MessageBody& body)
+    {
+        const auto* forward = std::get_if<ForwardMessage>(&body);
+        return (forward && forward->isLocating) || std::holds_alternative<LocateMessage>(body)
+            || std::holds_alternative<NotHeldMessage>(body) || std::holds_alternative<NotHeldFlowsMessage>(body)
+            || std::holds_alternative<VouchMessage>(body);
+    }
+
     std::string keyOf(const StoreChange& change)
     {
         if (const auto* target = std::get_if<TargetChange>(&change))
@@ -71,6 +79,16 @@
     return endpoint;
 }
 
+void TransitSim::stop(Endpoint process)
+{
+    TransitEffects effects;
+    m_cores.at(process)->onStop(m_now, effects);
+    carryOut(process, effects);
+    for (int i = 0; i < 1000 && !m_cores.at(process)->isFinished(m_now); ++i)
+        run(tickInterval);
+    kill(process);
+}
+
 void TransitSim::restart(Endpoint process)
 {
     Process& settings = m_processes[process];
@@ -246,6 +264,7 @@
     for (auto& effect : effects) {
         if (auto* send = std::get_if<SendMessage>(&effect)) {
             ++m_messages;
+            m_questions += isQuestion(send->body);
             if (m_cut.contains(process.address))
                 continue;
             Endpoint to = send->to;
--- a/tests/transit_sim.h
+++ b/tests/transit_sim.h
@@ -60,6 +60,9 @@
     Endpoint addAgent(std::uint32_t address, const std::string& service = "web", const std::string& domain = "a",
         bool isFirstStart = true);
 
+    /** Ends a process as planned, and takes it away once it is finished. */
+    void stop(Endpoint process);
+
     /** Ends a process without notice; its target lives on. */
     void kill(Endpoint process) { m_cores.erase(process); }
 
@@ -103,6 +106,9 @@
     TransitBalancer& balancer(Endpoint endpoint) { return dynamic_cast<TransitBalancer&>(*m_cores.at(endpoint)); }
     TransitAgent& agent(Endpoint endpoint) { return dynamic_cast<TransitAgent&>(*m_cores.at(endpoint)); }
     std::size_t messages() const { return m_messages; }
+
+    /** @return Messages that were sent to find out where flows are. */
+    std::size_t questions() const { return m_questions; }
     std::size_t storeCalls() const { return m_storeCalls; }
 
     /** Lines logged for an event. */
@@ -161,6 +167,7 @@
     bool m_isStoreDown {};
     std::int64_t m_linkBytesPerSecond { 125000000 };
     std::size_t m_messages {};
+    std::size_t m_questions {};
     std::size_t m_storeCalls {};
     std::map<std::string, std::size_t> m_logged;
 };
