--- a/src/transit_agent_base.h
+++ b/src/transit_agent_base.h
@@ -13,6 +13,8 @@
 #include "transit_service_time_base.h"
 
 #include <deque>
+#include <set>
+#include <string_view>
 #include <unordered_map>
 
 namespace hawthorncroft {
@@ -108,6 +110,7 @@
     void sendNotes(InventoryMessages messages, TransitEffects& effects);
     void sendLists(TimePoint now, TransitEffects& effects);
     InventoryClaim inventoryClaim() const;
+    std::set<std::string_view> heardDomains(TimePoint now) const;
     VouchMessage wordOn(const FlowTuple& flow, TimePoint now) const;
     bool mayStillHold(Endpoint holder, TimePoint now) const;
     void vouchLater(const ForwardMessage& question, TimePoint now, TransitEffects& effects);
--- a/src/transit_agent_locator.cpp
+++ b/src/transit_agent_locator.cpp
@@ -62,22 +62,39 @@
     effects.push_back(SendMessage { from, RepeatNotesMessage {} });
 }
 
+std::set<std::string_view> TransitAgent::heardDomains(TimePoint now) const
+{
+    std::set<std::string_view> domains;
+    for (const auto& [endpoint, target] : m_fleet.view().targets()) {
+        if (m_records.wasHeardWithin(agentOf(endpoint.address), vouchLease, now))
+            domains.insert(target.record.failureDomain);
+    }
+    return domains;
+}
+
 VouchMessage TransitAgent::wordOn(const FlowTuple& flow, TimePoint now) const
 {
-    std::vector<Endpoint> agents = m_records.heardAgents(now);
-    for (const auto& [endpoint, target] : m_fleet.view().targets())
-        agents.push_back(agentOf(endpoint.address));
+    std::set<Endpoint> agents;
+    std::set<Endpoint> unreachable; // With all of their failure domain, which may go on by itself, and restart agents.
+    auto domains = heardDomains(now);
+    for (const auto& [endpoint, target] : m_fleet.view().targets()) {
+        agents.insert(agentOf(endpoint.address));
+        if (!domains.contains(target.record.failureDomain))
+            unreachable.insert(agentOf(endpoint.address));
+    }
+    for (Endpoint agent : m_records.heardAgents(now))
+        agents.insert(agent);
     auto holder = m_records.holderOf(flow);
     if (holder && mayStillHold(*holder, now))
-        agents.push_back(*holder);
-    std::sort(agents.begin(), agents.end());
-    agents.erase(std::unique(agents.begin(), agents.end()), agents.end());
+        agents.insert(*holder);
     VouchMessage word { .flows = {}, .agentsDigest = m_locators.digest(), .doubtful = {}, .silent = {} };
     for (Endpoint agent : agents) {
         auto known = m_records.wordOn(agent, flow, now);
+        if (unreachable.contains(agent) || agent == holder)
+            known = InventoryWord::Doubtful;
         if (agent == m_fleet.self())
             known = m_knowsAllFlows ? InventoryWord::Certain : InventoryWord::Doubtful;
-        if (known == InventoryWord::Doubtful || agent == holder)
+        if (known == InventoryWord::Doubtful)
             word.doubtful.push_back(agent);
         else if (known == InventoryWord::Silent)
             word.silent.push_back(agent);
--- a/src/transit_balancer_base.h
+++ b/src/transit_balancer_base.h
@@ -77,8 +77,8 @@
         std::vector<Endpoint> asked;
         std::vector<Endpoint> answered; ///< Agents whose targets do not hold the flow.
         std::vector<Endpoint> vouchers; ///< Locators that gave their word.
-        std::vector<Endpoint> doubtful; ///< Agents that none of them vouches for, and that must answer.
-        std::vector<Endpoint> silent; ///< Agents that none of them vouches for, but did until they fell silent.
+        std::vector<Endpoint> doubtful; ///< Agents that one of them does not vouch for, and that must answer.
+        std::vector<Endpoint> silent; ///< Agents that one of them vouched for until they fell silent.
         TimePoint askedAt; ///< When the agents that nobody vouches for were asked.
         TimePoint startedAt;
         bool isBroadcast {}; ///< Every agent that no locator vouches for was asked.
@@ -101,7 +101,7 @@
     void askLocators(const FlowTuple& flow, Locate& locate, TimePoint now, TransitEffects& effects);
     void broadcastLocate(const FlowTuple& flow, Locate& locate, std::vector<Endpoint> agents, TimePoint now);
     void onVouch(Endpoint from, const VouchMessage& word, TimePoint now, TransitEffects& effects);
-    static void takeWord(Locate& locate, const VouchMessage& word, bool isFirst);
+    static void takeWord(Locate& locate, const VouchMessage& word);
     void considerWords(const FlowTuple& flow, TimePoint now, TransitEffects& effects);
     void endIfLost(const FlowTuple& flow, TimePoint now, TransitEffects& effects);
     void giveUpLocate(const FlowTuple& flow, const Locate& locate, TransitEffects& effects);
--- a/src/transit_balancer_locate.cpp
+++ b/src/transit_balancer_locate.cpp
@@ -224,36 +224,26 @@
         if (found == m_locates.end())
             continue;
         Locate& locate = found->second;
-        bool isFirst = locate.vouchers.empty();
         if (contains(locate.vouchers, from) || !contains(locate.asked, from))
             continue;
         locate.vouchers.push_back(from);
-        takeWord(locate, word, isFirst);
+        takeWord(locate, word);
         considerWords(flow, now, effects);
     }
 }
 
-void TransitBalancer::takeWord(Locate& locate, const VouchMessage& word, bool isFirst)
+void TransitBalancer::takeWord(Locate& locate, const VouchMessage& word)
 {
-    if (isFirst) {
-        locate.doubtful = word.doubtful;
-        locate.silent = word.silent;
-        return;
-    }
-    // An agent that one of the locators can say more about needs no more doubt than that one has.
-    auto isDoubtfulHere = [&](Endpoint agent) { return contains(word.doubtful, agent); };
-    auto isSilentHere = [&](Endpoint agent) { return contains(word.silent, agent); };
-    std::vector<Endpoint> silent;
-    for (Endpoint agent : locate.doubtful) {
-        if (isSilentHere(agent))
-            silent.push_back(agent);
+    // Notes to one locator may be held up while another gets them, so that the greater doubt counts.
+    for (Endpoint agent : word.doubtful) {
+        if (!contains(locate.doubtful, agent))
+            locate.doubtful.push_back(agent);
     }
-    for (Endpoint agent : locate.silent) {
-        if (isSilentHere(agent) || isDoubtfulHere(agent))
-            silent.push_back(agent);
+    for (Endpoint agent : word.silent) {
+        if (!contains(locate.silent, agent))
+            locate.silent.push_back(agent);
     }
-    std::erase_if(locate.doubtful, [&](Endpoint agent) { return !isDoubtfulHere(agent); });
-    locate.silent = std::move(silent);
+    std::erase_if(locate.silent, [&](Endpoint agent) { return contains(locate.doubtful, agent); });
 }
 
 void TransitBalancer::considerWords(const FlowTuple& flow, TimePoint now, TransitEffects& effects)
@@ -263,15 +253,20 @@
     if (!isEach && now < locate.startedAt + vouchWait)
         return;
     if (!locate.isBroadcast) {
-        std::vector<Endpoint> agents = locate.doubtful;
-        agents.insert(agents.end(), locate.silent.begin(), locate.silent.end());
+        // The word of one locator alone decides only about agents that do not answer.
+        std::vector<Endpoint> agents = isEach ? locate.silent : agentsThatMayHold(now);
+        for (Endpoint agent : locate.doubtful) {
+            if (!contains(agents, agent))
+                agents.push_back(agent);
+        }
         broadcastLocate(flow, locate, std::move(agents), now);
         sendPromptQuestions(now, effects);
     }
     // An agent that does not answer this balancer either need not do so when its flows are known.
     bool isSilent = now >= locate.askedAt + silentWait;
     std::erase_if(locate.waitingFor, [&](Endpoint agent) {
-        return !contains(locate.doubtful, agent) && (isSilent || !contains(locate.silent, agent));
+        bool isCertain = isEach && !contains(locate.silent, agent);
+        return !contains(locate.doubtful, agent) && (isSilent || isCertain);
     });
     endIfLost(flow, now, effects);
 }
--- a/tests/transit_lost_test.cpp
+++ b/tests/transit_lost_test.cpp
@@ -189,3 +189,61 @@
         CHECK(fleet.caller(young).answers >= 2);
     }
 }
+
+TEST_CASE("A flow that opened within a failure domain that is cut off is not reset from outside", "[transit]")
+{
+    TransitSim sim;
+    Endpoint outside = sim.addBalancer(1, "a");
+    Endpoint inside = sim.addBalancer(2, "b");
+    for (std::uint32_t i = 0; i < 30; ++i)
+        sim.addAgent(11 + i, "web", i % 3 ? "a" : "b");
+    sim.run(seconds(2));
+    // Locators outside do not hear of the flow.
+    FlowTuple flow = flowOf(1);
+    TransitLocators locators(sim.balancer(outside).fleet().view());
+
+    auto openInside = [&] {
+        std::uint32_t holder = 0;
+        for (std::uint32_t i = 2; !holder || (holder - 11) % 3; ++i) {
+            flow = flowOf(i);
+            holder = sim.open(inside, flow);
+        }
+        sim.sendRequest(inside, flow);
+        sim.run(milliseconds(100));
+        REQUIRE(sim.caller(flow).answers == 1);
+    };
+    auto askOutside = [&] {
+        for (int i = 0; i < 4; ++i) {
+            sim.sendRequest(outside, flow, 2);
+            sim.run(milliseconds(400));
+        }
+        CHECK_FALSE(sim.caller(flow).resetAt);
+    };
+
+    SECTION("while the locators outside believe the last word of its agents")
+    {
+        sim.cutDomain("b");
+        sim.run(milliseconds(800));
+        openInside();
+        askOutside();
+        sim.cutDomain({});
+        sim.run(milliseconds(600));
+        sim.sendRequest(outside, flow, 3);
+        sim.run(milliseconds(300));
+        CHECK(sim.caller(flow).answers == 2);
+    }
+    SECTION("also when the agents there ended as planned before and started again")
+    {
+        std::vector<Endpoint> agents;
+        for (std::uint32_t i = 0; i < 30; i += 3)
+            agents.push_back({ 11 + i, fleetPort });
+        for (Endpoint agent : agents)
+            sim.stop(agent);
+        sim.cutDomain("b");
+        for (Endpoint agent : agents)
+            sim.restart(agent);
+        sim.run(milliseconds(800));
+        openInside();
+        askOutside();
+    }
+}
--- a/tests/transit_sim.cpp
+++ b/tests/transit_sim.cpp
@@ -257,6 +257,13 @@
     action(*found->second);
 }
 
+bool TransitSim::isDomainCutBetween(Endpoint from, Endpoint to)
+{
+    bool isFromThere = m_processes[from].domain == m_cutDomain;
+    bool isToThere = m_processes[to].domain == m_cutDomain;
+    return !m_cutDomain.empty() && isFromThere != isToThere;
+}
+
 void TransitSim::carryOut(Endpoint process, TransitEffects& effects)
 {
     std::uint64_t incarnation = m_processes[process].incarnation;
@@ -265,7 +272,7 @@
         if (auto* send = std::get_if<SendMessage>(&effect)) {
             ++m_messages;
             m_questions += isQuestion(send->body);
-            if (m_cut.contains(process.address))
+            if (m_cut.contains(process.address) || isDomainCutBetween(process, send->to))
                 continue;
             Endpoint to = send->to;
             at(m_now + delay, [this, process, to, message = Message { through, std::move(send->body) }] {
--- a/tests/transit_sim.h
+++ b/tests/transit_sim.h
@@ -73,6 +73,9 @@
     void cut(std::uint32_t address) { m_cut.insert(address); }
     void heal(std::uint32_t address) { m_cut.erase(address); }
 
+    /** Messages between this failure domain and the others are lost; empty to end it. */
+    void cutDomain(const std::string& domain) { m_cutDomain = domain; }
+
     /** A paused process handles nothing; what is sent to it waits. */
     void pause(Endpoint process) { m_paused.insert(process); }
     void resume(Endpoint process) { m_paused.erase(process); }
@@ -131,6 +134,7 @@
     void at(TimePoint time, std::function<void()> action);
     void tickAll();
     void deliver(Endpoint process, std::uint64_t incarnation, std::function<void(TransitCore&)> action);
+    bool isDomainCutBetween(Endpoint from, Endpoint to);
     void carryOut(Endpoint process, TransitEffects& effects);
     void targetTakes(std::uint32_t address, TransitPacket packet, std::uint32_t tag);
     void startNext(std::uint32_t address);
@@ -158,6 +162,7 @@
     std::map<std::uint32_t, FakeTransitTarget> m_targets;
     std::map<FlowTuple, CallerView> m_callers;
     std::set<std::uint32_t> m_cut;
+    std::string m_cutDomain;
     std::set<Endpoint> m_paused;
     std::vector<Endpoint> m_seeds;
     std::map<std::string, StoreChange> m_store; ///< By key.
