Send stamps mostly within the failure domain, and count bytes by kind of message and way

Change: processes know each other's failure domain; nine of twelve stamps stay inside it, and four balancers are named, others in each stamp. A process is missed after a time that fits how often it is told; a member that was only named is not forgotten at once. A first stamp is answered only when its sender is behind.

--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -23,10 +23,12 @@
 inline constexpr Duration memberForgotten = seconds(30); ///< After this silence a process gets no more stamps.
 inline constexpr std::size_t maxStampsToAll = 40; ///< Fleets up to this size tell everybody; larger ones some.
 inline constexpr std::size_t stampFanout = 12; ///< Processes told at once in larger fleets; two rounds reach 150.
+inline constexpr std::size_t stampsBeyondDomain
+    = 3; ///< Of the fanout, to other failure domains: links between them are narrow and billed.
 inline constexpr Duration newsGap
     = milliseconds(20); ///< Between two rounds of news; after an outage targets register one after the other.
 inline constexpr std::size_t maxMembers = 4096; ///< Processes remembered; the least recently heard go first.
-inline constexpr std::size_t maxBalancersInStamp = 16; ///< Balancers named in one stamp.
+inline constexpr std::size_t maxBalancersInStamp = 4; ///< Balancers named in one stamp; others in the next.
 inline constexpr Duration fetchTimeout
     = milliseconds(120); ///< A delta of some hundred items comes within some tens of ms.
 inline constexpr std::size_t baseStoreReaders = 2; ///< Balancers that read the store, so that one may fail unnoticed.
--- a/src/table/transit_names.h
+++ b/src/table/transit_names.h
@@ -13,6 +13,23 @@
     "agent",
 };
 
+/** Kinds of messages, in the order of MessageBody. */
+inline constexpr std::array<std::string_view, std::variant_size_v<MessageBody>> messageKindNames = {
+    "forward",
+    "held",
+    "declined",
+    "not_held",
+    "holder",
+    "stamp",
+    "delta",
+    "leaving",
+    "locate",
+    "not_held_flows",
+    "repeat_notes",
+    "vouch",
+    "notes_taken",
+};
+
 inline constexpr NameTable<DeclineReason> declineReasonNames = {
     "no_view",
     "wrong_service",
--- a/src/transit_agent_cmd.cpp
+++ b/src/transit_agent_cmd.cpp
@@ -70,7 +70,7 @@
         if (m_fleet.onDelta(from, *delta, now, effects))
             onViewChanged(now, effects);
     } else if (std::get_if<LeavingMessage>(&message.body)) {
-        m_fleet.onLeaving(from, now, effects);
+        m_fleet.onLeaving(from, effects);
     }
     // Held, Declined and NotHeld messages are for balancers; an agent gets them after an address was used again.
 }
--- a/src/transit_balancer_cmd.cpp
+++ b/src/transit_balancer_cmd.cpp
@@ -75,7 +75,7 @@
         if (m_fleet.onDelta(from, *delta, now, effects))
             onViewChanged(now, effects);
     } else if (std::get_if<LeavingMessage>(&message.body)) {
-        m_fleet.onLeaving(from, now, effects);
+        m_fleet.onLeaving(from, effects);
         m_placement.suspect(from.address, now);
     }
     // Forward, Locate and Holder messages are for agents; a balancer that gets one has the address of a former agent.
--- a/src/transit_codec_func.cpp
+++ b/src/transit_codec_func.cpp
@@ -246,6 +246,7 @@
         out.flags |= body.wantsAll ? flagWantsAll : 0;
         putLoad(out, body.load);
         putNodes(out, body.balancers);
+        out.failure_domain = body.failureDomain;
     }
 
     void putBody(wire::MessageT& out, const DeltaMessage& body, TimePoint now)
@@ -382,7 +383,8 @@
             if (in.role >= static_cast<std::uint8_t>(ProcessRole::End))
                 return std::nullopt;
             return StampMessage { static_cast<ProcessRole>(in.role), in.incarnation, { in.age_us },
-                (in.flags & flagWantsReply) != 0, (in.flags & flagWantsAll) != 0, loadOf(in), endpointsOf(in) };
+                (in.flags & flagWantsReply) != 0, (in.flags & flagWantsAll) != 0, loadOf(in), endpointsOf(in),
+                in.failure_domain };
         case Kind::Delta: {
             DeltaMessage message { { in.age_us },
                 { Revision(in.since), Revision(in.through), (in.flags & flagKeys) != 0, in.keys, {} } };
--- a/src/transit_fleet.cpp
+++ b/src/transit_fleet.cpp
@@ -69,6 +69,7 @@
     bool isNew = member.incarnation != stamp.incarnation;
     member.role = stamp.role;
     member.incarnation = stamp.incarnation;
+    member.failureDomain = stamp.failureDomain;
     for (Endpoint balancer : stamp.balancers)
         addMember(balancer, ProcessRole::Balancer, now);
     if (stamp.age.us >= 0 && through <= m_view.through())
@@ -77,7 +78,7 @@
         sendDelta(from, Revision(), now, effects);
     else if (stamp.wantsReply && through < m_view.through())
         sendDelta(from, through, now, effects);
-    else if (isNew)
+    else if (isNew && through < m_view.through())
         sendStamp(from, false, now, effects); // A process that just started learns what there is.
     return isNew;
 }
@@ -112,13 +113,12 @@
     effects.push_back(SendMessage { from, std::move(stamp) });
 }
 
-void TransitFleet::onLeaving(Endpoint from, TimePoint now, TransitEffects& effects)
+void TransitFleet::onLeaving(Endpoint from, TransitEffects& effects)
 {
     auto found = m_members.find(from);
     if (found == m_members.end())
         return;
     // The process may start again at the same endpoint, so that it stays known.
-    found->second.heardAt = now - lifetimeOfMember();
     found->second.incarnation = 0;
     effects.push_back(WriteLog {
         "member_left", { { "peer", toString(from) }, { "role", std::string(nameOf(found->second.role)) } } });
@@ -199,14 +199,25 @@
         return;
     Member& member = m_members[endpoint];
     member.role = role;
-    member.heardAt = now - lifetimeOfMember(); // Known, but not heard.
+    member.heardAt = now; // Known, but not alive without an incarnation.
     m_nextStampAt = std::min(m_nextStampAt, now);
 }
 
 void TransitFleet::addAgents(std::uint16_t fleetPort, TimePoint now)
 {
-    for (const auto& [endpoint, target] : m_view.targets())
-        addMember({ endpoint.address, fleetPort }, ProcessRole::Agent, now);
+    for (const auto& [endpoint, target] : m_view.targets()) {
+        Endpoint agent { endpoint.address, fleetPort };
+        addMember(agent, ProcessRole::Agent, now);
+        auto member = m_members.find(agent);
+        if (member != m_members.end())
+            member->second.failureDomain = target.record.failureDomain;
+    }
+}
+
+bool TransitFleet::isNear(Endpoint endpoint) const
+{
+    auto found = m_members.find(endpoint);
+    return found != m_members.end() && isNear(found->second);
 }
 
 void TransitFleet::spreadNews(TimePoint now, TransitEffects& effects)
@@ -221,21 +232,34 @@
     sendPeriodicStamps(now, effects);
 }
 
+bool TransitFleet::isAlive(const Member& member, TimePoint now) const
+{
+    return member.incarnation && now < member.heardAt + lifetimeOf(member);
+}
+
 bool TransitFleet::isAlive(Endpoint endpoint, TimePoint now) const
 {
     auto found = m_members.find(endpoint);
-    return found != m_members.end() && found->second.incarnation && now < found->second.heardAt + lifetimeOfMember();
+    return found != m_members.end() && isAlive(found->second, now);
 }
 
 std::size_t TransitFleet::fanout() const { return m_members.size() <= maxStampsToAll ? m_members.size() : stampFanout; }
 
-Duration TransitFleet::lifetimeOfMember() const
+Duration TransitFleet::lifetimeOf(const Member& member) const
 {
-    // In a larger fleet a process hears from another one less often.
-    auto rounds = static_cast<std::int64_t>(m_members.size() / std::max<std::size_t>(fanout(), 1));
+    // In a larger fleet a process hears from another one less often, and least from one in another failure domain.
+    std::size_t members = isNear(member) ? m_near : m_members.size() - m_near;
+    std::size_t told = isNear(member) ? fanout() - stampsBeyondDomain : stampsBeyondDomain;
+    bool areAllTold = fanout() >= m_members.size();
+    auto rounds = static_cast<std::int64_t>(areAllTold ? 1 : members / told);
     return memberLifetime * std::max<std::int64_t>(rounds, 1);
 }
 
+bool TransitFleet::isNear(const Member& member) const
+{
+    return !m_options.failureDomain.empty() && member.failureDomain == m_options.failureDomain;
+}
+
 Duration TransitFleet::ageLimit() const
 {
     // News of a confirmation needs a round of stamps for each power of the fanout.
@@ -273,13 +297,17 @@
         .wantsAll = false,
         .load = m_load,
         .balancers = {},
+        .failureDomain = m_options.failureDomain,
     };
+    std::vector<Endpoint> balancers;
     for (const auto& [endpoint, member] : m_members) {
-        if (stamp.balancers.size() >= maxBalancersInStamp)
-            break;
-        if (member.role == ProcessRole::Balancer && isAlive(endpoint, now))
-            stamp.balancers.push_back(endpoint);
+        if (member.role == ProcessRole::Balancer && isAlive(member, now))
+            balancers.push_back(endpoint);
     }
+    // Others in each stamp, so that few bytes tell of all.
+    std::size_t first = static_cast<std::size_t>(mix64(m_random, static_cast<std::uint64_t>(now.us)));
+    for (std::size_t i = 0; i < std::min(balancers.size(), maxBalancersInStamp); ++i)
+        stamp.balancers.push_back(balancers[(first + i) % balancers.size()]);
     return stamp;
 }
 
@@ -295,22 +323,28 @@
 
 void TransitFleet::sendPeriodicStamps(TimePoint now, TransitEffects& effects)
 {
-    std::size_t sent = 0;
-    std::size_t most = fanout();
+    std::vector<Endpoint> near;
+    std::vector<Endpoint> far;
+    for (const auto& [endpoint, member] : m_members)
+        (isNear(member) ? near : far).push_back(endpoint);
+    m_near = near.size();
     const StampMessage stamp = makeStamp(now, false);
-    std::size_t skip = most == m_members.size() ? 0 : nextRandom() % m_members.size();
+    std::size_t most = fanout();
+    std::size_t toFar = most == m_members.size() ? far.size() : std::min(stampsBeyondDomain, far.size());
+    std::size_t toNear = std::min(most - toFar, near.size());
+    sendStamps(stamp, near, toNear, effects);
+    sendStamps(stamp, far, std::min(most - toNear, far.size()), effects);
+}
+
+void TransitFleet::sendStamps(
+    const StampMessage& stamp, const std::vector<Endpoint>& members, std::size_t count, TransitEffects& effects)
+{
+    if (members.empty())
+        return;
     // Starts at a random member and goes round, so that every member gets its turn.
-    for (int round = 0; round < 2 && sent < most; ++round) {
-        std::size_t index = 0;
-        for (const auto& [endpoint, member] : m_members) {
-            bool isInRound = round == 0 ? index >= skip : index < skip;
-            ++index;
-            if (!isInRound || sent >= most)
-                continue;
-            ++sent;
-            effects.push_back(SendMessage { endpoint, stamp });
-        }
-    }
+    std::size_t first = nextRandom() % members.size();
+    for (std::size_t i = 0; i < count; ++i)
+        effects.push_back(SendMessage { members[(first + i) % members.size()], stamp });
 }
 
 Member* TransitFleet::memberAt(Endpoint endpoint)
@@ -325,14 +359,14 @@
     for (auto entry = m_members.begin(); entry != m_members.end();) {
         Member& member = entry->second;
         bool isSeed = std::find(m_options.seeds.begin(), m_options.seeds.end(), entry->first) != m_options.seeds.end();
-        bool isSilent = now >= member.heardAt + lifetimeOfMember();
+        bool isSilent = now >= member.heardAt + lifetimeOf(member);
         if (isSilent && member.incarnation) {
             effects.push_back(WriteLog { "member_lost",
                 { { "peer", toString(entry->first) }, { "role", std::string(nameOf(member.role)) },
                     { "silent_ms", (now - member.heardAt).us / 1000 } } });
             member.incarnation = 0;
         }
-        if (now >= member.heardAt + memberForgotten && !isSeed)
+        if (isSilent && now >= member.heardAt + memberForgotten && !isSeed)
             entry = m_members.erase(entry);
         else
             ++entry;
@@ -364,7 +398,7 @@
     std::uint64_t own = hash(m_options.self);
     std::size_t rank = 0;
     for (const auto& [endpoint, member] : m_members) {
-        if ((isAnyRole || member.role == role) && isAlive(endpoint, now) && hash(endpoint) < own)
+        if ((isAnyRole || member.role == role) && isAlive(member, now) && hash(endpoint) < own)
             ++rank;
     }
     return rank;
--- a/src/transit_fleet_base.h
+++ b/src/transit_fleet_base.h
@@ -19,6 +19,7 @@
     ProcessRole role {};
     std::uint64_t incarnation {}; ///< Random number of the process.
     std::vector<Endpoint> seeds; ///< Processes to start from; may be stale.
+    std::string failureDomain; ///< Of this process's VM.
 };
 
 /** Another process. */
@@ -26,6 +27,7 @@
     ProcessRole role {};
     std::uint64_t incarnation {};
     TimePoint heardAt {};
+    std::string failureDomain; ///< Empty until it is known.
 };
 
 /** Members, view and the reading of the store. */
@@ -54,7 +56,7 @@
     bool onDelta(Endpoint from, const DeltaMessage& message, TimePoint now, TransitEffects& effects);
 
     /** Forgets a process that said that it ends. */
-    void onLeaving(Endpoint from, TimePoint now, TransitEffects& effects);
+    void onLeaving(Endpoint from, TransitEffects& effects);
 
     /**
      * Takes a page of all keys.
@@ -90,6 +92,9 @@
     /** @return Whether the process was heard within the lifetime of a member. */
     bool isAlive(Endpoint endpoint, TimePoint now) const;
 
+    /** @return Whether the process is known to be in this process's failure domain. */
+    bool isNear(Endpoint endpoint) const;
+
     /** @return Time since the store confirmed the view; none when it never did. */
     std::optional<Duration> viewAge(TimePoint now) const;
 
@@ -106,12 +111,16 @@
     void sendStamp(Endpoint to, bool wantsReply, TimePoint now, TransitEffects& effects);
     void sendDelta(Endpoint to, Revision since, TimePoint now, TransitEffects& effects);
     void askForEverything(Endpoint from, TimePoint now, TransitEffects& effects);
+    void sendStamps(
+        const StampMessage& stamp, const std::vector<Endpoint>& members, std::size_t count, TransitEffects& effects);
     void sendPeriodicStamps(TimePoint now, TransitEffects& effects);
     Member* memberAt(Endpoint endpoint);
     void expireMembers(TimePoint now, TransitEffects& effects);
     void confirm(TimePoint at);
     std::size_t fanout() const;
-    Duration lifetimeOfMember() const;
+    Duration lifetimeOf(const Member& member) const;
+    bool isNear(const Member& member) const;
+    bool isAlive(const Member& member, TimePoint now) const;
     Duration ageLimit() const;
     bool isReaderTurn(TimePoint now) const;
     std::size_t rankAmong(ProcessRole role, bool isAnyRole, TimePoint now) const;
@@ -123,6 +132,7 @@
     FleetOptions m_options;
     TransitView m_view;
     std::unordered_map<Endpoint, Member> m_members;
+    std::size_t m_near {}; ///< Members in the own failure domain, at the last stamps.
     LoadReport m_load;
     std::uint64_t m_random;
     TimePoint m_fetchedAt { -seconds(1).us }; ///< When a delta was last asked for; long ago after it came.
--- a/src/transit_message_type.h
+++ b/src/transit_message_type.h
@@ -111,6 +111,7 @@
     bool wantsAll {}; ///< Asks for everything, as the sender's configuration differs from the receiver's.
     LoadReport load; ///< Agents only.
     std::vector<Endpoint> balancers; ///< Some balancers that the sender heard of lately.
+    std::string failureDomain; ///< Of the sender's VM.
 };
 
 /** Part of the view that the receiver does not have. */
--- a/src/transit_metrics.cpp
+++ b/src/transit_metrics.cpp
@@ -1,5 +1,7 @@
 #include "transit_metrics_base.h"
 
+#include "table/transit_names.h"
+
 #include <cstdio>
 
 namespace hawthorncroft {
@@ -37,6 +39,15 @@
     for (std::size_t i = 0; i < m_counters.size(); ++i)
         appendLine(text, std::string(nameOf(static_cast<TransitCounter>(i))) + "_total", "",
             static_cast<std::int64_t>(m_counters[i]));
+    for (std::size_t kind = 0; kind < m_sent.size(); ++kind) {
+        for (bool isNear : { false, true }) {
+            std::string labels
+                = "{kind=\"" + std::string(messageKindNames[kind]) + "\",way=\"" + (isNear ? "near" : "far") + "\"}";
+            const Sent& sent = m_sent[kind][isNear];
+            appendLine(text, "sent_messages_total", labels, static_cast<std::int64_t>(sent.messages));
+            appendLine(text, "sent_bytes_total", labels, static_cast<std::int64_t>(sent.bytes));
+        }
+    }
     for (const auto& gauge : gauges)
         appendLine(text, gauge.name, "", gauge.value);
     for (std::size_t i = 0; i < m_histograms.size(); ++i) {
--- a/src/transit_metrics_base.h
+++ b/src/transit_metrics_base.h
@@ -28,6 +28,14 @@
     /** Records a time in microseconds. */
     void record(TransitDistribution distribution, Duration time);
 
+    /** Counts a message to another process. @param kind Index of its alternative in MessageBody. */
+    void noteSent(std::size_t kind, bool isNear, std::size_t bytes)
+    {
+        Sent& sent = m_sent[kind][isNear];
+        ++sent.messages;
+        sent.bytes += bytes;
+    }
+
     /** A value that is read when the metrics are printed. */
     struct Gauge {
         std::string_view name;
@@ -43,6 +51,12 @@
 
     std::array<std::uint64_t, static_cast<std::size_t>(TransitCounter::End)> m_counters {};
     std::array<std::uint64_t, static_cast<std::size_t>(TransitDistribution::End)> m_sums {}; ///< Microseconds.
+    struct Sent {
+        std::uint64_t messages {};
+        std::uint64_t bytes {};
+    };
+    /** By kind, then within the failure domain (1) or beyond it (0). */
+    std::array<std::array<Sent, 2>, std::variant_size_v<MessageBody>> m_sent {};
     std::vector<Histogram> m_histograms; ///< By distribution.
 };
 
--- a/src/transit_shell.cpp
+++ b/src/transit_shell.cpp
@@ -155,12 +155,16 @@
 void TransitShell::carryOut(SendMessage& effect)
 {
     m_metrics.add(TransitCounter::MessagesOut);
+    std::size_t kind = effect.body.index();
     Message message { m_core.fleet().view().through(), std::move(effect.body) };
     auto datagrams = m_joiner.split(encodeMessage(message, monotonicNow()));
     if (datagrams.empty())
         log({ "message_too_long", { { "peer", toString(effect.to) } } });
-    for (const auto& datagram : datagrams)
+    bool isNear = m_core.fleet().isNear(effect.to);
+    for (const auto& datagram : datagrams) {
+        m_metrics.noteSent(kind, isNear, datagram.size());
         m_fleet.send(effect.to, datagram);
+    }
 }
 
 void TransitShell::carryOut(HandToTarget& effect)
--- a/tests/transit_sim.cpp
+++ b/tests/transit_sim.cpp
@@ -103,7 +103,8 @@
     FleetOptions fleet { .self = process,
         .role = settings.isAgent ? ProcessRole::Agent : ProcessRole::Balancer,
         .incarnation = settings.incarnation,
-        .seeds = m_seeds };
+        .seeds = m_seeds,
+        .failureDomain = settings.domain };
     if (!settings.isAgent)
         return std::make_unique<TransitBalancer>(TransitBalancerOptions { .fleet = fleet,
             .failureDomain = settings.domain,
@@ -272,6 +273,8 @@
         if (auto* send = std::get_if<SendMessage>(&effect)) {
             ++m_messages;
             m_questions += isQuestion(send->body);
+            m_farStamps += std::holds_alternative<StampMessage>(send->body)
+                && m_processes[process].domain != m_processes[send->to].domain;
             if (m_cut.contains(process.address) || isDomainCutBetween(process, send->to))
                 continue;
             Endpoint to = send->to;
--- a/tests/transit_sim.h
+++ b/tests/transit_sim.h
@@ -114,6 +114,9 @@
     std::size_t questions() const { return m_questions; }
     std::size_t storeCalls() const { return m_storeCalls; }
 
+    /** @return Stamps that were sent to another failure domain. */
+    std::size_t farStamps() const { return m_farStamps; }
+
     /** Lines logged for an event. */
     std::size_t logged(const std::string& event) const;
 
@@ -173,6 +176,7 @@
     std::int64_t m_linkBytesPerSecond { 125000000 };
     std::size_t m_messages {};
     std::size_t m_questions {};
+    std::size_t m_farStamps {};
     std::size_t m_storeCalls {};
     std::map<std::string, std::size_t> m_logged;
 };
--- a/tests/transit_view_test.cpp
+++ b/tests/transit_view_test.cpp
@@ -305,3 +305,35 @@
             CHECK(sim.balancer(balancer).fleet().view().routeAt(routeAddress)->shares.front().service == "mail");
     }
 }
+
+TEST_CASE("Processes of a larger fleet mostly tell those of their own failure domain", "[transit][fleet]")
+{
+    TransitSim sim;
+    std::vector<Endpoint> all;
+    for (std::uint32_t i = 0; i < 20; ++i)
+        all.push_back(sim.addBalancer(1 + i, "d" + std::to_string(i % 5)));
+    for (std::uint32_t i = 0; i < 100; ++i)
+        all.push_back(sim.addAgent(101 + i, "web", "d" + std::to_string(i % 5)));
+    sim.run(seconds(6));
+    std::size_t farBefore = sim.farStamps();
+    sim.run(seconds(10));
+
+    SECTION("which guards against stamps that fill the links between domains")
+    {
+        // Three each half second.
+        CHECK(sim.farStamps() - farBefore <= 120 * 3 * 20 * 11 / 10);
+    }
+    SECTION("and a change still arrives everywhere within a second")
+    {
+        sim.writeRoutes({ routeTo("mail") });
+        sim.run(seconds(1));
+        for (std::size_t i = 0; i < 20; ++i)
+            CHECK(sim.balancer(all[i]).fleet().view().routeAt(routeAddress)->shares.front().service == "mail");
+    }
+    SECTION("and few read the store")
+    {
+        std::size_t before = sim.storeCalls();
+        sim.run(seconds(10));
+        CHECK(sim.storeCalls() - before <= 40);
+    }
+}
