Let agents that start ask other processes before the store

Change: an agent without a view waits 120 to 320 ms for its peers, which it asks each 50 ms, before it reads the store. Balancers read at once: they are fewer, and what they read reaches the agents of their failure domain with the first stamps.

--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -32,6 +32,9 @@
 inline constexpr Duration fetchTimeout
     = milliseconds(120); ///< A delta of some hundred items comes within some tens of ms.
 inline constexpr std::size_t baseStoreReaders = 2; ///< Balancers that read the store, so that one may fail unnoticed.
+inline constexpr Duration peersFirst
+    = milliseconds(120); ///< An agent that starts asks others before the store: two rounds of its stamps.
+inline constexpr Duration peersSpread = milliseconds(200); ///< And a random time more, when all start at once.
 inline constexpr Duration watchWait = milliseconds(1500); ///< Half of the time in which a change has to be in force.
 inline constexpr Duration watchGrace = milliseconds(400); ///< Beyond the wait before a watch is given up.
 inline constexpr Duration readTimeout = milliseconds(1000); ///< A slow store takes some hundreds of milliseconds.
--- a/src/transit_fleet.cpp
+++ b/src/transit_fleet.cpp
@@ -25,6 +25,8 @@
 void TransitFleet::onTick(TimePoint now, const LoadReport& load, TransitEffects& effects)
 {
     m_load = load;
+    if (m_readAt == TimePoint {})
+        m_readAt = now + waitForPeers();
     if (now >= m_nextStampAt) {
         // A process without a view asks more often.
         m_nextStampAt = now + (m_view.through() ? stampInterval : stampInterval / 10);
@@ -381,7 +383,9 @@
 
 bool TransitFleet::isReaderTurn(TimePoint now) const
 {
-    if (!m_view.through() || isBaseReader(now))
+    if (!m_view.through())
+        return now >= m_readAt;
+    if (isBaseReader(now))
         return true;
     auto age = viewAge(now);
     if (!age)
@@ -392,6 +396,15 @@
     return *age > ageLimit() + viewAgeStep * static_cast<std::int64_t>(rank);
 }
 
+Duration TransitFleet::waitForPeers()
+{
+    // Balancers go first: they are fewer, and those that read tell the agents of their failure domain.
+    if (m_options.role == ProcessRole::Balancer)
+        return {};
+    return peersFirst
+        + microseconds(static_cast<std::int64_t>(nextRandom() % static_cast<std::uint64_t>(peersSpread.us)));
+}
+
 std::size_t TransitFleet::rankAmong(ProcessRole role, bool isAnyRole, TimePoint now) const
 {
     std::hash<Endpoint> hash;
--- a/src/transit_fleet_base.h
+++ b/src/transit_fleet_base.h
@@ -123,6 +123,7 @@
     bool isAlive(const Member& member, TimePoint now) const;
     Duration ageLimit() const;
     bool isReaderTurn(TimePoint now) const;
+    Duration waitForPeers();
     std::size_t rankAmong(ProcessRole role, bool isAnyRole, TimePoint now) const;
     void startStoreCall(TransitEffects& effects);
     void noteStoreAnswer(TimePoint now, TransitEffects& effects);
@@ -143,6 +144,7 @@
 
     bool m_isCalling {}; ///< A call to the store is under way.
     TimePoint m_nextCallAt;
+    TimePoint m_readAt; ///< A process without a view reads the store from then on.
     std::uint32_t m_failures {}; ///< Failed calls in a row.
     std::optional<TimePoint> m_storeReturnedAt; ///< First answer after failures.
     bool m_needsFullRead {}; ///< The store no longer knows what changed since the view.
--- a/tests/transit_view_test.cpp
+++ b/tests/transit_view_test.cpp
@@ -336,4 +336,35 @@
         sim.run(seconds(10));
         CHECK(sim.storeCalls() - before <= 40);
     }
+    SECTION("and agents that start are told by others, which guards against a full read by each")
+    {
+        std::size_t before = sim.storeCalls();
+        for (std::size_t i = 20; i < 60; ++i)
+            sim.restart(all[i]);
+        sim.run(milliseconds(100));
+        for (std::size_t i = 20; i < 60; ++i)
+            CHECK(sim.agent(all[i]).isReady());
+        CHECK(sim.storeCalls() - before <= 4);
+    }
+    SECTION("also when all start at once, and nobody knows anything")
+    {
+        std::size_t before = sim.storeCalls();
+        for (Endpoint process : all)
+            sim.restart(process);
+        sim.run(milliseconds(100));
+        for (std::size_t i = 20; i < 120; ++i)
+            CHECK(sim.agent(all[i]).isReady());
+        // Each of 20 balancers reads and then watches, as all believe to be among the first two.
+        CHECK(sim.storeCalls() - before <= 2 * 20 + 4);
+    }
+    SECTION("and agents read the store themselves when no balancer does")
+    {
+        for (std::size_t i = 0; i < 20; ++i)
+            sim.kill(all[i]);
+        for (std::size_t i = 20; i < 120; ++i)
+            sim.restart(all[i]);
+        sim.run(milliseconds(600));
+        for (std::size_t i = 20; i < 120; ++i)
+            CHECK(sim.agent(all[i]).isReady());
+    }
 }
