Probe a silent target, and end the flows of one whose process is gone

Beside that, callers that wait for an answer of a target that crashed wait for their time budgets. Change: an agent that does not know all flows of its target opens a connection to the target's health address when it starts and when it ends, and any agent does so after 150 ms in which the target answered nothing. Two refused connections mean that the process is gone: its flows are forgotten, callers that wait are reset at once, opening packets go elsewhere, and the agent knows all flows from then on. A target that hangs takes the connection or times out, and is left alone. The demo's targets listen for health checks, as the platform's do.

--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -112,6 +112,7 @@
     src/transit_agent_cmd.cpp
     src/transit_agent_locator.cpp
     src/transit_agent_message.cpp
+    src/transit_agent_probe.cpp
     src/transit_agent_queue.cpp
     src/transit_agent_target.cpp
     src/transit_balancer_cmd.cpp
--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -118,8 +118,15 @@
 inline constexpr Duration vouchSettle
     = milliseconds(30); ///< Before a locator vouches: a note and its confirmation after 20 ms, and 10 ms of way.
 inline constexpr Duration lastWordTime
-    = milliseconds(60); ///< An agent that ends confirms its last notes until then, so that one may be lost.
+    = milliseconds(100); ///< An agent that ends probes its target and confirms its last notes until then.
 inline constexpr Duration repeatNotesGap = milliseconds(100); ///< Between two requests for all notes of an agent.
+inline constexpr Duration targetSilence
+    = milliseconds(150); ///< After a packet with data, before the target is probed; twice a usual service time.
+inline constexpr Duration probeGap = milliseconds(250); ///< Between probes of a silent target; each is a connection.
+inline constexpr Duration probeAgainAfter = milliseconds(30); ///< After a refused probe; refused ones cost little.
+inline constexpr std::uint32_t probesOfGoneTarget
+    = 2; ///< Refused in a row before the process counts as gone; the first may meet one that is about to listen.
+inline constexpr Duration probeTimeout = milliseconds(200); ///< A process that hangs takes no connection; it runs.
 inline constexpr Duration askerLifetime = seconds(1); ///< Time for which a flow's asker is remembered.
 inline constexpr Duration endedFlowTime = seconds(10); ///< Ended flows are remembered while late packets may come.
 inline constexpr std::size_t maxHeldFlows = 20000; ///< Flows that one agent remembers.
--- a/src/transit_agent_base.h
+++ b/src/transit_agent_base.h
@@ -41,6 +41,9 @@
     /** Takes a message of another process. */
     void onMessage(Endpoint from, Message message, TimePoint now, TransitEffects& effects) override;
 
+    /** Takes the outcome of a probe; a target whose process is gone holds no flows. */
+    void onTargetProbe(bool isRunning, TimePoint now, TransitEffects& effects) override;
+
     /** Begins a planned end: takes no new flows, lets running requests finish. */
     void onStop(TimePoint now, TransitEffects& effects) override;
 
@@ -67,6 +70,7 @@
     struct HeldFlow {
         FlowState state {};
         std::uint32_t targetSequence {}; ///< First sequence number of the target; zero when unknown.
+        std::uint32_t acknowledged {}; ///< By the caller's last packet.
         TimePoint usedAt;
         std::optional<TimePoint> requestAt; ///< A request is under way since then.
         std::string requestId;
@@ -124,6 +128,13 @@
     void noteFromTarget(HeldFlow& flow, const TransitPacket& packet, TimePoint now, TransitEffects& effects);
     void noteFromCaller(HeldFlow& flow, const TransitPacket& packet, TimePoint now, TransitEffects& effects);
 
+    // Whether the target's process is gone, in transit_agent_probe.cpp.
+    void noteHanded(TimePoint now);
+    void noteTargetSpoke();
+    void probe(TimePoint now, TransitEffects& effects);
+    void tickProbe(TimePoint now, TransitEffects& effects);
+    void endAllFlows(TransitEffects& effects);
+
     // Requests that wait for a slot, in transit_agent_queue.cpp.
     void passToTarget(HeldFlow& flow, ForwardMessage forward, TimePoint now, TransitEffects& effects);
     bool hasFreeSlot(TimePoint now) const;
@@ -183,6 +194,10 @@
     std::uint32_t m_busy {}; ///< Flows with a request under way at the target.
     std::uint32_t m_ended {}; ///< Flows in m_flows that ended.
     std::uint32_t m_expected {}; ///< Flows that opened and have not brought their first request.
+    std::optional<TimePoint> m_unansweredSince; ///< The target got a packet then, and has sent nothing since.
+    TimePoint m_probedAt;
+    std::uint32_t m_refusedProbes {}; ///< In a row.
+    bool m_isTargetGone {}; ///< Its process ended, and none has started since as far as the agent knows.
     bool m_knowsAllFlows {}; ///< The agent saw every flow of this lifetime of its target.
     std::string m_targetId;
     std::uint64_t m_targetStartedAt {};
--- a/src/transit_agent_cmd.cpp
+++ b/src/transit_agent_cmd.cpp
@@ -23,8 +23,12 @@
 
 void TransitAgent::onTick(TimePoint now, TransitEffects& effects)
 {
-    if (!m_startedAt)
+    if (!m_startedAt) {
         m_startedAt = now;
+        if (!m_knowsAllFlows)
+            probe(now, effects); // It may start after the agent.
+    }
+    tickProbe(now, effects);
     m_fleet.onTick(now, load(), effects);
     expireOpens(now, effects);
     expireExpected(now);
@@ -84,6 +88,8 @@
         { { "busy", static_cast<std::int64_t>(m_busy) }, { "flows", static_cast<std::int64_t>(m_flows.size()) } } });
     m_fleet.announceLeaving(effects);
     sendNotes(m_streams.confirmAll(inventoryClaim(), now), effects);
+    if (!m_knowsAllFlows)
+        probe(now, effects); // An agent often ends after its target.
 }
 
 bool TransitAgent::isFinished(TimePoint now) const
@@ -133,6 +139,8 @@
             { "revision", static_cast<std::int64_t>(own.revision.value) }, { "cold_ms", own.record.coldLeft.us / 1000 },
             { "cold_limit_per_s", coldLimit() }, { "flows_before", static_cast<std::int64_t>(m_flows.size()) } } });
     m_health = {};
+    m_isTargetGone = false; // This lifetime registered, so that it runs.
+    m_refusedProbes = 0;
     // This lifetime began after the agent did, so that the agent saw every flow of it.
     m_knowsAllFlows |= !m_targetId.empty();
     m_targetId = own.record.id;
--- a/src/transit_agent_message.cpp
+++ b/src/transit_agent_message.cpp
@@ -45,6 +45,8 @@
     auto reason = m_admission.test(m_fleet.view(), request, load(), now);
     if (!reason && !m_health.mayTake(now))
         reason = DeclineReason::Faulty;
+    if (m_isTargetGone)
+        reason = DeclineReason::Silent;
     if (m_stoppedAt)
         reason = DeclineReason::Leaving;
     if (m_flows.size() >= maxHeldFlows)
--- a/src/transit_agent_target.cpp
+++ b/src/transit_agent_target.cpp
@@ -7,6 +7,7 @@
 void TransitAgent::onPacket(TransitPacket packet, TimePoint now, TransitEffects& effects)
 {
     effects.push_back(CountEvent { TransitCounter::PacketsFromTarget });
+    noteTargetSpoke();
     if (packet.flags.isReturned) {
         onReturned(std::move(packet), effects);
         return;
@@ -141,6 +142,9 @@
 void TransitAgent::noteFromCaller(HeldFlow& flow, const TransitPacket& packet, TimePoint now, TransitEffects& effects)
 {
     flow.usedAt = now;
+    flow.acknowledged = packet.acknowledged;
+    if (packet.dataSize)
+        noteHanded(now);
     if (packet.dataSize && !flow.requestAt) {
         if (flow.isExpected) {
             flow.isExpected = false;
--- a/src/transit_balancer_base.h
+++ b/src/transit_balancer_base.h
@@ -37,6 +37,8 @@
     /** Takes a message of another process. */
     void onMessage(Endpoint from, Message message, TimePoint now, TransitEffects& effects) override;
 
+    void onTargetProbe(bool, TimePoint, TransitEffects&) override { } // Has no target.
+
     /** Begins a planned end: not ready any more, but packets are still forwarded. */
     void onStop(TimePoint now, TransitEffects& effects) override;
 
--- a/src/transit_core_base.h
+++ b/src/transit_core_base.h
@@ -29,6 +29,9 @@
     /** Takes a message of another process. */
     virtual void onMessage(Endpoint from, Message message, TimePoint now, TransitEffects& effects) = 0;
 
+    /** Takes the outcome of a probe: whether the target's process runs. A process that only hangs runs. */
+    virtual void onTargetProbe(bool isRunning, TimePoint now, TransitEffects& effects) = 0;
+
     /** Begins a planned end. */
     virtual void onStop(TimePoint now, TransitEffects& effects) = 0;
 
--- a/src/transit_effect_type.h
+++ b/src/transit_effect_type.h
@@ -49,6 +49,9 @@
     Duration timeout; ///< The connection is given up when no answer came by then.
 };
 
+/** Find out whether a process listens where the target takes health checks; the answer is an event of the core. */
+struct ProbeTarget { };
+
 /** Field of a log line. */
 struct LogField {
     std::string_view name;
@@ -108,7 +111,7 @@
 };
 
 using TransitEffect = std::variant<SendMessage, HandToTarget, HandToCaller, ResetCaller, ReadStore, WatchStore,
-    WriteLog, CountEvent, RecordTime>;
+    ProbeTarget, WriteLog, CountEvent, RecordTime>;
 using TransitEffects = std::vector<TransitEffect>;
 
 /** Outcome of a store call that brought nothing. */
--- a/src/transit_shell.cpp
+++ b/src/transit_shell.cpp
@@ -20,6 +20,8 @@
     , m_fleet(context)
     , m_timer(context)
     , m_signals(context, SIGTERM, SIGINT, SIGHUP)
+    , m_probe(context)
+    , m_probeTimer(context)
 {
 }
 
@@ -194,6 +196,33 @@
     m_store.watch(effect, [this](StoreOutcome outcome) { onStoreOutcome(std::move(outcome)); });
 }
 
+void TransitShell::carryOut(ProbeTarget&)
+{
+    if (m_probe.is_open())
+        return; // One is under way.
+    m_probe.open(boost::asio::ip::tcp::v4());
+    m_probeTimer.expires_after(std::chrono::microseconds(probeTimeout.us));
+    m_probeTimer.async_wait([this](boost::system::error_code error) {
+        if (!error)
+            m_probe.close();
+    });
+    boost::asio::ip::tcp::endpoint target(boost::asio::ip::address_v4(m_options.target.address), m_options.target.port);
+    m_probe.async_connect(target, [this](boost::system::error_code error) { onProbed(error); });
+}
+
+void TransitShell::onProbed(boost::system::error_code error)
+{
+    m_probeTimer.cancel();
+    boost::system::error_code ignored; // Nothing is done with a connection that does not close.
+    m_probe.close(ignored);
+    bool isRefused = error == boost::asio::error::connection_refused;
+    log({ "target_probed", { { "outcome", error ? error.message() : std::string("connected") } } });
+    if (error && !isRefused)
+        return; // Says nothing about the process.
+    m_core.onTargetProbe(!isRefused, monotonicNow(), m_effects);
+    carryOut();
+}
+
 void TransitShell::carryOut(WriteLog& effect) { log(effect); }
 
 void TransitShell::carryOut(CountEvent& effect) { m_metrics.add(effect.counter, effect.amount); }
--- a/src/transit_shell.h
+++ b/src/transit_shell.h
@@ -65,11 +65,13 @@
     void carryOut(ResetCaller& effect);
     void carryOut(ReadStore& effect);
     void carryOut(WatchStore& effect);
+    void carryOut(ProbeTarget& effect);
     void carryOut(WriteLog& effect);
     void carryOut(CountEvent& effect);
     void carryOut(RecordTime& effect);
     HttpReply answer(const std::string& path);
     void waitForSignal();
+    void onProbed(boost::system::error_code error);
 
     TransitShellOptions m_options;
     boost::asio::io_context& m_context;
@@ -86,6 +88,8 @@
     boost::asio::signal_set m_signals;
     TransitEffects m_effects;
     std::optional<TimePoint> m_tickedAt;
+    boost::asio::ip::tcp::socket m_probe; ///< At most one connection to the target.
+    boost::asio::steady_timer m_probeTimer;
 };
 
 } // namespace hawthorncroft
--- a/standin/transit_demo_world.cpp
+++ b/standin/transit_demo_world.cpp
@@ -103,7 +103,8 @@
 
 DemoTarget::DemoTarget(
     boost::asio::io_context& context, std::uint32_t address, const DemoPorts& ports, std::string service)
-    : m_socket(context)
+    : m_context(context)
+    , m_socket(context)
     , m_self { address, ports.target }
     , m_outbound { address, ports.outbound }
     , m_service(std::move(service))
@@ -112,7 +113,12 @@
 
 std::string DemoTarget::start()
 {
-    std::string error = m_socket.open(m_self);
+    std::string error
+        = m_health.open(m_context, m_self, [](const std::string&, const TransitHttpServer::Replier& reply) {
+              reply({ 200, "healthy\n" });
+          });
+    if (error.empty())
+        error = m_socket.open(m_self);
     if (error.empty())
         m_socket.start([this](Endpoint, std::span<const std::uint8_t> bytes) { onPacket(bytes); });
     return error;
--- a/standin/transit_demo_world.h
+++ b/standin/transit_demo_world.h
@@ -86,6 +86,8 @@
     void send(const TransitPacket& packet, PacketFlags flags, std::uint32_t sequence, std::uint32_t acknowledged,
         std::size_t data);
 
+    boost::asio::io_context& m_context;
+    TransitHttpServer m_health;
     UdpSocket m_socket;
     Endpoint m_self;
     Endpoint m_outbound;
--- a/tests/transit_lost_test.cpp
+++ b/tests/transit_lost_test.cpp
@@ -247,3 +247,74 @@
         askOutside();
     }
 }
+
+TEST_CASE("The agent finds out that its target's process is gone", "[transit]")
+{
+    Fleet fleet(40);
+    FlowTuple asking = flowOf(1);
+    std::uint32_t holder = fleet.open(fleet.balancers[0], asking);
+    REQUIRE(holder);
+    fleet.target(holder).work = milliseconds(300);
+    fleet.sendRequest(fleet.balancers[0], asking);
+    fleet.run(milliseconds(50));
+
+    SECTION("a caller that waits for an answer is told, which guards against waiting for the time budget")
+    {
+        fleet.crashTarget(holder);
+        fleet.run(milliseconds(300));
+        REQUIRE(fleet.caller(asking).resetAt);
+    }
+    SECTION("a caller whose flow was idle is told with its next request")
+    {
+        FlowTuple idle = flowOf(2);
+        for (std::uint32_t i = 2; fleet.open(fleet.balancers[0], flowOf(i)) != holder; ++i)
+            idle = flowOf(i + 1);
+        fleet.sendRequest(fleet.balancers[0], idle);
+        fleet.run(milliseconds(400));
+        fleet.crashTarget(holder);
+        fleet.run(milliseconds(10));
+        fleet.sendRequest(fleet.balancers[0], idle, 2);
+        fleet.run(milliseconds(150));
+        fleet.sendRequest(fleet.balancers[0], idle, 2); // The copy after 200 ms.
+        fleet.run(milliseconds(200));
+        CHECK(fleet.caller(idle).resetAt);
+    }
+    SECTION("while a target that hangs, or works long, is left alone")
+    {
+        fleet.target(holder).isAlive = false;
+        fleet.run(seconds(2));
+        CHECK_FALSE(fleet.caller(asking).resetAt);
+    }
+    SECTION("and a target that answers is not probed, which guards against a connection for each request")
+    {
+        fleet.run(milliseconds(400));
+        fleet.target(holder).work = milliseconds(20);
+        std::size_t before = fleet.probes();
+        for (std::uint32_t i = 2; i < 20; ++i) {
+            fleet.sendRequest(fleet.balancers[0], asking, i);
+            fleet.run(milliseconds(100));
+        }
+        CHECK(fleet.probes() == before);
+    }
+    SECTION("an agent that ends after its target says that nothing is held there")
+    {
+        // It started beside its target, so that it did not know all flows.
+        Endpoint other { holder == 11 ? 12U : 11U, fleetPort };
+        fleet.restart(other);
+        fleet.run(seconds(1));
+        fleet.crashTarget(other.address);
+        fleet.stop(other);
+        FlowTuple lost = flowOf(500);
+        std::uint32_t last = fleet.open(fleet.balancers[0], lost);
+        REQUIRE(last);
+        fleet.sendRequest(fleet.balancers[0], lost);
+        fleet.run(milliseconds(400));
+        fleet.crashTarget(last);
+        fleet.run(milliseconds(10));
+        fleet.sendRequest(fleet.balancers[0], lost, 2);
+        fleet.run(milliseconds(200));
+        fleet.sendRequest(fleet.balancers[0], lost, 2);
+        fleet.run(milliseconds(100));
+        CHECK(fleet.caller(lost).resetAt);
+    }
+}
--- a/tests/transit_sim.cpp
+++ b/tests/transit_sim.cpp
@@ -156,6 +156,15 @@
     m_history.emplace_back(m_revision, isOut ? change : StoreChange(EvacuationEnd { m_revision, domain }));
 }
 
+void TransitSim::crashTarget(std::uint32_t address)
+{
+    FakeTransitTarget& target = m_targets[address];
+    target.isAlive = false;
+    target.isRunning = false;
+    target.flows.clear();
+    target.queue.clear();
+}
+
 void TransitSim::restartTarget(std::uint32_t address, const std::string& id)
 {
     FakeTransitTarget& target = m_targets[address];
@@ -290,6 +299,15 @@
             at(m_now + localDelay, [this, process, packet = packet->packet, tag = packet->tag] {
                 targetTakes(process.address, packet, tag);
             });
+        } else if (std::get_if<ProbeTarget>(&effect)) {
+            ++m_probes;
+            at(m_now + localDelay, [this, process] {
+                deliver(process, 0, [this, process](TransitCore& core) {
+                    TransitEffects next;
+                    core.onTargetProbe(m_targets[process.address].isRunning, m_now, next);
+                    carryOut(process, next);
+                });
+            });
         } else if (auto* answer = std::get_if<HandToCaller>(&effect)) {
             if (!m_cut.contains(process.address))
                 callerGets(answer->packet);
--- a/tests/transit_sim.h
+++ b/tests/transit_sim.h
@@ -25,7 +25,8 @@
     std::string service;
     std::uint32_t slots { 4 };
     Duration work { milliseconds(20) };
-    bool isAlive { true };
+    bool isAlive { true }; ///< Otherwise it neither takes nor sends anything.
+    bool isRunning { true }; ///< Its process exists.
     bool resetsRequests {}; ///< Takes flows and resets them with their first request.
     bool returnsOpens {}; ///< Runs, but takes no flows.
     bool resetsUnknown {}; ///< Resets what it does not hold, instead of returning it.
@@ -90,6 +91,9 @@
     /** Sets the bandwidth that balancers started from now on believe to have. */
     void setLink(std::int64_t bytesPerSecond) { m_linkBytesPerSecond = bytesPerSecond; }
 
+    /** Ends the process of a target without notice. */
+    void crashTarget(std::uint32_t address);
+
     /** Replaces the lifetime of a target: its flows are gone. */
     void restartTarget(std::uint32_t address, const std::string& id);
 
@@ -114,6 +118,8 @@
     std::size_t questions() const { return m_questions; }
     std::size_t storeCalls() const { return m_storeCalls; }
 
+    std::size_t probes() const { return m_probes; }
+
     /** @return Stamps that were sent to another failure domain. */
     std::size_t farStamps() const { return m_farStamps; }
 
@@ -177,6 +183,7 @@
     std::size_t m_messages {};
     std::size_t m_questions {};
     std::size_t m_farStamps {};
+    std::size_t m_probes {};
     std::size_t m_storeCalls {};
     std::map<std::string, std::size_t> m_logged;
 };
