--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -65,6 +65,8 @@
 inline constexpr Duration locateTimeout = milliseconds(400); ///< After it the caller's next copy starts again.
 inline constexpr Duration vouchWait = milliseconds(
     60); ///< Locators wait for notes under way before they vouch; beyond it a balancer takes one word for both.
+inline constexpr Duration askAgainAfter
+    = milliseconds(100); ///< Agents that did not answer a question are asked again; they start within that time.
 inline constexpr Duration silentWait = milliseconds(
     150); ///< For an agent whose flows its locators knew until it fell silent; agents answer in a few ms.
 inline constexpr std::size_t locatorCount = 2; ///< Agents told of a flow that they do not hold.
--- a/src/transit_balancer_base.h
+++ b/src/transit_balancer_base.h
@@ -82,6 +82,7 @@
         std::vector<Endpoint> doubtful; ///< Agents that one of them does not vouch for, and that must answer.
         std::vector<Endpoint> silent; ///< Agents that one of them vouched for until they fell silent.
         TimePoint askedAt; ///< When the agents that nobody vouches for were asked.
+        TimePoint repeatAt; ///< When those that have not answered are asked again.
         TimePoint startedAt;
         bool isBroadcast {}; ///< Every agent that no locator vouches for was asked.
         bool isComplete {}; ///< `asked` contains every one of them.
@@ -102,6 +103,7 @@
     void startLocate(TransitPacket packet, TimePoint now, TransitEffects& effects);
     void askLocators(const FlowTuple& flow, Locate& locate, TimePoint now, TransitEffects& effects);
     void broadcastLocate(const FlowTuple& flow, Locate& locate, std::vector<Endpoint> agents, TimePoint now);
+    bool askAgents(const FlowTuple& flow, const Locate& locate, const std::vector<Endpoint>& agents);
     void onVouch(Endpoint from, const VouchMessage& word, TimePoint now, TransitEffects& effects);
     static void takeWord(Locate& locate, const VouchMessage& word);
     void considerWords(const FlowTuple& flow, TimePoint now, TransitEffects& effects);
--- a/src/transit_balancer_locate.cpp
+++ b/src/transit_balancer_locate.cpp
@@ -91,23 +91,33 @@
     bool isComplete = agents.size() <= maxLocateBroadcast;
     std::erase_if(agents, [&](Endpoint agent) { return contains(locate.answered, agent); });
     agents.resize(std::min(agents.size(), maxLocateBroadcast));
-    bool isRelayed = agents.size() > maxDirectQuestions;
-    std::size_t bytes = locate.packets.front().bytes.size();
-    auto cost = static_cast<std::int64_t>(isRelayed ? bytes + agents.size() * endpointBytes : agents.size() * bytes);
-    if (cost > m_locateBytes)
+    if (!askAgents(flow, locate, agents))
         return; // Asked with a later tick, while the caller repeats its packet.
-    m_locateBytes -= cost;
     locate.isBroadcast = true;
     locate.askedAt = now;
+    locate.repeatAt = now + askAgainAfter;
     locate.isComplete = isComplete && !(agents.empty() && locate.answered.empty() && locate.vouchers.empty());
     locate.asked.insert(locate.asked.end(), agents.begin(), agents.end());
-    for (std::size_t i = 0; i < agents.size() && !isRelayed; ++i)
-        m_questions[agents[i]].push_back(flow);
-    if (isRelayed)
-        m_relayed[agents].push_back(flow);
     locate.waitingFor = std::move(agents);
 }
 
+bool TransitBalancer::askAgents(const FlowTuple& flow, const Locate& locate, const std::vector<Endpoint>& agents)
+{
+    bool isRelayed = agents.size() > maxDirectQuestions;
+    std::size_t bytes = locate.packets.front().bytes.size();
+    auto cost = static_cast<std::int64_t>(isRelayed ? bytes + agents.size() * endpointBytes : agents.size() * bytes);
+    if (cost > m_locateBytes)
+        return false;
+    m_locateBytes -= cost;
+    if (isRelayed) {
+        m_relayed[agents].push_back(flow);
+        return true;
+    }
+    for (Endpoint agent : agents)
+        m_questions[agent].push_back(flow);
+    return true;
+}
+
 void TransitBalancer::refillLocateBytes(Duration elapsed)
 {
     std::int64_t perSecond = m_options.linkBytesPerSecond / locateLinkShare;
@@ -331,6 +341,11 @@
             narrowed.push_back(entry->first);
         else if (!locate.isBroadcast && now >= locate.startedAt + patience)
             broadcastLocate(entry->first, locate, agentsThatMayHold(now), now);
+        // An agent may have started since; after an outage all start within some hundred milliseconds.
+        bool isRepeated
+            = locate.isBroadcast && now >= locate.repeatAt && askAgents(entry->first, locate, locate.waitingFor);
+        if (isRepeated)
+            locate.repeatAt = now + askAgainAfter;
         ++entry;
     }
     for (const auto& flow : narrowed)
