Let a balancer that is told to end stay in rotation while others of its failure domain are out

With fewer than half of a failure domain's balancers in rotation the routers use all of them, also ended ones; what those got came again after 200 ms. Change: stamps carry readiness, and a balancer tells those of its failure domain when it changes. One that is told to end leaves the rotation when half of them would remain ready, at the latest when it needs the rest of the grace (a new setting, graceSeconds) to drain. The only balancer of a failure domain ends as before.

--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -96,6 +96,7 @@
 inline constexpr std::size_t maxCandidates = 64; ///< Targets looked at when no drawn one may take the flow.
 inline constexpr Duration drainTime
     = milliseconds(3000); ///< Routers leave a balancer after two probes a half second apart.
+inline constexpr Duration endMargin = milliseconds(500); ///< Kept of the grace for a late tick and the way out.
 
 // Agent.
 inline constexpr Duration coldWindow = milliseconds(1100); ///< The limit of a cold target holds in any second.
--- a/src/transit_balancer_base.h
+++ b/src/transit_balancer_base.h
@@ -21,6 +21,7 @@
     std::string failureDomain;
     std::uint16_t fleetPort {}; ///< Port at which every process of the system gets messages.
     std::int64_t linkBytesPerSecond { 125000000 }; ///< Bandwidth of the VM's link.
+    Duration grace { seconds(6) }; ///< From the signal to end until the process is killed.
 };
 
 /** Core of a balancer for transparent flows. */
@@ -125,6 +126,8 @@
     std::vector<Endpoint> agentsThatMayHold(TimePoint now) const;
 
     // In transit_balancer_cmd.cpp.
+    bool mayLeaveRotation(TimePoint now) const;
+    void leaveRotation(TimePoint now, TransitEffects& effects);
     void handlePacket(TransitPacket packet, TimePoint now, TransitEffects& effects);
     void onViewChanged(TimePoint now, TransitEffects& effects) override;
     void releaseWaiting(TimePoint now, TransitEffects& effects);
@@ -150,6 +153,7 @@
     TimePoint m_nextSweepAt;
     std::optional<TimePoint> m_tickedAt;
     std::optional<TimePoint> m_stoppedAt;
+    std::optional<TimePoint> m_leftAt; ///< Not ready since then, but still forwarding.
     bool m_wasReady {};
 };
 
--- a/src/transit_balancer_cmd.cpp
+++ b/src/transit_balancer_cmd.cpp
@@ -29,8 +29,11 @@
         m_nextSweepAt = now + seconds(5);
         sweepFlows(now);
     }
+    if (m_stoppedAt && !m_leftAt && mayLeaveRotation(now))
+        leaveRotation(now, effects);
     if (isReady() != m_wasReady) {
         m_wasReady = isReady();
+        m_fleet.setReady(m_wasReady, now, effects);
         effects.push_back(WriteLog { "ready",
             { { "is_ready", static_cast<std::int64_t>(m_wasReady) },
                 { "revision", static_cast<std::int64_t>(m_fleet.view().through().value) },
@@ -88,11 +91,33 @@
     m_stoppedAt = now;
     effects.push_back(WriteLog {
         "stopping", { { "drain_ms", drainTime.us / 1000 }, { "flows", static_cast<std::int64_t>(m_flows.size()) } } });
+    if (mayLeaveRotation(now))
+        leaveRotation(now, effects);
 }
 
-bool TransitBalancer::isReady() const { return !m_stoppedAt && m_fleet.view().hasConfiguration(); }
+bool TransitBalancer::mayLeaveRotation(TimePoint now) const
+{
+    // With fewer than half of a failure domain's balancers in rotation the routers use all of them, also those that
+    // have ended. While others are out, this one stays as long as it still has the time to drain.
+    auto others = m_fleet.nearBalancers(now);
+    bool areEnoughReady = !others.known || others.ready * 2 >= others.known + 1;
+    return areEnoughReady || now + drainTime + endMargin >= *m_stoppedAt + m_options.grace;
+}
+
+void TransitBalancer::leaveRotation(TimePoint now, TransitEffects& effects)
+{
+    m_leftAt = now;
+    m_wasReady = false;
+    m_fleet.setReady(false, now, effects);
+    auto others = m_fleet.nearBalancers(now);
+    effects.push_back(WriteLog { "leaving_rotation",
+        { { "waited_ms", (now - *m_stoppedAt).us / 1000 }, { "others", static_cast<std::int64_t>(others.known) },
+            { "others_ready", static_cast<std::int64_t>(others.ready) } } });
+}
+
+bool TransitBalancer::isReady() const { return !m_leftAt && m_fleet.view().hasConfiguration(); }
 
-bool TransitBalancer::isFinished(TimePoint now) const { return m_stoppedAt && now >= *m_stoppedAt + drainTime; }
+bool TransitBalancer::isFinished(TimePoint now) const { return m_leftAt && now >= *m_leftAt + drainTime; }
 
 std::optional<Endpoint> TransitBalancer::holderOf(const FlowTuple& flow) const
 {
--- a/src/transit_codec_func.cpp
+++ b/src/transit_codec_func.cpp
@@ -34,7 +34,8 @@
     constexpr std::uint8_t flagWantsReply = 4;
     constexpr std::uint8_t flagKeys = 8;
     constexpr std::uint8_t flagWantsAll = 16;
-    constexpr std::uint8_t flagConfirming = 32;
+    constexpr std::uint8_t flagReady = 32; ///< Of a StampMessage.
+    constexpr std::uint8_t flagConfirming = 32; ///< Of a HolderMessage.
     constexpr std::uint8_t flagWhole = 64;
     constexpr std::uint8_t flagFinal = 128;
     constexpr std::uint8_t flagRegistered = 1; ///< Of a HolderMessage, which locates nothing.
@@ -247,6 +248,7 @@
         putLoad(out, body.load);
         putNodes(out, body.balancers);
         out.failure_domain = body.failureDomain;
+        out.flags |= body.isReady ? flagReady : 0;
     }
 
     void putBody(wire::MessageT& out, const DeltaMessage& body, TimePoint now)
@@ -384,7 +386,7 @@
                 return std::nullopt;
             return StampMessage { static_cast<ProcessRole>(in.role), in.incarnation, { in.age_us },
                 (in.flags & flagWantsReply) != 0, (in.flags & flagWantsAll) != 0, loadOf(in), endpointsOf(in),
-                in.failure_domain };
+                in.failure_domain, (in.flags & flagReady) != 0 };
         case Kind::Delta: {
             DeltaMessage message { { in.age_us },
                 { Revision(in.since), Revision(in.through), (in.flags & flagKeys) != 0, in.keys, {} } };
--- a/src/transit_fleet.cpp
+++ b/src/transit_fleet.cpp
@@ -72,6 +72,7 @@
     member.role = stamp.role;
     member.incarnation = stamp.incarnation;
     member.failureDomain = stamp.failureDomain;
+    member.isReady = stamp.isReady;
     for (Endpoint balancer : stamp.balancers)
         addMember(balancer, ProcessRole::Balancer, now);
     if (stamp.age.us >= 0 && through <= m_view.through())
@@ -216,6 +217,27 @@
     }
 }
 
+void TransitFleet::setReady(bool isReady, TimePoint now, TransitEffects& effects)
+{
+    m_isReady = isReady;
+    for (const auto& [endpoint, member] : m_members) {
+        if (member.role == ProcessRole::Balancer && isNear(member))
+            sendStamp(endpoint, false, now, effects);
+    }
+}
+
+NearBalancers TransitFleet::nearBalancers(TimePoint now) const
+{
+    NearBalancers others;
+    for (const auto& [endpoint, member] : m_members) {
+        if (member.role != ProcessRole::Balancer || !isNear(member))
+            continue;
+        ++others.known;
+        others.ready += member.isReady && isAlive(member, now);
+    }
+    return others;
+}
+
 bool TransitFleet::isNear(Endpoint endpoint) const
 {
     auto found = m_members.find(endpoint);
@@ -300,6 +322,7 @@
         .load = m_load,
         .balancers = {},
         .failureDomain = m_options.failureDomain,
+        .isReady = m_isReady,
     };
     std::vector<Endpoint> balancers;
     for (const auto& [endpoint, member] : m_members) {
--- a/src/transit_fleet_base.h
+++ b/src/transit_fleet_base.h
@@ -28,6 +28,13 @@
     std::uint64_t incarnation {};
     TimePoint heardAt {};
     std::string failureDomain; ///< Empty until it is known.
+    bool isReady {}; ///< Balancers only: routers may send packets there, when it was heard last.
+};
+
+/** Balancers of the own failure domain beside this process. */
+struct NearBalancers {
+    std::size_t known {}; ///< Those that ended a while ago included.
+    std::size_t ready {};
 };
 
 /** Members, view and the reading of the store. */
@@ -92,6 +99,12 @@
     /** @return Whether the process was heard within the lifetime of a member. */
     bool isAlive(Endpoint endpoint, TimePoint now) const;
 
+    /** Tells the balancers of the own failure domain whether this one is ready. */
+    void setReady(bool isReady, TimePoint now, TransitEffects& effects);
+
+    /** @return What is known of the other balancers of the own failure domain. */
+    NearBalancers nearBalancers(TimePoint now) const;
+
     /** @return Whether the process is known to be in this process's failure domain. */
     bool isNear(Endpoint endpoint) const;
 
@@ -135,6 +148,7 @@
     std::unordered_map<Endpoint, Member> m_members;
     std::size_t m_near {}; ///< Members in the own failure domain, at the last stamps.
     LoadReport m_load;
+    bool m_isReady {};
     std::uint64_t m_random;
     TimePoint m_fetchedAt { -seconds(1).us }; ///< When a delta was last asked for; long ago after it came.
     TimePoint m_newsAt { -seconds(1).us }; ///< When news was last spread at once.
--- a/src/transit_message_type.h
+++ b/src/transit_message_type.h
@@ -112,6 +112,7 @@
     LoadReport load; ///< Agents only.
     std::vector<Endpoint> balancers; ///< Some balancers that the sender heard of lately.
     std::string failureDomain; ///< Of the sender's VM.
+    bool isReady {}; ///< Balancers only: routers may send packets to the sender.
 };
 
 /** Part of the view that the receiver does not have. */
--- a/standin/transit_demo_main.cpp
+++ b/standin/transit_demo_main.cpp
@@ -120,6 +120,7 @@
         auto values = settings("balancer-" + std::to_string(i), balancerBase + i, i % 2 ? "zone-a" : "zone-b");
         values["packets"] = toString({ balancerBase + i, m_ports.data });
         values["linkMbps"] = 1000;
+        values["graceSeconds"] = 6;
         return startProcess("balancer-" + std::to_string(i), "hawthorncroft-platform-balancer", values);
     }
 
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -334,7 +334,7 @@
 {
     const std::string good
         = R"({"vm":"v","failureDomain":"a","packets":"10.0.0.1:8172","data":"10.0.0.1:8172","status":"10.0.0.1:8167",
-        "fleetPort":7720,"store":"10.0.0.2:8169","seeds":["10.0.0.1:8166","10.0.0.3:8166"],"isFirstStart":true,"linkMbps":10,
+        "fleetPort":7720,"store":"10.0.0.2:8169","seeds":["10.0.0.1:8166","10.0.0.3:8166"],"isFirstStart":true,"linkMbps":10,"graceSeconds":6,
         "target":"10.0.0.1:8165","service":"web","warmupExcess":1.5,"warmupSlack":5,"unknown":1})";
     std::vector<std::string> faults;
 
@@ -349,10 +349,11 @@
     SECTION("each fault has a line with key, value and what is allowed")
     {
         parsePlatformSettings(ProcessRole::Balancer,
-            R"({"vm":"","packets":"nowhere","fleetPort":0,"seeds":7,"linkMbps":10,
+            R"({"vm":"","packets":"nowhere","fleetPort":0,"seeds":7,"linkMbps":10,"graceSeconds":-1,
             "failureDomain":"a","data":"10.0.0.1:1","status":"10.0.0.1:2","store":"10.0.0.2:3","isFirstStart":"yes"})",
             faults);
-        REQUIRE(faults.size() == 5);
+        REQUIRE(faults.size() == 6);
+        CHECK_THAT(faults[5], Catch::Matchers::StartsWith("graceSeconds: -1"));
         CHECK(faults[0] == "fleetPort: 0; allowed: a number from 1.000000 to 65535.000000");
         CHECK_THAT(faults[1], Catch::Matchers::StartsWith("vm: \"\""));
         CHECK_THAT(faults[2], Catch::Matchers::StartsWith("packets: \"nowhere\""));
--- a/tests/transit_sim.h
+++ b/tests/transit_sim.h
@@ -64,6 +64,11 @@
     /** Ends a process as planned, and takes it away once it is finished. */
     void stop(Endpoint process);
 
+    /** Carries out effects of an event that a test gave to a process. */
+    void carryOutFor(Endpoint process, TransitEffects& effects) { carryOut(process, effects); }
+
+    bool isRunning(Endpoint process) const { return m_cores.contains(process); }
+
     /** Ends a process without notice; its target lives on. */
     void kill(Endpoint process) { m_cores.erase(process); }
 
