Note every agent that took a flow's opening packet, not only the last

Both agents tell the locators before their targets answer, and a locator kept the last one only. Later a balancer that remembered the other one asked: the noted agent did not hold the flow, the holder passed for one that had told everything, and the flow was reset. The test fails without the change.

--- a/src/ctl_explain_log.cpp
+++ b/src/ctl_explain_log.cpp
@@ -42,11 +42,12 @@
     };
 
     /** In the order of their weight: the first that is found among a flow's lines, from its end, is the cause. */
-    constexpr std::array<Cause, 12> causes { {
+    constexpr std::array<Cause, 13> causes { {
         { "request_answered", "the target answered; what came later was lost on the way to the caller" },
         { "flow_refused", "refused before it ran; the reason stands in the line" },
         { "request_reset", "the target reset the flow while the request was under way" },
-        { "flow_lost", "every agent said that its target does not hold the flow: the target's lifetime ended" },
+        { "flow_ended_with_target", "the target's process ended while the request was under way" },
+        { "flow_lost", "no agent's target holds the flow: the target's lifetime ended" },
         { "locate_unanswered",
             "a balancer that did not know the flow asked, and the agents named as silent did not answer" },
         { "locate_incomplete", "no agent holds the flow, but not all could be asked, so that nothing was reset" },
--- a/src/transit_agent_locator.cpp
+++ b/src/transit_agent_locator.cpp
@@ -84,13 +84,16 @@
     }
     for (Endpoint agent : m_records.heardAgents(now))
         agents.insert(agent);
-    auto holder = m_records.holderOf(flow);
-    if (holder && mayStillHold(*holder, now))
-        agents.insert(*holder);
+    std::set<Endpoint> holders;
+    for (Endpoint holder : m_records.holdersOf(flow)) {
+        holders.insert(holder);
+        if (mayStillHold(holder, now))
+            agents.insert(holder);
+    }
     VouchMessage word { .flows = {}, .agentsDigest = m_locators.digest(), .doubtful = {}, .silent = {} };
     for (Endpoint agent : agents) {
         auto known = m_records.wordOn(agent, flow, now);
-        if (unreachable.contains(agent) || agent == holder)
+        if (unreachable.contains(agent) || holders.contains(agent))
             known = InventoryWord::Doubtful;
         if (agent == m_fleet.self())
             known = m_knowsAllFlows ? InventoryWord::Certain : InventoryWord::Doubtful;
--- a/src/transit_agent_message.cpp
+++ b/src/transit_agent_message.cpp
@@ -102,10 +102,11 @@
     bool isAskedAsLocator = forward.isLocating && !forward.hops;
     if (isAskedAsLocator)
         vouchLater(forward, now, effects);
-    auto holder = m_records.holderOf(flow);
-    if (isAskedAsLocator && holder) {
+    auto holders = isAskedAsLocator ? m_records.holdersOf(flow) : std::vector<Endpoint> {};
+    if (!holders.empty()) {
         forward.hops = finalHops;
-        effects.push_back(SendMessage { *holder, std::move(forward) });
+        for (Endpoint holder : holders)
+            effects.push_back(SendMessage { holder, forward });
         return;
     }
     if (m_knowsAllFlows) {
--- a/src/transit_inventory.cpp
+++ b/src/transit_inventory.cpp
@@ -145,12 +145,8 @@
 InventoryRecords::Answer InventoryRecords::note(Endpoint from, const HolderMessage& message, TimePoint now)
 {
     bool isTaken = true;
-    for (const auto& flow : message.flows) {
-        bool hasRoom = m_holders.size() < maxNotedFlows || m_holders.contains(flow);
-        if (hasRoom)
-            m_holders[flow] = { from, now };
-        isTaken &= hasRoom;
-    }
+    for (const auto& flow : message.flows)
+        isTaken &= noteHolder(flow, from, now);
     if (m_records.size() >= maxMembers && !m_records.contains(from))
         return {}; // Not vouched for; it is asked itself.
     Record& record = m_records[from];
@@ -168,6 +164,26 @@
     return RepeatNotesMessage {};
 }
 
+bool InventoryRecords::noteHolder(const FlowTuple& flow, Endpoint agent, TimePoint now)
+{
+    auto found = m_holders.find(flow);
+    if (found == m_holders.end()) {
+        if (m_holders.size() >= maxNotedFlows)
+            return false;
+        m_holders[flow] = { .agent = agent, .others = {}, .notedAt = now };
+        return true;
+    }
+    Note& note = found->second;
+    note.notedAt = now;
+    // Copies of an opening packet reach several agents; the caller chooses one, which need not be the last.
+    bool isKnown = note.agent == agent || std::find(note.others.begin(), note.others.end(), agent) != note.others.end();
+    if (!isKnown && note.others.size() >= maxHoldersOfFlow)
+        return false;
+    if (!isKnown)
+        note.others.push_back(agent);
+    return true;
+}
+
 void InventoryRecords::takeNumber(Record& record, const HolderMessage& message)
 {
     bool isSame = record.incarnation == message.incarnation && record.stream == message.stream;
@@ -197,10 +213,14 @@
         m_records.erase(found);
 }
 
-std::optional<Endpoint> InventoryRecords::holderOf(const FlowTuple& flow) const
+std::vector<Endpoint> InventoryRecords::holdersOf(const FlowTuple& flow) const
 {
     auto found = m_holders.find(flow);
-    return found == m_holders.end() ? std::nullopt : std::optional(found->second.agent);
+    if (found == m_holders.end())
+        return {};
+    std::vector<Endpoint> holders { found->second.agent };
+    holders.insert(holders.end(), found->second.others.begin(), found->second.others.end());
+    return holders;
 }
 
 InventoryWord InventoryRecords::wordOn(Endpoint agent, const FlowTuple& flow, TimePoint now) const
--- a/src/transit_inventory_base.h
+++ b/src/transit_inventory_base.h
@@ -103,8 +103,8 @@
     /** Forgets what an agent told before its process started again. */
     void noteRestart(Endpoint agent, std::uint64_t incarnation);
 
-    /** @return Agent that holds the flow as far as it is known. */
-    std::optional<Endpoint> holderOf(const FlowTuple& flow) const;
+    /** @return Agents that may hold the flow; several when their targets answered copies of one opening packet. */
+    std::vector<Endpoint> holdersOf(const FlowTuple& flow) const;
 
     /** @return What is known about a flow that the agent did not name. */
     InventoryWord wordOn(Endpoint agent, const FlowTuple& flow, TimePoint now) const;
@@ -134,9 +134,11 @@
     };
     struct Note {
         Endpoint agent;
+        std::vector<Endpoint> others; ///< Empty for nearly all flows.
         TimePoint notedAt;
     };
 
+    bool noteHolder(const FlowTuple& flow, Endpoint agent, TimePoint now);
     static void takeNumber(Record& record, const HolderMessage& message);
 
     std::unordered_map<Endpoint, Record> m_records;
--- a/tests/transit_inventory_test.cpp
+++ b/tests/transit_inventory_test.cpp
@@ -49,7 +49,7 @@
     CHECK(pair.word(flowOf(1)) == InventoryWord::Doubtful);
     CHECK_FALSE(pair.deliver(pair.streams.lists({ flowOf(1) }, whole, pair.at)));
     CHECK(pair.word(flowOf(2)) == InventoryWord::Certain);
-    CHECK(pair.records.holderOf(flowOf(1)) == teller);
+    CHECK(pair.records.holdersOf(flowOf(1)) == std::vector { teller });
 
     SECTION("a note that was lost is noticed by the next one, and all is told again")
     {
@@ -58,7 +58,7 @@
         CHECK(pair.word(flowOf(3)) == InventoryWord::Doubtful);
         pair.streams.restart(pair.locator);
         CHECK_FALSE(pair.deliver(pair.streams.lists({ flowOf(1), flowOf(3), flowOf(4) }, whole, pair.at)));
-        CHECK(pair.records.holderOf(flowOf(3)) == teller);
+        CHECK(pair.records.holdersOf(flowOf(3)) == std::vector { teller });
         CHECK(pair.word(flowOf(5)) == InventoryWord::Certain);
     }
     SECTION("or by the confirmation that follows it, which guards against a flow that nobody knows")
--- a/tests/transit_lost_test.cpp
+++ b/tests/transit_lost_test.cpp
@@ -329,3 +329,32 @@
         CHECK(fleet.caller(lost).resetAt);
     }
 }
+
+TEST_CASE("A flow that two targets answered is found at the one that the caller chose", "[transit]")
+{
+    Fleet fleet(40);
+    fleet.run(seconds(10)); // All have heard of each other, so that nobody tells its flows again.
+    FlowTuple flow = flowOf(5);
+    std::uint32_t holder = fleet.open(fleet.balancers[0], flow);
+    REQUIRE(holder);
+    fleet.sendRequest(fleet.balancers[0], flow);
+    fleet.run(milliseconds(50));
+    // A copy of the opening packet reached other agents late; they tell the locators as well.
+    for (Endpoint other : { fleet.agents[20], fleet.agents[30], fleet.agents[35] }) {
+        if (other.address == holder)
+            continue;
+        TransitEffects effects;
+        ForwardMessage copy { .replyTo = fleet.balancers[1],
+            .service = "web",
+            .packet = { .flow = flow, .flags = { .isOpening = true }, .acknowledged = 1 } };
+        fleet.agent(other).onMessage(fleet.balancers[1], { Revision(1), copy }, fleet.now(), effects);
+        fleet.carryOutFor(other, effects);
+        fleet.run(milliseconds(5));
+    }
+    fleet.restart(fleet.balancers[0]);
+    fleet.run(milliseconds(500));
+    fleet.sendRequest(fleet.balancers[0], flow, 2);
+    fleet.run(milliseconds(300));
+    CHECK_FALSE(fleet.caller(flow).resetAt);
+    CHECK(fleet.caller(flow).answers == 2);
+}
