Tell locators all flows again before they forget them

Cause, found by reading: a locator keeps a note for 60 s, and an agent tells of a flow once. After that the locator would vouch that nobody holds a flow that is still in use, and a balancer that had to ask would reset it. Change: streams begin again after 30 s, with all flows. An agent whose table is full does not claim to know all flows. Test: a flow in use for 70 s is found after its balancer restarted; without the change it is reset.

--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -133,6 +133,8 @@
 inline constexpr Duration askerLifetime = seconds(1); ///< Time for which a flow's asker is remembered.
 inline constexpr Duration endedFlowTime = seconds(10); ///< Ended flows are remembered while late packets may come.
 inline constexpr std::size_t maxHeldFlows = 20000; ///< Flows that one agent remembers.
+inline constexpr Duration noteLifetime
+    = seconds(60); ///< A locator forgets notes after it; agents tell all flows again after half of it.
 inline constexpr std::size_t maxHoldersOfFlow
     = 10; ///< Agents noted for one flow beside the first: those of an opening packet and its two copies.
 inline constexpr std::size_t maxNotedFlows = 100000; ///< Flows of other agents that one agent remembers.
--- a/src/transit_agent_locator.cpp
+++ b/src/transit_agent_locator.cpp
@@ -157,6 +157,8 @@
 void TransitAgent::tickLocator(TimePoint now, TransitEffects& effects)
 {
     vouch(now, effects);
+    m_streams.renew(now);
+    sendLists(now, effects);
     sendNotes(m_streams.confirm(inventoryClaim(), now), effects);
 }
 
--- a/src/transit_agent_target.cpp
+++ b/src/transit_agent_target.cpp
@@ -75,8 +75,10 @@
 
 void TransitAgent::learnFlow(const TransitPacket& packet, TimePoint now, TransitEffects& effects)
 {
-    if (m_flows.size() >= maxHeldFlows)
+    if (m_flows.size() >= maxHeldFlows) {
+        m_knowsAllFlows = false;
         return;
+    }
     HeldFlow& held = m_flows[packet.flow];
     held.state = packet.flags.isOpening ? FlowState::Answered : FlowState::Open;
     if (held.state == FlowState::Open) {
--- a/src/transit_inventory.cpp
+++ b/src/transit_inventory.cpp
@@ -52,6 +52,14 @@
     found->second.needsList = true;
 }
 
+void InventoryStreams::renew(TimePoint now)
+{
+    for (auto& [locator, stream] : m_streams) {
+        if (!stream.needsList && now >= stream.listedAt + noteLifetime / 2)
+            restart(locator);
+    }
+}
+
 bool InventoryStreams::needsLists() const
 {
     return std::any_of(m_streams.begin(), m_streams.end(), [](const auto& entry) { return entry.second.needsList; });
@@ -72,6 +80,7 @@
         stream.sequence = 0;
         stream.taken = 0;
         stream.notedAt = now;
+        stream.listedAt = now;
         stream.confirmAt = now + confirmAfterNote;
         // The first message says that a stream begins, also when there are no flows.
         for (std::size_t at = 0; at == 0 || at < flows.size(); at += flowsPerNote) {
@@ -255,8 +264,8 @@
 
 void InventoryRecords::expire(TimePoint now)
 {
-    std::erase_if(m_holders, [&](const auto& entry) { return now >= entry.second.notedAt + flowLifetime; });
-    std::erase_if(m_records, [&](const auto& entry) { return now >= entry.second.heardAt + flowLifetime; });
+    std::erase_if(m_holders, [&](const auto& entry) { return now >= entry.second.notedAt + noteLifetime; });
+    std::erase_if(m_records, [&](const auto& entry) { return now >= entry.second.heardAt + noteLifetime; });
 }
 
 } // namespace hawthorncroft
--- a/src/transit_inventory_base.h
+++ b/src/transit_inventory_base.h
@@ -55,6 +55,9 @@
     /** Starts the stream to a locator again, which has lost what it was told. */
     void restart(std::uint32_t locator);
 
+    /** Starts streams again whose notes locators are about to forget. */
+    void renew(TimePoint now);
+
     /** @return Whether a stream has to begin with a list of all flows. */
     bool needsLists() const;
 
@@ -76,6 +79,7 @@
         std::uint32_t sequence {}; ///< Of the last message with flows.
         std::uint32_t taken {}; ///< The locator has everything up to this number.
         TimePoint notedAt; ///< When the last note was sent.
+        TimePoint listedAt; ///< When all flows were told.
         std::vector<std::uint32_t> shards;
         TimePoint confirmAt;
         bool needsList { true };
--- a/tests/transit_lost_test.cpp
+++ b/tests/transit_lost_test.cpp
@@ -358,3 +358,23 @@
     CHECK_FALSE(fleet.caller(flow).resetAt);
     CHECK(fleet.caller(flow).answers == 2);
 }
+
+TEST_CASE("A flow that lives longer than a locator keeps notes is still found", "[transit]")
+{
+    Fleet fleet(12);
+    FlowTuple flow = flowOf(5);
+    std::uint32_t holder = fleet.open(fleet.balancers[0], flow);
+    REQUIRE(holder);
+    std::uint32_t sequence = 1;
+    for (TimePoint end = fleet.now() + noteLifetime + seconds(10); fleet.now() < end;) {
+        fleet.sendRequest(fleet.balancers[0], flow, sequence++);
+        fleet.run(seconds(5));
+    }
+    std::size_t answers = fleet.caller(flow).answers;
+    fleet.restart(fleet.balancers[0]);
+    fleet.run(milliseconds(500));
+    fleet.sendRequest(fleet.balancers[0], flow, sequence);
+    fleet.run(milliseconds(300));
+    CHECK_FALSE(fleet.caller(flow).resetAt);
+    CHECK(fleet.caller(flow).answers == answers + 1);
+}
