Look at agents only while flows are located, and keep a probe that cannot open a socket from ending the process

Each tick of a balancer listed and sorted all agents, also without a question. Opening the probe's socket could throw without descriptors; it is logged now. A check that a holder is registered repeated what the list of agents has.

--- a/src/transit_agent_base.h
+++ b/src/transit_agent_base.h
@@ -116,7 +116,6 @@
     InventoryClaim inventoryClaim() const;
     std::set<std::string_view> heardDomains(TimePoint now) const;
     VouchMessage wordOn(const FlowTuple& flow, TimePoint now) const;
-    bool mayStillHold(Endpoint holder, TimePoint now) const;
     void vouchLater(const ForwardMessage& question, TimePoint now, TransitEffects& effects);
     void vouch(TimePoint now, TransitEffects& effects);
     void tickLocator(TimePoint now, TransitEffects& effects);
--- a/src/transit_agent_locator.cpp
+++ b/src/transit_agent_locator.cpp
@@ -87,7 +87,8 @@
     std::set<Endpoint> holders;
     for (Endpoint holder : m_records.holdersOf(flow)) {
         holders.insert(holder);
-        if (mayStillHold(holder, now))
+        // One whose target's entry lapsed, and that is not heard any more, is gone.
+        if (m_records.wasHeardWithin(holder, memberLifetime, now))
             agents.insert(holder);
     }
     VouchMessage word { .flows = {}, .agentsDigest = m_locators.digest(), .doubtful = {}, .silent = {} };
@@ -105,15 +106,6 @@
     return word;
 }
 
-bool TransitAgent::mayStillHold(Endpoint holder, TimePoint now) const
-{
-    // The entry of a target that is gone lapses, and its agent is not heard any more.
-    const auto& targets = m_fleet.view().targets();
-    auto found = targets.lower_bound({ holder.address, 0 });
-    bool isRegistered = found != targets.end() && found->first.address == holder.address;
-    return isRegistered || m_records.wasHeardWithin(holder, memberLifetime, now);
-}
-
 void TransitAgent::vouchLater(const ForwardMessage& question, TimePoint now, TransitEffects& effects)
 {
     if (m_vouches.size() >= maxLocates) {
--- a/src/transit_balancer_locate.cpp
+++ b/src/transit_balancer_locate.cpp
@@ -328,6 +328,9 @@
 
 void TransitBalancer::tickLocates(TimePoint now, TransitEffects& effects)
 {
+    m_promptQuestions = 0;
+    if (m_locates.empty())
+        return; // The usual case, without looking at all agents.
     Duration patience = asksDirectly(now) ? locateBroadcastAfter : vouchWait;
     std::vector<FlowTuple> narrowed;
     for (auto entry = m_locates.begin(); entry != m_locates.end();) {
@@ -350,7 +353,6 @@
     }
     for (const auto& flow : narrowed)
         considerWords(flow, now, effects);
-    m_promptQuestions = 0;
     sendQuestions(now, effects);
 }
 
--- a/src/transit_shell.cpp
+++ b/src/transit_shell.cpp
@@ -200,7 +200,12 @@
 {
     if (m_probe.is_open())
         return; // One is under way.
-    m_probe.open(boost::asio::ip::tcp::v4());
+    boost::system::error_code fault;
+    m_probe.open(boost::asio::ip::tcp::v4(), fault);
+    if (fault) {
+        log({ "target_probed", { { "outcome", fault.message() } } });
+        return;
+    }
     m_probeTimer.expires_after(std::chrono::microseconds(probeTimeout.us));
     m_probeTimer.async_wait([this](boost::system::error_code error) {
         if (!error)
