Keep requests in order when an agent's queue is full

Cause: TransitQueue::push refused at 512 requests, and the caller of it then passed the request straight to the target, past everything that waited. The target's own queue is first in, first out and sheds when it is full, so that throughput in time collapsed under a constant load.

Change: the capacity of the queue follows from what the target answers within the timeout. A full queue evicts the request with the least chance to be answered. A retransmission of an evicted request keeps its age. Packets that follow a queued request wait behind it; a reset by the caller discards it, since nobody waits for the answer. The age of a first request counts from the opening of its flow only when its data follows at once.

--- a/bench/transit_policy_bench.cpp
+++ b/bench/transit_policy_bench.cpp
@@ -27,6 +27,7 @@
 constexpr double serviceSpread = 0.5;
 constexpr Duration objective = milliseconds(120);
 constexpr Duration timeBudget = seconds(2);
+constexpr std::size_t queueCapacity = slots * timeBudget.us / meanService.us;
 constexpr Duration messageDelay = milliseconds(1); ///< Network delay between processes.
 constexpr Duration callerRoundTripDelay
     = milliseconds(7); ///< Network delays from and to the caller, in addition to messageDelay.
@@ -195,7 +196,7 @@
         if (target.running < slots)
             start(index, request);
         else if (isNewestFirst)
-            target.queue.push(request);
+            target.queue.push(request, queueCapacity, now);
         else
             target.fifoQueue.push_back(request);
     }
--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -228,6 +228,7 @@
     tests/transit_flow_test.cpp
     tests/transit_inventory_test.cpp
     tests/transit_load_test.cpp
+    tests/transit_overload_test.cpp
     tests/transit_lost_test.cpp
     tests/transit_reports_test.cpp
     tests/transit_rotation_test.cpp
--- a/src/ctl_explain_log.cpp
+++ b/src/ctl_explain_log.cpp
@@ -42,7 +42,7 @@
     };
 
     /** Events that decide the outcome of a flow. The last line of a flow with one of these events is the cause. */
-    constexpr std::array<Cause, 13> causes { {
+    constexpr std::array<Cause, 14> causes { {
         { "request_answered", "the target answered; what came later was lost on the way to the caller" },
         { "flow_refused", "refused before it ran; the line gives the reason" },
         { "request_reset", "the target reset the flow while the request was under way" },
@@ -52,6 +52,7 @@
             "a balancer that did not know the flow asked, and the agents named as silent did not answer" },
         { "locate_incomplete", "no agent holds the flow, but not all could be asked, so that nothing was reset" },
         { "request_expired", "the request waited for a slot until its time budget was used up" },
+        { "request_evicted", "the queue was full, and the request had the least chance to be answered" },
         { "request_queued", "the request waits for a slot at the agent" },
         { "packet_returned", "the target returned a packet: it no longer held the flow" },
         { "request_started", "the target got the request and no answer of it was seen: it ended or does not respond" },
--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -197,8 +197,10 @@
 inline constexpr std::size_t maxHoldersOfFlow = 10;
 inline constexpr std::size_t maxHolderEntries = 100000; ///< Flows of other agents that one locator remembers.
 inline constexpr Duration flowLifetime = seconds(60); ///< Age from which a flow may be discarded.
-/** Requests that wait for a slot; far more than can be answered in time. */
-inline constexpr std::size_t maxQueuedRequests = 512;
+/** Bounds of the number of requests that wait for a slot, which follows from what a target answers within the timeout.
+ * The upper one bounds the memory of an agent; a waiting request is one packet in most cases. */
+inline constexpr std::size_t minQueueCapacity = 16;
+inline constexpr std::size_t maxQueueCapacity = 4096;
 /** Consecutive reset requests after which a target counts as faulty. Single resets come from flows that were idle for
  * too long. */
 inline constexpr std::uint32_t faultyTargetResets = 3;
--- a/src/table/transit_names.h
+++ b/src/table/transit_names.h
@@ -64,6 +64,8 @@
     "locates_unanswered",
     "packets_dropped",
     "requests_queued",
+    "requests_evicted",
+    "requests_expired",
     "packets_returned",
     "no_route",
     "malformed",
--- a/src/transit_agent_base.h
+++ b/src/transit_agent_base.h
@@ -77,6 +77,8 @@
         TimePoint startedAt; ///< Estimated time at which the caller sent its first opening packet.
         bool isFirstRequest {}; ///< No request was seen since this agent opened the flow; the first one counts from
                                 ///< startedAt.
+        std::uint32_t queuedSequence {}; ///< First sequence number of the last request that was queued.
+        std::optional<TimePoint> queuedStartedAt; ///< Estimated start of that request; none before the first one.
         std::vector<ForwardMessage> queuedPackets; ///< Packets of a request in the queue.
         bool isAwaitingFirstRequest {}; ///< Counted in m_awaitingFirstRequest.
         bool isAnnounced {}; ///< An update with this flow was sent to the locators.
@@ -139,7 +141,11 @@
     void deliverOrQueue(HeldFlow& flow, ForwardMessage forward, TimePoint now, TransitEffects& effects);
     bool hasFreeSlot(TimePoint now) const;
     Duration meanStartInterval() const;
+    std::size_t queueCapacity(Duration timeout) const;
+    static TimePoint estimateRequestStart(const HeldFlow& flow, const TransitPacket& packet, TimePoint now);
+    static void appendToQueued(HeldFlow& flow, ForwardMessage forward);
     bool queueRequest(HeldFlow& flow, ForwardMessage& forward, TimePoint now, TransitEffects& effects);
+    void evictRequest(const WaitingRequest& request, TransitEffects& effects);
     void releaseRequests(TimePoint now, TransitEffects& effects);
     void dropExpiredRequest(const WaitingRequest& request, TimePoint now, TransitEffects& effects);
     void releaseRequest(const WaitingRequest& request, TimePoint now, TransitEffects& effects);
--- a/src/transit_agent_queue.cpp
+++ b/src/transit_agent_queue.cpp
@@ -9,15 +9,14 @@
 void TransitAgent::deliverOrQueue(HeldFlow& flow, ForwardMessage forward, TimePoint now, TransitEffects& effects)
 {
     flow.usedAt = now;
-    bool isEnding = forward.packet.flags.isReset || forward.packet.flags.isFinal;
-    if (isEnding && !flow.queuedPackets.empty()) {
-        // The caller closes the flow. Queued packets are delivered first, so that the target receives the flow in
-        // order.
-        auto queuedPackets = std::move(flow.queuedPackets);
+    if (!flow.queuedPackets.empty() && forward.packet.flags.isReset) {
+        // The caller gave up, so the request is not run.
         flow.queuedPackets.clear();
         m_queue.remove(forward.packet.flow);
-        for (auto& earlier : queuedPackets)
-            deliverToTarget(earlier, effects);
+    }
+    if (!flow.queuedPackets.empty()) {
+        appendToQueued(flow, std::move(forward)); // The target receives the flow in order.
+        return;
     }
     bool startsRequest = forward.packet.dataSize && !flow.requestAt && flow.state == FlowState::Open;
     if (startsRequest && queueRequest(flow, forward, now, effects))
@@ -40,27 +39,55 @@
     return m_serviceTimes.mean() / std::max<std::uint32_t>(load().slots, 1);
 }
 
+std::size_t TransitAgent::queueCapacity(Duration timeout) const
+{
+    Duration interval = meanStartInterval();
+    if (!interval.us)
+        interval = initialServiceTime / std::max<std::uint32_t>(load().slots, 1);
+    auto startedWithinTimeout = static_cast<std::size_t>(timeout.us / std::max<std::int64_t>(interval.us, 1));
+    return std::clamp(startedWithinTimeout, minQueueCapacity, maxQueueCapacity);
+}
+
+TimePoint TransitAgent::estimateRequestStart(const HeldFlow& flow, const TransitPacket& packet, TimePoint now)
+{
+    bool isRetransmission = flow.queuedStartedAt && flow.queuedSequence == packet.sequence;
+    if (isRetransmission)
+        return *flow.queuedStartedAt;
+    // A caller sends its request as soon as the flow is open. If the data comes later than a retransmission would, the
+    // flow was opened in advance.
+    bool wasOpenedForRequest
+        = flow.isFirstRequest && now < flow.startedAt + secondRetransmissionAge + firstRetransmissionAge;
+    return wasOpenedForRequest ? flow.startedAt : now;
+}
+
+void TransitAgent::appendToQueued(HeldFlow& flow, ForwardMessage forward)
+{
+    bool isRetransmission = std::any_of(
+        flow.queuedPackets.begin(), flow.queuedPackets.end(), [&](const ForwardMessage& earlier) {
+            return earlier.packet.sequence == forward.packet.sequence
+                && earlier.packet.dataSize == forward.packet.dataSize
+                && earlier.packet.flags.isFinal == forward.packet.flags.isFinal;
+        });
+    if (!isRetransmission && flow.queuedPackets.size() < maxPacketsPerLocate)
+        flow.queuedPackets.push_back(std::move(forward));
+}
+
 bool TransitAgent::queueRequest(HeldFlow& flow, ForwardMessage& forward, TimePoint now, TransitEffects& effects)
 {
-    if (!flow.queuedPackets.empty()) {
-        bool isRetransmission = std::any_of(flow.queuedPackets.begin(), flow.queuedPackets.end(),
-            [&](const ForwardMessage& earlier) { return earlier.packet.sequence == forward.packet.sequence; });
-        if (!isRetransmission && flow.queuedPackets.size() < maxPacketsPerLocate)
-            flow.queuedPackets.push_back(std::move(forward));
-        return true;
-    }
     if (m_queue.empty() && hasFreeSlot(now))
         return false;
     const RouteRecord* route = m_fleet.view().routeAt(forward.packet.flow.service);
-    WaitingRequest request { .flow = forward.packet.flow, .startedAt = flow.isFirstRequest ? flow.startedAt : now };
+    WaitingRequest request { .flow = forward.packet.flow,
+        .startedAt = estimateRequestStart(flow, forward.packet, now) };
     request.serviceTime = m_serviceTimes.expected(request.flow.service);
     if (route) {
         request.priority = route->priority;
         request.latencyObjective = route->latencyObjective;
         request.timeout = route->timeout;
     }
-    if (!m_queue.push(request))
-        return false;
+    flow.isFirstRequest = false;
+    flow.queuedSequence = forward.packet.sequence;
+    flow.queuedStartedAt = request.startedAt;
     effects.push_back(CountEvent { TransitCounter::RequestsQueued });
     effects.push_back(WriteLog { "request_queued",
         { { "request", forward.packet.requestId }, { "flow", toString(request.flow.caller) },
@@ -71,9 +98,24 @@
             { "route_revision",
                 static_cast<std::int64_t>(m_fleet.view().routeRevisionAt(request.flow.service).value) } } });
     flow.queuedPackets.push_back(std::move(forward));
+    if (auto evicted = m_queue.push(request, queueCapacity(request.timeout), now))
+        evictRequest(*evicted, effects);
     return true;
 }
 
+void TransitAgent::evictRequest(const WaitingRequest& request, TransitEffects& effects)
+{
+    auto found = m_flows.find(request.flow);
+    if (found == m_flows.end())
+        return;
+    effects.push_back(CountEvent { TransitCounter::RequestsEvicted });
+    effects.push_back(WriteLog { "request_evicted",
+        { { "flow", toString(request.flow.caller) }, { "to", toString(request.flow.service) },
+            { "target", m_targetId }, { "priority", static_cast<std::int64_t>(request.priority) },
+            { "busy", static_cast<std::int64_t>(m_busy) }, { "queued", static_cast<std::int64_t>(m_queue.size()) } } });
+    found->second.queuedPackets.clear(); // Queued again when the caller retransmits it.
+}
+
 void TransitAgent::releaseRequests(TimePoint now, TransitEffects& effects)
 {
     while (auto expired = m_queue.popExpired(now))
@@ -91,6 +133,7 @@
         return;
     auto queuedPackets = std::move(found->second.queuedPackets);
     found->second.queuedPackets.clear(); // The caller's timeout has passed, so it does not retransmit.
+    effects.push_back(CountEvent { TransitCounter::RequestsExpired });
     effects.push_back(WriteLog { "request_expired",
         { { "request", queuedPackets.empty() ? std::string() : queuedPackets.front().packet.requestId },
             { "flow", toString(request.flow.caller) }, { "to", toString(request.flow.service) },
--- a/src/transit_agent_target.cpp
+++ b/src/transit_agent_target.cpp
@@ -173,8 +173,10 @@
 
 void TransitAgent::endFlowIfClosed(HeldFlow& flow, const TransitPacket& last)
 {
-    if (last.flags.isReset || (flow.hasTargetEnded && flow.hasCallerEnded))
-        endFlow(flow);
+    if (!last.flags.isReset && !(flow.hasTargetEnded && flow.hasCallerEnded))
+        return;
+    m_queue.remove(last.flow);
+    endFlow(flow);
 }
 
 void TransitAgent::endRequest(HeldFlow& flow)
--- a/src/transit_effect_type.h
+++ b/src/transit_effect_type.h
@@ -79,6 +79,8 @@
     LocatesUnanswered, ///< Not every agent answered in time; the caller gets no reset.
     PacketsDropped, ///< A bounded queue was full or a packet waited too long.
     RequestsQueued, ///< Requests that waited for a slot of the target.
+    RequestsEvicted, ///< Requests removed from a full queue; the caller gets no reset, and may retransmit.
+    RequestsExpired, ///< Requests that waited until their timeout.
     PacketsReturned, ///< Returned by the target.
     NoRoute,
     Malformed,
--- a/src/transit_queue.cpp
+++ b/src/transit_queue.cpp
@@ -36,14 +36,26 @@
         return std::tuple(a.priority, a.startedAt + a.timeout) < std::tuple(b.priority, b.startedAt + b.timeout);
     }
 
+    bool isEvictedBefore(const WaitingRequest& a, const WaitingRequest& b, TimePoint now)
+    {
+        auto rank = [now](const WaitingRequest& request) {
+            return std::tuple(-request.priority, isInTime(request, now), request.startedAt + request.timeout);
+        };
+        return rank(a) < rank(b);
+    }
+
 }
 
-bool TransitQueue::push(const WaitingRequest& request)
+std::optional<WaitingRequest> TransitQueue::push(const WaitingRequest& request, std::size_t capacity, TimePoint now)
 {
-    if (m_requests.size() >= maxQueuedRequests)
-        return false;
     m_requests.push_back(request);
-    return true;
+    if (m_requests.size() <= capacity)
+        return std::nullopt;
+    auto worst = std::min_element(m_requests.begin(), m_requests.end(),
+        [&](const WaitingRequest& a, const WaitingRequest& b) { return isEvictedBefore(a, b, now); });
+    WaitingRequest evicted = *worst;
+    m_requests.erase(worst);
+    return evicted;
 }
 
 std::optional<WaitingRequest> TransitQueue::pop(TimePoint now, Duration meanStartInterval)
--- a/src/transit_queue_base.h
+++ b/src/transit_queue_base.h
@@ -29,8 +29,13 @@
 /** Queue of requests, at most one for each flow. Pure. */
 class TransitQueue {
 public:
-    /** Adds a request. @return Whether it was added; false when the queue is full. */
-    bool push(const WaitingRequest& request);
+    /**
+     * Adds a request. When the queue is full, one request is evicted: the one of the lowest priority, late before in
+     * time, that has the least time left.
+     * @param capacity Maximum number of requests in the queue, at least one.
+     * @return The evicted request, which can be the new one; none when the queue was not full.
+     */
+    std::optional<WaitingRequest> push(const WaitingRequest& request, std::size_t capacity, TimePoint now);
 
     /**
      * Removes the request to release next.
@@ -53,7 +58,7 @@
     bool canAllBeInTime(std::uint8_t priority, TimePoint now, Duration meanStartInterval) const;
 
     std::vector<WaitingRequest>
-        m_requests; ///< Unsorted: the order depends on the time of the call; at most a few hundred.
+        m_requests; ///< Unsorted: the order depends on the time of the call; at most some hundred.
 };
 
 } // namespace hawthorncroft
--- /dev/null
+++ b/tests/transit_overload_test.cpp
@@ -0,0 +1,122 @@
+#include "transit_fixture.h"
+
+#include "table/transit_limits.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hawthorncroft;
+using namespace hawthorncroft::tests;
+
+namespace {
+
+constexpr std::uint32_t slots = 20;
+constexpr Duration serviceTime = milliseconds(40);
+constexpr Duration objective = milliseconds(120); ///< Of routeTo().
+constexpr Duration window = milliseconds(500);
+constexpr std::size_t servedInWindow = slots * window.us / serviceTime.us;
+
+/** One target with many slots, under a constant load of callers that reuse a flow once it has its answer. */
+struct OverloadedTarget : Fleet {
+    struct Request {
+        FlowTuple flow;
+        TimePoint sentAt;
+        std::size_t answersBefore {}; ///< Answers on the flow when the request was sent.
+    };
+
+    std::vector<Request> pending;
+    std::vector<FlowTuple> idleFlows;
+    std::map<std::int64_t, std::size_t> inTimeByWindow; ///< Requests answered in time, by the window of their start.
+    TimePoint startedAt;
+    std::uint32_t lastFlow {};
+
+    OverloadedTarget()
+        : Fleet(1)
+    {
+        TargetRecord record = targetRecord(agents[0].address, "wide");
+        record.slots = slots;
+        restartTarget(agents[0].address, record.id);
+        server().slots = slots;
+        server().serviceTime = serviceTime;
+        writeTarget(record);
+        run(milliseconds(300));
+    }
+
+    FakeTransitTarget& server() { return target(agents[0].address); }
+    Endpoint balancerOf(const FlowTuple& flow) { return balancers[flow.caller.address % balancers.size()]; }
+
+    /** Offers a multiple of the capacity for a while. */
+    void offer(std::size_t timesCapacity, Duration time)
+    {
+        constexpr Duration step = milliseconds(5);
+        startedAt = now();
+        std::size_t perStep = timesCapacity * slots * step.us / serviceTime.us;
+        while (now() < startedAt + time) {
+            std::vector<FlowTuple> flows;
+            while (flows.size() < perStep)
+                flows.push_back(takeFlow());
+            run(step);
+            for (const FlowTuple& flow : flows)
+                send(flow);
+            collectAnswers();
+        }
+        run(milliseconds(300));
+        collectAnswers();
+    }
+
+private:
+    FlowTuple takeFlow()
+    {
+        if (idleFlows.empty()) {
+            FlowTuple flow = flowOf(++lastFlow);
+            sendOpen(balancerOf(flow), flow);
+            return flow;
+        }
+        FlowTuple flow = idleFlows.back();
+        idleFlows.pop_back();
+        return flow;
+    }
+
+    void send(const FlowTuple& flow)
+    {
+        if (!caller(flow).openedAt)
+            return;
+        std::size_t answers = caller(flow).answers;
+        pending.push_back({ flow, now(), answers });
+        sendRequest(balancerOf(flow), flow, 1 + static_cast<std::uint32_t>(answers));
+    }
+
+    void collectAnswers()
+    {
+        std::erase_if(pending, [&](const Request& request) {
+            const CallerState& state = caller(request.flow);
+            std::size_t& inTime = inTimeByWindow[(request.sentAt - startedAt).us / window.us];
+            if (state.answers == request.answersBefore)
+                return false;
+            inTime += *state.answeredAt - request.sentAt <= objective;
+            idleFlows.push_back(request.flow);
+            return true;
+        });
+    }
+};
+
+}
+
+TEST_CASE("A constant load beyond the capacity does not reduce the throughput in time", "[transit]")
+{
+    OverloadedTarget fleet;
+
+    for (std::size_t timesCapacity : { 2, 4 }) {
+        SECTION("at " + std::to_string(timesCapacity)
+            + " times the capacity, requests pass neither the queue nor its bound, which guards against a throughput in "
+              "time that collapses when the queue is full")
+        {
+            fleet.offer(timesCapacity, seconds(5));
+            REQUIRE(fleet.inTimeByWindow.size() == 10);
+            for (const auto& [index, count] : fleet.inTimeByWindow) {
+                INFO("window " << index);
+                CHECK(count >= servedInWindow * 9 / 10);
+            }
+            CHECK(fleet.server().longestQueue <= slotOversubscription);
+        }
+    }
+}
--- a/tests/transit_sim.cpp
+++ b/tests/transit_sim.cpp
@@ -405,6 +405,7 @@
     if (target.receivedRequests.emplace(packet.flow, packet.sequence).second)
         target.queue.push_back(packet.flow);
     startNext(address);
+    target.longestQueue = std::max(target.longestQueue, target.queue.size());
 }
 
 void TransitSim::startNext(std::uint32_t address)
--- a/tests/transit_sim.h
+++ b/tests/transit_sim.h
@@ -34,6 +34,7 @@
     std::set<std::pair<FlowTuple, std::uint32_t>> receivedRequests; ///< By sequence number; retransmissions count once.
     std::size_t deliveredPackets {}; ///< Packets with data that arrived, including retransmissions.
     std::vector<FlowTuple> queue; ///< FIFO queue of requests that wait for a slot.
+    std::size_t longestQueue {}; ///< Maximum length of that queue.
     std::uint32_t running {};
     std::vector<std::pair<TimePoint, FlowTuple>> opened; ///< Accepted flows, with the time of the opening packet.
     std::vector<std::pair<TimePoint, FlowTuple>> started; ///< Requests that got a slot, with their time.
