Ask a busy target about unknown flows one slot at a time

Cause: an agent that restarts beside a running target passes data of unknown flows to the target, which alone knows whether it holds them.

Change: such data takes a slot until the target answers or returns it, and waits while no slot is free. The queue and the unknown flows take turns.

Ruled out: the first view arrives within 10 ms of the start, so that unknown slots play no part.

The new test in tests/transit_overload_test.cpp fails before: 324 requests in the target's own queue.

--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -114,6 +114,7 @@
     src/transit_agent_message.cpp
     src/transit_agent_probe.cpp
     src/transit_agent_queue.cpp
+    src/transit_agent_unknown.cpp
     src/transit_agent_target.cpp
     src/transit_balancer_cmd.cpp
     src/transit_balancer_locate.cpp
--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -201,6 +201,8 @@
  * The upper one bounds the memory of an agent; a waiting request is one packet in most cases. */
 inline constexpr std::size_t minQueueCapacity = 16;
 inline constexpr std::size_t maxQueueCapacity = 4096;
+/** Flows that only the target knows, with data that waits for a slot. Their callers and balancers repeat the data. */
+inline constexpr std::size_t maxUnknownRequests = 256;
 /** Consecutive reset requests after which a target counts as faulty. Single resets come from flows that were idle for
  * too long. */
 inline constexpr std::uint32_t faultyTargetResets = 3;
--- a/src/transit_agent_base.h
+++ b/src/transit_agent_base.h
@@ -96,6 +96,7 @@
     struct FlowQuery {
         Endpoint balancer;
         TimePoint expiresAt;
+        bool mayBeRequest {}; ///< Counted in m_askedRequests.
     };
 
     // Messages; in transit_agent_message.cpp.
@@ -137,11 +138,19 @@
     void tickProbe(TimePoint now, TransitEffects& effects);
     void endAllFlows(TransitEffects& effects);
 
+    // Packets of flows that only the target knows; in transit_agent_unknown.cpp.
+    void askTarget(ForwardMessage forward, TimePoint now, TransitEffects& effects);
+    void queueUnknown(ForwardMessage forward, TimePoint now, TransitEffects& effects);
+    void deliverUnknown(ForwardMessage forward, TimePoint now, TransitEffects& effects);
+    void releaseUnknown(TimePoint now, TransitEffects& effects);
+    std::optional<Endpoint> takeFlowQuery(const FlowTuple& flow);
+
     // Requests that wait for a slot; in transit_agent_queue.cpp.
     void deliverOrQueue(HeldFlow& flow, ForwardMessage forward, TimePoint now, TransitEffects& effects);
     bool hasFreeSlot(TimePoint now) const;
     Duration meanStartInterval() const;
     std::size_t queueCapacity(Duration timeout) const;
+    WaitingRequest waitingRequest(const FlowTuple& flow, TimePoint startedAt) const;
     static TimePoint estimateRequestStart(const HeldFlow& flow, const TransitPacket& packet, TimePoint now);
     static void appendToQueued(HeldFlow& flow, ForwardMessage forward);
     bool queueRequest(HeldFlow& flow, ForwardMessage& forward, TimePoint now, TransitEffects& effects);
@@ -174,6 +183,7 @@
     std::deque<std::pair<TimePoint, FlowTuple>> m_openTimers;
     std::deque<std::pair<TimePoint, FlowTuple>> m_firstRequestTimers;
     std::unordered_map<FlowTuple, FlowQuery> m_flowQueries;
+    std::uint32_t m_askedRequests {}; ///< Flow queries with data, which the target runs if it holds the flow.
     InventoryStreams m_streams; ///< Inventory updates that this agent sends to its locators.
     InventoryRecords m_records; ///< Inventories that this agent received as a locator.
     struct PendingAbsenceReport {
@@ -195,6 +205,10 @@
     std::unordered_map<Endpoint, std::vector<FlowTuple>> m_notHeld; ///< Replies to locating balancers, sent in batches.
     std::uint32_t m_immediateReplies {}; ///< Replies sent since the last tick without batching.
     TransitQueue m_queue;
+    TransitQueue m_unknownQueue; ///< Flows of m_unknownPackets, in the order in which the target is asked.
+    std::unordered_map<FlowTuple, std::vector<ForwardMessage>>
+        m_unknownPackets; ///< Data of flows that only the target knows, while it has no free slot.
+    bool m_isUnknownNext {}; ///< Whether the next free slot goes to m_unknownQueue.
     ServiceTimes m_serviceTimes;
     TargetHealth m_health;
     TimePoint m_lastAnswerAt; ///< Last answer of the target, or last request that reached it while it was idle.
--- a/src/transit_agent_cmd.cpp
+++ b/src/transit_agent_cmd.cpp
@@ -191,7 +191,11 @@
     for (const auto& flow : expired)
         forgetFlow(flow);
     m_records.expire(now);
-    std::erase_if(m_flowQueries, [&](const auto& entry) { return now >= entry.second.expiresAt; });
+    std::erase_if(m_flowQueries, [&](const auto& entry) {
+        bool isExpired = now >= entry.second.expiresAt;
+        m_askedRequests -= isExpired && entry.second.mayBeRequest;
+        return isExpired;
+    });
     std::erase_if(m_loadSubscriptions, [&](const auto& entry) { return now >= entry.second.expiresAt; });
 }
 
--- a/src/transit_agent_message.cpp
+++ b/src/transit_agent_message.cpp
@@ -118,10 +118,7 @@
         replyNotHeld(forward, effects);
         return;
     }
-    // This agent started after its target, so only the target knows whether it holds the flow. It returns the packet
-    // if it does not.
-    m_flowQueries[flow] = { forward.replyTo, now + flowQueryLifetime };
-    deliverToTarget(forward, effects);
+    askTarget(std::move(forward), now, effects);
 }
 
 void TransitAgent::decline(ForwardMessage forward, DeclineReason reason, TransitEffects& effects)
--- a/src/transit_agent_queue.cpp
+++ b/src/transit_agent_queue.cpp
@@ -28,7 +28,8 @@
 bool TransitAgent::hasFreeSlot(TimePoint now) const
 {
     std::uint32_t slots = load().slots;
-    if (!slots || m_busy < slots + slotOversubscription)
+    // A packet whose flow only the target knows may be a request.
+    if (!slots || m_busy + m_askedRequests < slots + slotOversubscription)
         return true;
     // Requests whose answer was not observed must not block the queue forever.
     return now >= m_lastAnswerAt + slotAnswerTimeout;
@@ -48,6 +49,18 @@
     return std::clamp(startedWithinTimeout, minQueueCapacity, maxQueueCapacity);
 }
 
+WaitingRequest TransitAgent::waitingRequest(const FlowTuple& flow, TimePoint startedAt) const
+{
+    WaitingRequest request { .flow = flow, .startedAt = startedAt };
+    request.serviceTime = m_serviceTimes.expected(flow.service);
+    if (const RouteRecord* route = m_fleet.view().routeAt(flow.service)) {
+        request.priority = route->priority;
+        request.latencyObjective = route->latencyObjective;
+        request.timeout = route->timeout;
+    }
+    return request;
+}
+
 TimePoint TransitAgent::estimateRequestStart(const HeldFlow& flow, const TransitPacket& packet, TimePoint now)
 {
     bool isRetransmission = flow.queuedStartedAt && flow.queuedSequence == packet.sequence;
@@ -62,12 +75,12 @@
 
 void TransitAgent::appendToQueued(HeldFlow& flow, ForwardMessage forward)
 {
-    bool isRetransmission = std::any_of(
-        flow.queuedPackets.begin(), flow.queuedPackets.end(), [&](const ForwardMessage& earlier) {
-            return earlier.packet.sequence == forward.packet.sequence
-                && earlier.packet.dataSize == forward.packet.dataSize
-                && earlier.packet.flags.isFinal == forward.packet.flags.isFinal;
-        });
+    bool isRetransmission
+        = std::any_of(flow.queuedPackets.begin(), flow.queuedPackets.end(), [&](const ForwardMessage& earlier) {
+              return earlier.packet.sequence == forward.packet.sequence
+                  && earlier.packet.dataSize == forward.packet.dataSize
+                  && earlier.packet.flags.isFinal == forward.packet.flags.isFinal;
+          });
     if (!isRetransmission && flow.queuedPackets.size() < maxPacketsPerLocate)
         flow.queuedPackets.push_back(std::move(forward));
 }
@@ -76,15 +89,7 @@
 {
     if (m_queue.empty() && hasFreeSlot(now))
         return false;
-    const RouteRecord* route = m_fleet.view().routeAt(forward.packet.flow.service);
-    WaitingRequest request { .flow = forward.packet.flow,
-        .startedAt = estimateRequestStart(flow, forward.packet, now) };
-    request.serviceTime = m_serviceTimes.expected(request.flow.service);
-    if (route) {
-        request.priority = route->priority;
-        request.latencyObjective = route->latencyObjective;
-        request.timeout = route->timeout;
-    }
+    WaitingRequest request = waitingRequest(forward.packet.flow, estimateRequestStart(flow, forward.packet, now));
     flow.isFirstRequest = false;
     flow.queuedSequence = forward.packet.sequence;
     flow.queuedStartedAt = request.startedAt;
@@ -110,9 +115,9 @@
         return;
     effects.push_back(CountEvent { TransitCounter::RequestsEvicted });
     effects.push_back(WriteLog { "request_evicted",
-        { { "flow", toString(request.flow.caller) }, { "to", toString(request.flow.service) },
-            { "target", m_targetId }, { "priority", static_cast<std::int64_t>(request.priority) },
-            { "busy", static_cast<std::int64_t>(m_busy) }, { "queued", static_cast<std::int64_t>(m_queue.size()) } } });
+        { { "flow", toString(request.flow.caller) }, { "to", toString(request.flow.service) }, { "target", m_targetId },
+            { "priority", static_cast<std::int64_t>(request.priority) }, { "busy", static_cast<std::int64_t>(m_busy) },
+            { "queued", static_cast<std::int64_t>(m_queue.size()) } } });
     found->second.queuedPackets.clear(); // Queued again when the caller retransmits it.
 }
 
@@ -120,7 +125,15 @@
 {
     while (auto expired = m_queue.popExpired(now))
         dropExpiredRequest(*expired, now, effects);
-    while (!m_queue.empty() && hasFreeSlot(now)) {
+    while (auto expired = m_unknownQueue.popExpired(now))
+        m_unknownPackets.erase(expired->flow);
+    while ((!m_queue.empty() || !m_unknownQueue.empty()) && hasFreeSlot(now)) {
+        bool isUnknown = m_queue.empty() || (m_isUnknownNext && !m_unknownQueue.empty());
+        m_isUnknownNext = !isUnknown;
+        if (isUnknown) {
+            releaseUnknown(now, effects);
+            continue;
+        }
         auto request = m_queue.pop(now, meanStartInterval());
         releaseRequest(*request, now, effects);
     }
--- a/src/transit_agent_target.cpp
+++ b/src/transit_agent_target.cpp
@@ -10,11 +10,13 @@
     recordTargetActivity();
     if (packet.flags.isReturned) {
         onReturned(std::move(packet), effects);
+        releaseRequests(now, effects);
         return;
     }
     auto found = m_flows.find(packet.flow);
     if (found == m_flows.end() && packet.flags.isReset) {
         onUnknownReset(packet, effects);
+        releaseRequests(now, effects);
         return;
     }
     if (found == m_flows.end()) {
@@ -23,6 +25,8 @@
     }
     if (found != m_flows.end())
         trackTargetPacket(found->second, packet, now, effects);
+    if (packet.dataSize)
+        m_lastAnswerAt = now;
     effects.push_back(DeliverToCaller { std::move(packet) });
     releaseRequests(now, effects);
 }
@@ -44,7 +48,7 @@
     }
     bool wasReportedHeld = m_flows.contains(packet.flow);
     forgetFlow(packet.flow);
-    m_flowQueries.erase(packet.flow);
+    takeFlowQuery(packet.flow);
     std::size_t index = tag >> 1;
     if (!index || index > m_balancers.size()) {
         effects.push_back(CountEvent { TransitCounter::PacketsDropped });
@@ -66,11 +70,8 @@
     effects.push_back(WriteLog { "reset_withheld",
         { { "flow", toString(packet.flow.caller) }, { "to", toString(packet.flow.service) },
             { "target", m_targetId } } });
-    auto query = m_flowQueries.find(packet.flow);
-    if (query == m_flowQueries.end())
-        return;
-    queueNotHeldReply(query->second.balancer, packet.flow, effects);
-    m_flowQueries.erase(query);
+    if (auto balancer = takeFlowQuery(packet.flow))
+        queueNotHeldReply(*balancer, packet.flow, effects);
 }
 
 void TransitAgent::learnFlow(const TransitPacket& packet, TimePoint now, TransitEffects& effects)
@@ -87,11 +88,8 @@
                 { "target", m_targetId } } });
         announceFlow(held, packet.flow, now, effects);
     }
-    auto query = m_flowQueries.find(packet.flow);
-    if (query == m_flowQueries.end())
-        return;
-    effects.push_back(SendMessage { query->second.balancer, HeldMessage { .flow = packet.flow, .load = load() } });
-    m_flowQueries.erase(query);
+    if (auto balancer = takeFlowQuery(packet.flow))
+        effects.push_back(SendMessage { *balancer, HeldMessage { .flow = packet.flow, .load = load() } });
 }
 
 void TransitAgent::trackTargetPacket(
@@ -119,7 +117,6 @@
             { { "request", flow.requestId }, { "flow", toString(packet.flow.caller) },
                 { "to", toString(packet.flow.service) }, { "target", m_targetId },
                 { "took_us", (now - *flow.requestAt).us }, { "busy", static_cast<std::int64_t>(m_busy) } } });
-        m_lastAnswerAt = now;
         m_health.recordAnswer();
         m_serviceTimes.addSample(packet.flow.service, now - *flow.requestAt);
         endRequest(flow);
--- /dev/null
+++ b/src/transit_agent_unknown.cpp
@@ -0,0 +1,83 @@
+#include "transit_agent_base.h"
+
+#include "table/transit_limits.h"
+
+namespace hawthorncroft {
+
+void TransitAgent::askTarget(ForwardMessage forward, TimePoint now, TransitEffects& effects)
+{
+    // This agent started after its target, so only the target knows whether it holds the flow. It returns the packet
+    // if it does not, and otherwise runs the request: after a restart beside a busy target, the callers retransmit
+    // everything that waited here, which must not fill the target's own queue.
+    const FlowTuple& flow = forward.packet.flow;
+    auto query = m_flowQueries.find(flow);
+    bool isAsked = query != m_flowQueries.end() && query->second.mayBeRequest;
+    bool isRequest = forward.packet.dataSize && !isAsked;
+    bool mustWait = m_unknownPackets.contains(flow) || (isRequest && !hasFreeSlot(now));
+    if (mustWait)
+        queueUnknown(std::move(forward), now, effects);
+    else
+        deliverUnknown(std::move(forward), now, effects);
+}
+
+void TransitAgent::queueUnknown(ForwardMessage forward, TimePoint now, TransitEffects& effects)
+{
+    FlowTuple flow = forward.packet.flow;
+    auto& packets = m_unknownPackets[flow];
+    if (packets.empty()) {
+        effects.push_back(CountEvent { TransitCounter::RequestsQueued });
+        if (auto evicted = m_unknownQueue.push(waitingRequest(flow, now), maxUnknownRequests, now))
+            m_unknownPackets.erase(evicted->flow);
+        if (!m_unknownPackets.contains(flow))
+            return;
+    }
+    for (ForwardMessage& earlier : packets) {
+        if (earlier.packet.sequence != forward.packet.sequence || earlier.packet.dataSize != forward.packet.dataSize)
+            continue;
+        earlier = std::move(forward); // The answer goes to the balancer that asked last.
+        return;
+    }
+    if (packets.size() < maxPacketsPerLocate)
+        packets.push_back(std::move(forward));
+}
+
+void TransitAgent::deliverUnknown(ForwardMessage forward, TimePoint now, TransitEffects& effects)
+{
+    if (!m_busy && !m_askedRequests)
+        m_lastAnswerAt = now;
+    FlowQuery& query = m_flowQueries[forward.packet.flow];
+    bool mayBeRequest = query.mayBeRequest || forward.packet.dataSize;
+    m_askedRequests += mayBeRequest && !query.mayBeRequest;
+    query = { forward.replyTo, now + flowQueryLifetime, mayBeRequest };
+    deliverToTarget(forward, effects);
+}
+
+std::optional<Endpoint> TransitAgent::takeFlowQuery(const FlowTuple& flow)
+{
+    auto node = m_flowQueries.extract(flow);
+    if (node.empty())
+        return std::nullopt;
+    m_askedRequests -= node.mapped().mayBeRequest;
+    return node.mapped().balancer;
+}
+
+void TransitAgent::releaseUnknown(TimePoint now, TransitEffects& effects)
+{
+    auto request = m_unknownQueue.pop(now, meanStartInterval());
+    auto node = m_unknownPackets.extract(request->flow);
+    if (node.empty())
+        return;
+    for (ForwardMessage& forward : node.mapped()) {
+        auto known = m_flows.find(request->flow);
+        if (known != m_flows.end()) {
+            trackCallerPacket(known->second, forward.packet, now, effects);
+            deliverToTarget(forward, effects);
+        } else if (m_knowsAllFlows) {
+            replyNotHeld(forward, effects);
+        } else {
+            deliverUnknown(std::move(forward), now, effects);
+        }
+    }
+}
+
+} // namespace hawthorncroft
--- a/tests/transit_overload_test.cpp
+++ b/tests/transit_overload_test.cpp
@@ -63,6 +63,16 @@
         collectAnswers();
     }
 
+    /** Sends all requests that wait for an answer once more. */
+    void retransmit()
+    {
+        for (const Request& request : pending) {
+            if (caller(request.flow).answers == request.answersBefore)
+                sendRequest(
+                    balancerOf(request.flow), request.flow, 1 + static_cast<std::uint32_t>(request.answersBefore));
+        }
+    }
+
 private:
     FlowTuple takeFlow()
     {
@@ -107,7 +117,8 @@
 
     for (std::size_t timesCapacity : { 2, 4 }) {
         SECTION("at " + std::to_string(timesCapacity)
-            + " times the capacity, requests pass neither the queue nor its bound, which guards against a throughput in "
+            + " times the capacity, requests pass neither the queue nor its bound, which guards against a throughput "
+              "in "
               "time that collapses when the queue is full")
         {
             fleet.offer(timesCapacity, seconds(5));
@@ -120,3 +131,38 @@
         }
     }
 }
+
+TEST_CASE("An agent that restarts beside a busy target keeps the target's own queue short", "[transit]")
+{
+    // Callers retransmit all requests that waited at the agent. Only the target knows their flows, and it runs in order
+    // of arrival what it is asked about.
+    OverloadedTarget fleet;
+    fleet.offer(2, seconds(1));
+    REQUIRE(fleet.pending.size() >= 5 * slots);
+    fleet.restart(fleet.agents[0]);
+    fleet.run(milliseconds(300));
+    fleet.server().longestQueue = 0;
+    fleet.retransmit();
+    fleet.run(milliseconds(20));
+
+    SECTION("which guards against a queue in which all requests become late")
+    {
+        CHECK(fleet.server().longestQueue <= slotOversubscription + 1);
+        fleet.inTimeByWindow.clear();
+        fleet.offer(2, seconds(2));
+        CHECK(fleet.inTimeByWindow[1] >= servedInWindow / 2);
+        CHECK(fleet.inTimeByWindow[3] >= servedInWindow * 9 / 10);
+        CHECK(fleet.server().longestQueue <= slotOversubscription + 1);
+    }
+    SECTION(
+        "and every request that waits runs once, which guards against requests that are lost with the agent's queue")
+    {
+        fleet.run(milliseconds(600));
+        fleet.retransmit();
+        fleet.run(milliseconds(600));
+        std::size_t answered = 0;
+        for (const OverloadedTarget::Request& request : fleet.pending)
+            answered += fleet.caller(request.flow).answers == request.answersBefore + 1;
+        CHECK(answered == fleet.pending.size());
+    }
+}
