Do not start a request that cannot be answered before its timeout

Change: a request counts as expired once its expected service time and the way back exceed the time that is left.

--- a/src/transit_queue.cpp
+++ b/src/transit_queue.cpp
@@ -19,9 +19,11 @@
 
     bool isInTime(const WaitingRequest& request, TimePoint now) { return startSlack(request, now).us > 0; }
 
+    /** @return Whether the caller gives up before the answer could arrive. */
     bool isExpired(const WaitingRequest& request, TimePoint now)
     {
-        return request.timeout.us > 0 && now >= request.startedAt + request.timeout;
+        Duration service = std::min(request.serviceTime, request.timeout / 2);
+        return request.timeout.us > 0 && now + service + callerNetworkDelay >= request.startedAt + request.timeout;
     }
 
     /** Order of release, except that under overload the newest requests in time of one priority go first. */
