Use free slots of a route's other service when the preferred one is saturated

Change: a flow goes to another service of its route, of weight above zero, when the preferred service's best target has half a round of its slots waiting and the other's has free slots. The weights hold otherwise.

--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -126,6 +126,9 @@
 /** Load added to targets of other failure domains when targets are compared. */
 inline constexpr double remoteWeight = 0.25;
 inline constexpr double coldWeight = 0.5; ///< Load added to cold targets when targets are compared.
+/** Utilisation of a service's target from which flows may go to another service of their route. */
+inline constexpr double saturatedUtilisation = 1.5;
+inline constexpr double spareUtilisation = 0.8; ///< Utilisation below which a target takes flows of another service.
 /** Targets of the balancer's failure domain that are compared for a flow. If all were compared, all balancers would
  * choose the same target at once. */
 inline constexpr std::size_t sameDomainCandidates = 2;
--- a/src/transit_balancer_base.h
+++ b/src/transit_balancer_base.h
@@ -99,7 +99,13 @@
     void onHeld(Endpoint from, const HeldMessage& held, TimePoint now, TransitEffects& effects);
     void onDeclined(Endpoint from, DeclinedMessage declined, TimePoint now, TransitEffects& effects);
     void retryOpens(TimePoint now, TransitEffects& effects);
-    const std::string* serviceFor(const RouteRecord& route, const FlowTuple& flow) const;
+    static const std::string* serviceByWeight(const RouteRecord& route, const FlowTuple& flow);
+    /**
+     * The service by weight, unless its targets have no free slot and those of another service of the route do. It
+     * covers a crowd that arrives at one service while the other is idle.
+     */
+    const std::string* serviceFor(const RouteRecord& route, const FlowTuple& flow, TimePoint now) const;
+    double utilisationFor(const std::string& service, const FlowTuple& flow, TimePoint now) const;
 
     // Packets of flows, in transit_balancer_locate.cpp.
     void forwardData(TransitPacket packet, TimePoint now, TransitEffects& effects);
--- a/src/transit_balancer_open.cpp
+++ b/src/transit_balancer_open.cpp
@@ -3,6 +3,7 @@
 #include "table/transit_limits.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace hawthorncroft {
 
@@ -21,7 +22,7 @@
 
 void TransitBalancer::openFlow(TransitPacket packet, const RouteRecord& route, TimePoint now, TransitEffects& effects)
 {
-    const std::string* service = serviceFor(route, packet.flow);
+    const std::string* service = serviceFor(route, packet.flow, now);
     if (!service) {
         refuseOpen(packet, "no_service", 0, now, effects);
         return;
@@ -166,7 +167,7 @@
     }
 }
 
-const std::string* TransitBalancer::serviceFor(const RouteRecord& route, const FlowTuple& flow) const
+const std::string* TransitBalancer::serviceByWeight(const RouteRecord& route, const FlowTuple& flow)
 {
     std::uint64_t total = 0;
     for (const auto& share : route.shares)
@@ -182,4 +183,29 @@
     return nullptr;
 }
 
+const std::string* TransitBalancer::serviceFor(const RouteRecord& route, const FlowTuple& flow, TimePoint now) const
+{
+    const std::string* preferred = serviceByWeight(route, flow);
+    if (!preferred || route.shares.size() < 2)
+        return preferred;
+    if (utilisationFor(*preferred, flow, now) < saturatedUtilisation)
+        return preferred;
+    const std::string* best = preferred;
+    double lowest = spareUtilisation;
+    for (const auto& share : route.shares) {
+        double utilisation = share.weight ? utilisationFor(share.service, flow, now) : lowest;
+        if (utilisation >= lowest)
+            continue;
+        best = &share.service;
+        lowest = utilisation;
+    }
+    return best;
+}
+
+double TransitBalancer::utilisationFor(const std::string& service, const FlowTuple& flow, TimePoint now) const
+{
+    const TargetEntry* target = m_placement.choose(m_fleet.view(), service, flow, {}, now);
+    return target ? m_placement.utilisationOf(*target) : std::numeric_limits<double>::infinity();
+}
+
 } // namespace hawthorncroft
--- a/src/transit_placement.cpp
+++ b/src/transit_placement.cpp
@@ -101,6 +101,16 @@
     return load;
 }
 
+double TransitPlacement::utilisationOf(const TargetEntry& target) const
+{
+    auto found = m_estimates.find(target.record.address.address);
+    if (found == m_estimates.end())
+        return 0;
+    const Estimate& estimate = found->second;
+    return static_cast<double>(estimate.load.busy + estimate.sentSinceReport)
+        / std::max<std::uint32_t>(target.record.slots, 1);
+}
+
 bool TransitPlacement::isSuspected(std::uint32_t address, TimePoint now) const
 {
     auto found = m_estimates.find(address);
--- a/src/transit_placement_base.h
+++ b/src/transit_placement_base.h
@@ -57,6 +57,9 @@
      */
     double loadOf(const TargetEntry& target, TimePoint now) const;
 
+    /** @return Requests at a target and expected soon, as a fraction of its slots; above one while requests wait. */
+    double utilisationOf(const TargetEntry& target) const;
+
     /** @return Whether a target is used only if there is no other one. */
     bool isSuspected(std::uint32_t address, TimePoint now) const;
 
--- a/tests/transit_overload_test.cpp
+++ b/tests/transit_overload_test.cpp
@@ -166,3 +166,78 @@
         CHECK(answered == fleet.pending.size());
     }
 }
+
+TEST_CASE("A request that cannot be answered before its timeout is not started", "[transit]")
+{
+    TransitQueue queue;
+    TimePoint sentAt { seconds(100).us };
+    WaitingRequest request { .flow = flowOf(1),
+        .startedAt = sentAt,
+        .latencyObjective = objective,
+        .timeout = seconds(2),
+        .serviceTime = serviceTime };
+    queue.push(request, 10, sentAt);
+
+    SECTION("which guards against slots that work for callers who have given up")
+    {
+        CHECK(queue.popExpired(sentAt + request.timeout - serviceTime - milliseconds(1)));
+        CHECK(queue.empty());
+    }
+    SECTION("but it waits as long as there is time, which guards against work that is given up early")
+    {
+        CHECK_FALSE(queue.popExpired(sentAt + request.timeout - serviceTime - callerNetworkDelay - callerNetworkDelay));
+        CHECK(queue.size() == 1);
+    }
+    SECTION("and an estimate beyond the timeout does not discard it at once, which guards against a wrong estimate")
+    {
+        request.flow = flowOf(2);
+        request.serviceTime = seconds(3);
+        queue.push(request, 10, sentAt);
+        CHECK_FALSE(queue.popExpired(sentAt + request.timeout / 4));
+    }
+}
+
+TEST_CASE("A crowd at one service of a route uses free slots of the route's other service", "[transit]")
+{
+    // Three targets of each service, with four slots each. The route prefers "web" for nine of ten flows.
+    Fleet fleet;
+    std::vector<Endpoint> others;
+    for (std::uint32_t i = 31; i < 34; ++i)
+        others.push_back(fleet.addAgent(i, "pages"));
+    RouteRecord route = routeTo("web");
+    route.shares = { { "web", 9 }, { "pages", 1 } };
+    auto serve = [&](std::size_t perStep) {
+        for (std::uint32_t i = 0; i < 200; i += static_cast<std::uint32_t>(perStep)) {
+            for (std::uint32_t k = i; k < i + perStep; ++k)
+                fleet.sendOpen(fleet.balancers[k % 3], flowOf(k));
+            fleet.run(milliseconds(10));
+            for (std::uint32_t k = i; k < i + perStep; ++k)
+                fleet.sendRequest(fleet.balancers[k % 3], flowOf(k));
+        }
+        fleet.run(milliseconds(200));
+        std::size_t count = 0;
+        for (Endpoint agent : others)
+            count += fleet.target(agent.address).opened.size();
+        return count;
+    };
+
+    SECTION("which guards against requests that wait beside idle targets")
+    {
+        fleet.writeRoutes({ route });
+        fleet.run(milliseconds(300));
+        CHECK(serve(10) >= 50);
+    }
+    SECTION("but the weights hold while there are free slots")
+    {
+        fleet.writeRoutes({ route });
+        fleet.run(milliseconds(300));
+        CHECK(serve(2) <= 40);
+    }
+    SECTION("and a service of weight zero gets none, which guards against flows that the operator has moved away")
+    {
+        route.shares = { { "web", 10 }, { "pages", 0 } };
+        fleet.writeRoutes({ route });
+        fleet.run(milliseconds(300));
+        CHECK(serve(10) == 0);
+    }
+}
