Refuse new flows at a full queue, and never on doubt

Cause 1: while more requests wait at an agent than its target answers within the timeout, each further request takes the place of one that then is not answered. Its caller learned that at its deadline.

Change 1: such an agent declines new flows, as far as the requests in time keep its slots busy and none of a lower priority is in the way. After two declines the balancer resets the flow, which has not run.

Cause 2, found while reading for change 1: a balancer reset a flow when the last agent that it tried declined, although an earlier one had not answered and could still open the flow (a reset on an open flow). The new test 'A flow is not refused on doubt' fails before: 6 of 12 flows were open and reset.

Change 2: a flow is refused only when every agent that was tried declined it, and no target that hangs is among them.

--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -76,6 +76,8 @@
 /** Queries for unknown flows may use one part in this many of the link's bandwidth. */
 inline constexpr std::int64_t locateLinkShare = 8;
 inline constexpr std::size_t maxOpenAttempts = 5; ///< Maximum number of agents that one opening packet is sent to.
+/** Overloaded agents that decline an opening packet before its caller is refused; the first was the least loaded. */
+inline constexpr std::uint32_t maxOverloadDeclines = 2;
 /** Time for which an agent that did not answer an opening packet is avoided. */
 inline constexpr Duration suspicionTime = milliseconds(1000);
 /** Time for which a target that returned an opening packet is avoided; the caller retransmits after this time. */
--- a/src/table/transit_names.h
+++ b/src/table/transit_names.h
@@ -42,6 +42,7 @@
     "returned_by_target",
     "target_silent",
     "target_faulty",
+    "overloaded",
 };
 
 inline constexpr NameTable<StoreFailure> storeFailureNames = {
--- a/src/transit_agent_base.h
+++ b/src/transit_agent_base.h
@@ -150,6 +150,7 @@
     bool hasFreeSlot(TimePoint now) const;
     Duration meanStartInterval() const;
     std::size_t queueCapacity(Duration timeout) const;
+    bool isOverloadedFor(Endpoint route, TimePoint now) const;
     WaitingRequest waitingRequest(const FlowTuple& flow, TimePoint startedAt) const;
     static TimePoint estimateRequestStart(const HeldFlow& flow, const TransitPacket& packet, TimePoint now);
     static void appendToQueued(HeldFlow& flow, ForwardMessage forward);
--- a/src/transit_agent_message.cpp
+++ b/src/transit_agent_message.cpp
@@ -50,6 +50,8 @@
     auto reason = m_admission.test(m_fleet.view(), request, load(), now);
     if (!reason && !m_health.canAdmit(now))
         reason = DeclineReason::Faulty;
+    if (!reason && isOverloadedFor(flow.service, now))
+        reason = DeclineReason::Overloaded;
     if (m_isTargetGone)
         reason = DeclineReason::Silent;
     if (m_stoppedAt)
--- a/src/transit_agent_queue.cpp
+++ b/src/transit_agent_queue.cpp
@@ -61,6 +61,18 @@
     return request;
 }
 
+bool TransitAgent::isOverloadedFor(Endpoint route, TimePoint now) const
+{
+    WaitingRequest request = waitingRequest({ {}, route }, now);
+    // With a full queue, each further request takes the place of one that then is not answered at all. Requests in time
+    // are still let in as far as they keep the slots busy.
+    if (m_queue.size() < queueCapacity(request.timeout))
+        return false;
+    std::size_t ahead = m_queue.inTimeCount(request.priority, now) + m_awaitingFirstRequest;
+    Duration wait = meanStartInterval() * static_cast<std::int64_t>(ahead);
+    return wait > (request.latencyObjective - request.serviceTime - callerNetworkDelay) / 2;
+}
+
 TimePoint TransitAgent::estimateRequestStart(const HeldFlow& flow, const TransitPacket& packet, TimePoint now)
 {
     bool isRetransmission = flow.queuedStartedAt && flow.queuedSequence == packet.sequence;
--- a/src/transit_balancer_base.h
+++ b/src/transit_balancer_base.h
@@ -67,12 +67,19 @@
         TimePoint usedAt;
     };
 
+    /** What the agents that were tried for one opening packet did. */
+    struct OpenProgress {
+        TimePoint startedAt;
+        std::size_t declines {}; ///< Agents whose targets certainly did not accept the packet.
+        std::size_t overloadDeclines {}; ///< Those of them that are overloaded.
+    };
+
     /** Opening packet that no agent has answered yet. */
     struct PendingOpen {
         ForwardMessage forward;
         Endpoint agent; ///< Agent that the packet was sent to last.
-        TimePoint startedAt;
         TimePoint retryAt;
+        OpenProgress progress;
     };
 
     /** Search for the holder of a flow: queries its locators first, then the agents that these do not rule out. */
@@ -93,7 +100,9 @@
 
     // Opening packets, in transit_balancer_open.cpp.
     void openFlow(TransitPacket packet, const RouteRecord& route, TimePoint now, TransitEffects& effects);
-    void sendOpen(ForwardMessage forward, TimePoint startedAt, TimePoint now, TransitEffects& effects);
+    void sendOpen(ForwardMessage forward, OpenProgress progress, TimePoint now, TransitEffects& effects);
+    void refuseIfDeclined(const ForwardMessage& forward, const OpenProgress& progress, std::string_view reason,
+        TimePoint now, TransitEffects& effects);
     void refuseOpen(const TransitPacket& packet, std::string_view reason, std::size_t tried, TimePoint now,
         TransitEffects& effects);
     void onHeld(Endpoint from, const HeldMessage& held, TimePoint now, TransitEffects& effects);
--- a/src/transit_balancer_open.cpp
+++ b/src/transit_balancer_open.cpp
@@ -47,22 +47,23 @@
         forward.tried = pending->second.forward.tried;
         m_opens.erase(pending);
     }
-    sendOpen(std::move(forward), now, now, effects);
+    sendOpen(std::move(forward), { .startedAt = now }, now, effects);
 }
 
-void TransitBalancer::sendOpen(ForwardMessage forward, TimePoint startedAt, TimePoint now, TransitEffects& effects)
+void TransitBalancer::sendOpen(ForwardMessage forward, OpenProgress progress, TimePoint now, TransitEffects& effects)
 {
+    if (progress.overloadDeclines >= maxOverloadDeclines) {
+        refuseIfDeclined(forward, progress, "overloaded", now, effects);
+        return;
+    }
     if (forward.tried.size() >= maxOpenAttempts) {
-        // If this is a retransmission, an agent that did not answer may have opened the flow with an earlier packet.
-        bool isCopy = forward.packet.acknowledged > 0;
-        if (!isCopy)
-            refuseOpen(forward.packet, "attempts_used", forward.tried.size(), now, effects);
+        refuseIfDeclined(forward, progress, "attempts_used", now, effects);
         return;
     }
     const TargetEntry* target
         = m_placement.choose(m_fleet.view(), forward.service, forward.packet.flow, addressesOf(forward.tried), now);
     if (!target) {
-        refuseOpen(forward.packet, "no_target", forward.tried.size(), now, effects);
+        refuseIfDeclined(forward, progress, "no_target", now, effects);
         return;
     }
     std::uint32_t address = target->record.address.address;
@@ -84,10 +85,19 @@
     FlowTuple flow = forward.packet.flow;
     TimePoint retryAt = now + openRetryTimeout;
     forward.tried.push_back(agent);
-    m_opens[flow] = { .forward = std::move(forward), .agent = agent, .startedAt = startedAt, .retryAt = retryAt };
+    m_opens[flow] = { .forward = std::move(forward), .agent = agent, .retryAt = retryAt, .progress = progress };
     m_openTimers.emplace_back(retryAt, flow);
 }
 
+void TransitBalancer::refuseIfDeclined(const ForwardMessage& forward, const OpenProgress& progress,
+    std::string_view reason, TimePoint now, TransitEffects& effects)
+{
+    // An agent that did not answer, or got an earlier transmission through another balancer, may have opened the flow.
+    bool isCopy = forward.packet.acknowledged > 0;
+    if (!isCopy && progress.declines == forward.tried.size())
+        refuseOpen(forward.packet, reason, forward.tried.size(), now, effects);
+}
+
 void TransitBalancer::refuseOpen(
     const TransitPacket& packet, std::string_view reason, std::size_t tried, TimePoint now, TransitEffects& effects)
 {
@@ -111,7 +121,7 @@
     auto pending = m_opens.find(held.flow);
     if (pending != m_opens.end()) {
         effects.push_back(CountEvent { TransitCounter::FlowsOpened });
-        effects.push_back(RecordTime { TransitDistribution::OpenTime, now - pending->second.startedAt });
+        effects.push_back(RecordTime { TransitDistribution::OpenTime, now - pending->second.progress.startedAt });
         m_retryBudget.recordSuccess(openRetryPercent);
         m_placement.recordAccepted(from.address);
         m_opens.erase(pending);
@@ -139,9 +149,11 @@
     if (pending == m_opens.end() || pending->second.agent != from)
         return; // Another agent was tried meanwhile, or accepted the flow.
     ForwardMessage again = std::move(pending->second.forward);
-    TimePoint startedAt = pending->second.startedAt;
+    OpenProgress progress = pending->second.progress;
     m_opens.erase(pending);
-    sendOpen(std::move(again), startedAt, now, effects);
+    progress.declines += declined.reason != DeclineReason::Silent; // A target that hangs may accept the packet later.
+    progress.overloadDeclines += declined.reason == DeclineReason::Overloaded;
+    sendOpen(std::move(again), progress, now, effects);
 }
 
 void TransitBalancer::retryOpens(TimePoint now, TransitEffects& effects)
@@ -163,7 +175,7 @@
         // An agent that did not answer may have accepted the flow, so that the caller is not reset here. The retry
         // budget keeps retries from adding to an overload when many agents do not answer.
         if (canRetry && m_retryBudget.take(now))
-            sendOpen(std::move(open.forward), open.startedAt, now, effects);
+            sendOpen(std::move(open.forward), open.progress, now, effects);
     }
 }
 
--- a/src/transit_queue.cpp
+++ b/src/transit_queue.cpp
@@ -106,6 +106,14 @@
     return request;
 }
 
+std::size_t TransitQueue::inTimeCount(std::uint8_t priority, TimePoint now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_requests.begin(), m_requests.end(), [&](const WaitingRequest& request) {
+            return request.priority <= priority && isInTime(request, now);
+        }));
+}
+
 void TransitQueue::remove(const FlowTuple& flow)
 {
     std::erase_if(m_requests, [&](const WaitingRequest& request) { return request.flow == flow; });
--- a/src/transit_queue_base.h
+++ b/src/transit_queue_base.h
@@ -48,6 +48,9 @@
     /** Removes a request whose timeout has passed. @return The request; none when there is no such request. */
     std::optional<WaitingRequest> popExpired(TimePoint now);
 
+    /** @return Requests of this or a higher priority that can still be answered in time. */
+    std::size_t inTimeCount(std::uint8_t priority, TimePoint now) const;
+
     /** Removes the request of a flow. */
     void remove(const FlowTuple& flow);
 
--- a/src/transit_type.h
+++ b/src/transit_type.h
@@ -93,6 +93,7 @@
     Returned, ///< The target returned the packet.
     Silent, ///< The target did not answer.
     Faulty, ///< The target reset all of its most recent requests.
+    Overloaded, ///< More requests wait than can be answered before their timeouts.
     End,
 };
 
--- a/tests/transit_overload_test.cpp
+++ b/tests/transit_overload_test.cpp
@@ -130,6 +130,54 @@
             CHECK(fleet.server().longestQueue <= slotOversubscription);
         }
     }
+    SECTION("a new flow is refused at once while more requests wait than can be answered before their timeouts, which "
+            "guards against callers who wait for an answer that cannot come")
+    {
+        fleet.offer(4, seconds(3));
+        REQUIRE(fleet.server().queue.size() <= slotOversubscription);
+        constexpr std::uint32_t count = 20;
+        std::vector<FlowTuple> refused;
+        for (std::uint32_t i = 0; i < count; ++i)
+            fleet.sendOpen(fleet.balancers[i % 3], flowOf(1000000 + i));
+        fleet.offer(4, milliseconds(100));
+        for (std::uint32_t i = 0; i < count; ++i) {
+            if (fleet.caller(flowOf(1000000 + i)).resetAt)
+                refused.push_back(flowOf(1000000 + i));
+        }
+        CHECK(refused.size() >= count / 2);
+
+        SECTION("and has not run, which guards against a refusal that is not true")
+        {
+            fleet.run(seconds(2));
+            for (const FlowTuple& flow : refused)
+                CHECK_FALSE(fleet.server().flows.contains(flow));
+        }
+    }
+}
+
+TEST_CASE("A flow is not refused on doubt", "[transit]")
+{
+    // The first agent answers nothing for a while, and the target of the second returns all opening packets.
+    Fleet fleet(2);
+    constexpr std::uint32_t count = 12;
+    fleet.target(fleet.agents[1].address).returnsOpens = true;
+    fleet.pause(fleet.agents[0]);
+    for (std::uint32_t i = 0; i < count; ++i)
+        fleet.sendOpen(fleet.balancers[i % 3], flowOf(i));
+    fleet.run(milliseconds(100));
+    fleet.resume(fleet.agents[0]);
+    fleet.run(milliseconds(100));
+
+    SECTION("which guards against a reset of a flow that a slow agent opens")
+    {
+        std::size_t opened = 0;
+        for (std::uint32_t i = 0; i < count; ++i) {
+            const CallerState& caller = fleet.caller(flowOf(i));
+            opened += caller.openedAt.has_value();
+            CHECK_FALSE((caller.openedAt && caller.resetAt));
+        }
+        CHECK(opened > 0);
+    }
 }
 
 TEST_CASE("An agent that restarts beside a busy target keeps the target's own queue short", "[transit]")
