--- a/bench/transit_policy_bench.cpp
+++ b/bench/transit_policy_bench.cpp
@@ -4,6 +4,7 @@
  * send requests with log-normal service times to seven targets, and load reports are sent at the intervals of the
  * product. The random numbers of all runs have the same seed.
  */
+#include "hindsight_bound.h"
 #include "table/transit_limits.h"
 #include "transit_placement_base.h"
 #include "transit_queue_base.h"
@@ -50,6 +51,7 @@
     double answered {}; ///< Share of requests answered within the time budget.
     double imbalance {}; ///< Requests of the busiest target divided by the mean.
     double p99Ms {}; ///< 99th percentile latency of the answered requests, in milliseconds.
+    double boundShare {}; ///< Requests in time divided by the bound by hindsight.
 };
 
 struct Target {
@@ -83,6 +85,7 @@
     TimePoint now { seconds(100).us };
     TimePoint measureFrom;
     std::vector<Duration> latencies;
+    std::vector<OfferedRequest> offeredRequests; ///< Of the measured time.
     std::vector<std::uint32_t> assignedRequests;
     std::size_t offered {};
     std::size_t inTime {};
@@ -176,6 +179,9 @@
         auto balancer = static_cast<std::uint32_t>(random() % balancerCount);
         std::uint32_t index = (this->*policy)(balancer, flow);
         if (now >= measureFrom) {
+            offeredRequests.push_back({ .arrivesAt = now + messageDelay,
+                .work = workOf(flow),
+                .objective = objective - messageDelay - messageDelay - callerRoundTripDelay });
             ++offered;
             ++assignedRequests[index];
         }
@@ -201,13 +207,21 @@
             target.fifoQueue.push_back(request);
     }
 
+    /** @return Service time of a flow's request; the same for all policies. */
+    static Duration workOf(const FlowTuple& flow)
+    {
+        std::mt19937_64 ofFlow(hashOf(flow));
+        std::lognormal_distribution<double> service(
+            std::log(meanService.us) - serviceSpread * serviceSpread / 2, serviceSpread);
+        return { static_cast<std::int64_t>(service(ofFlow)) };
+    }
+
     void start(std::uint32_t index, const WaitingRequest& request)
     {
         ++targets[index].running;
-        double sigma = serviceSpread;
-        std::lognormal_distribution<double> service(std::log(meanService.us) - sigma * sigma / 2, sigma);
-        double factor = index == 0 ? load.slowFactor : 1;
-        Duration work { static_cast<std::int64_t>(service(random) * factor) };
+        Duration work = workOf(request.flow);
+        if (index == 0)
+            work = { static_cast<std::int64_t>(static_cast<double>(work.us) * load.slowFactor) };
         at(now + work, [this, index, request, work] {
             Target& target = targets[index];
             --target.running;
@@ -256,14 +270,15 @@
             .answered = static_cast<double>(latencies.size()) / offeredLoad,
             .imbalance = static_cast<double>(*std::max_element(assignedRequests.begin(), assignedRequests.end()))
                 * targetCount / total,
-            .p99Ms = static_cast<double>(latencies[latencies.size() * 99 / 100].us) / 1000 };
+            .p99Ms = static_cast<double>(latencies[latencies.size() * 99 / 100].us) / 1000,
+            .boundShare = static_cast<double>(inTime) / hindsightBound(offeredRequests, targetCount * slots) };
     }
 };
 
 void print(const char* load, const char* variant, const Outcome& outcome)
 {
-    std::printf("%-34s %-26s %8.3f %9.3f %10.3f %8.1f\n", load, variant, outcome.inTime, outcome.answered,
-        outcome.imbalance, outcome.p99Ms);
+    std::printf("%-34s %-26s %8.3f %9.3f %10.3f %8.1f %9.3f\n", load, variant, outcome.inTime, outcome.answered,
+        outcome.imbalance, outcome.p99Ms, outcome.boundShare);
 }
 
 }
@@ -287,7 +302,8 @@
         { .name = "1.2 times the capacity", .share = 1.2 },
         { .name = "2 times the capacity", .share = 2 },
     };
-    std::printf("%-34s %-26s %8s %9s %10s %8s\n", "load", "way", "in time", "answered", "imbalance", "p99 ms");
+    std::printf(
+        "%-34s %-26s %8s %9s %10s %8s %9s\n", "load", "way", "in time", "answered", "imbalance", "p99 ms", "of bound");
     for (const Load& load : placementLoads) {
         for (const auto& [name, policy] : policies)
             print(load.name, name, Simulation(load, policy, true).run());
--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -215,6 +215,8 @@
     tests/fake_target.cpp
     tests/fleet_property_test.cpp
     tests/fleet_test.cpp
+    tests/hindsight_bound_test.cpp
+    bench/hindsight_bound.cpp
     tests/hostile_test.cpp
     tests/http2_test.cpp
     tests/main_test.cpp
@@ -282,5 +284,6 @@
 )
 
 set(transit-policy-bench_SOURCES
+    bench/hindsight_bound.cpp
     bench/transit_policy_bench.cpp
 )
