--- a/src/transit_agent_base.h
+++ b/src/transit_agent_base.h
@@ -141,7 +141,7 @@
     // Packets of flows that only the target knows; in transit_agent_unknown.cpp.
     void askTarget(ForwardMessage forward, TimePoint now, TransitEffects& effects);
     void queueUnknown(ForwardMessage forward, TimePoint now, TransitEffects& effects);
-    void deliverUnknown(ForwardMessage forward, TimePoint now, TransitEffects& effects);
+    void deliverUnknown(const ForwardMessage& forward, TimePoint now, TransitEffects& effects);
     void releaseUnknown(TimePoint now, TransitEffects& effects);
     std::optional<Endpoint> takeFlowQuery(const FlowTuple& flow);
 
--- a/src/transit_agent_unknown.cpp
+++ b/src/transit_agent_unknown.cpp
@@ -17,7 +17,7 @@
     if (mustWait)
         queueUnknown(std::move(forward), now, effects);
     else
-        deliverUnknown(std::move(forward), now, effects);
+        deliverUnknown(forward, now, effects);
 }
 
 void TransitAgent::queueUnknown(ForwardMessage forward, TimePoint now, TransitEffects& effects)
@@ -41,7 +41,7 @@
         packets.push_back(std::move(forward));
 }
 
-void TransitAgent::deliverUnknown(ForwardMessage forward, TimePoint now, TransitEffects& effects)
+void TransitAgent::deliverUnknown(const ForwardMessage& forward, TimePoint now, TransitEffects& effects)
 {
     if (!m_busy && !m_askedRequests)
         m_lastAnswerAt = now;
@@ -75,7 +75,7 @@
         } else if (m_knowsAllFlows) {
             replyNotHeld(forward, effects);
         } else {
-            deliverUnknown(std::move(forward), now, effects);
+            deliverUnknown(forward, now, effects);
         }
     }
 }
--- a/src/transit_queue.cpp
+++ b/src/transit_queue.cpp
@@ -108,10 +108,8 @@
 
 std::size_t TransitQueue::inTimeCount(std::uint8_t priority, TimePoint now) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(m_requests.begin(), m_requests.end(), [&](const WaitingRequest& request) {
-            return request.priority <= priority && isInTime(request, now);
-        }));
+    return static_cast<std::size_t>(std::count_if(m_requests.begin(), m_requests.end(),
+        [&](const WaitingRequest& request) { return request.priority <= priority && isInTime(request, now); }));
 }
 
 void TransitQueue::remove(const FlowTuple& flow)
