Remove the weight of open flows from placement

Cause: each open flow counted as 0.03 of a slot, whatever it carries. It is worth nothing and goes; the load of a target is its utilisation and the penalties.

--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -124,7 +124,6 @@
 inline constexpr Duration maxWaitForView = milliseconds(600);
 inline constexpr std::size_t maxCachedFlows = 400000; ///< Capacity of a balancer's flow cache.
 inline constexpr Duration flowIdleLimit = seconds(60); ///< Idle time after which cached and held flows are removed.
-inline constexpr double flowWeight = 0.03; ///< Expected load of one open flow, as a share of a slot.
 /** Load added to targets of other failure domains when targets are compared. */
 inline constexpr double remoteWeight = 0.25;
 inline constexpr double coldWeight = 0.5; ///< Load added to cold targets when targets are compared.
--- a/src/transit_placement.cpp
+++ b/src/transit_placement.cpp
@@ -87,13 +87,7 @@
 
 double TransitPlacement::loadOf(const TargetEntry& target, TimePoint now) const
 {
-    double load = 0;
-    auto found = m_estimates.find(target.record.address.address);
-    if (found != m_estimates.end()) {
-        const Estimate& estimate = found->second;
-        load = (estimate.load.busy + estimate.sentSinceReport + flowWeight * estimate.load.flows)
-            / std::max<std::uint32_t>(target.record.slots, 1);
-    }
+    double load = utilisationOf(target);
     if (target.record.failureDomain != m_failureDomain)
         load += remoteWeight;
     if (now < target.receivedAt + target.record.coldLeft)
