Let bare acknowledgements pass a request in the queue

Cause, found while reading: since a final packet waits behind its request, all packets of the flow did, and a target whose answer is not acknowledged repeats it. Change: only data and final packets wait. Tests for the three kinds of packets that follow a queued request; the new one fails without the change.

--- a/src/transit_agent_queue.cpp
+++ b/src/transit_agent_queue.cpp
@@ -14,8 +14,9 @@
         flow.queuedPackets.clear();
         m_queue.remove(forward.packet.flow);
     }
-    if (!flow.queuedPackets.empty()) {
-        appendToQueued(flow, std::move(forward)); // The target receives the flow in order.
+    bool isOrdered = forward.packet.dataSize || forward.packet.flags.isFinal; // Bare acknowledgements need not wait.
+    if (!flow.queuedPackets.empty() && isOrdered) {
+        appendToQueued(flow, std::move(forward));
         return;
     }
     bool startsRequest = forward.packet.dataSize && !flow.requestAt && flow.state == FlowState::Open;
@@ -157,7 +158,7 @@
     if (found == m_flows.end())
         return;
     auto queuedPackets = std::move(found->second.queuedPackets);
-    found->second.queuedPackets.clear(); // The caller's timeout has passed, so it does not retransmit.
+    found->second.queuedPackets.clear();
     effects.push_back(CountEvent { TransitCounter::RequestsExpired });
     effects.push_back(WriteLog { "request_expired",
         { { "request", queuedPackets.empty() ? std::string() : queuedPackets.front().packet.requestId },
--- a/src/transit_queue.cpp
+++ b/src/transit_queue.cpp
@@ -38,6 +38,7 @@
         return std::tuple(a.priority, a.startedAt + a.timeout) < std::tuple(b.priority, b.startedAt + b.timeout);
     }
 
+    /** Order of eviction: the less urgent first, then late requests, then those with the least time left. */
     bool isEvictedBefore(const WaitingRequest& a, const WaitingRequest& b, TimePoint now)
     {
         auto rank = [now](const WaitingRequest& request) {
--- a/tests/transit_overload_test.cpp
+++ b/tests/transit_overload_test.cpp
@@ -215,6 +215,49 @@
     }
 }
 
+TEST_CASE("Packets that follow a request in the queue", "[transit]")
+{
+    Fleet fleet(1);
+    FakeTransitTarget& target = fleet.target(fleet.agents[0].address);
+    target.serviceTime = milliseconds(300);
+    std::uint32_t count = target.slots + slotOversubscription + 1;
+    for (std::uint32_t i = 0; i < count; ++i) {
+        fleet.open(fleet.balancers[0], flowOf(i));
+        fleet.sendRequest(fleet.balancers[0], flowOf(i));
+        fleet.run(milliseconds(5));
+    }
+    FlowTuple queued = flowOf(count - 1);
+    REQUIRE(target.receivedRequests.count({ queued, 1 }) == 0);
+    auto deliver = [&](PacketFlags flags) {
+        ForwardMessage forward { .replyTo = fleet.balancers[0] };
+        forward.packet = { .flow = queued, .flags = flags, .sequence = 2 };
+        TransitEffects effects;
+        fleet.agent(fleet.agents[0])
+            .onMessage(fleet.balancers[0], Message { Revision(), forward }, fleet.now(), effects);
+        std::size_t delivered = 0;
+        for (const auto& effect : effects)
+            delivered += std::holds_alternative<DeliverToTarget>(effect);
+        return delivered;
+    };
+
+    SECTION("acknowledgements pass, which guards against targets that repeat what the caller has received")
+    {
+        CHECK(deliver({ .hasAcknowledgement = true }) == 1);
+    }
+    SECTION("a final packet waits behind the request, which guards against a request that passes others")
+    {
+        CHECK(deliver({ .hasAcknowledgement = true, .isFinal = true }) == 0);
+        fleet.run(seconds(1));
+        CHECK(target.receivedRequests.count({ queued, 1 }) == 1);
+    }
+    SECTION("a reset by the caller discards the request, which guards against work for a caller who has given up")
+    {
+        CHECK(deliver({ .isReset = true }) == 1);
+        fleet.run(seconds(1));
+        CHECK(target.receivedRequests.count({ queued, 1 }) == 0);
+    }
+}
+
 TEST_CASE("A request that cannot be answered before its timeout is not started", "[transit]")
 {
     TransitQueue queue;
