Ask a target about located flows without waiting for a slot

Cause: since data of unknown flows takes a slot, the queries of balancers that locate flows did so too.

Change: only packets of balancers that know this agent as the holder wait. The new section of 'An agent that restarts beside a busy target ...' fails before.

--- a/src/transit_agent_unknown.cpp
+++ b/src/transit_agent_unknown.cpp
@@ -4,6 +4,16 @@
 
 namespace hawthorncroft {
 
+namespace {
+
+    /**
+     * @return Whether the target is likely to run the packet. A query by a balancer that locates the flow goes to many
+     * agents, and most targets return it, which takes no slot.
+     */
+    bool mayBeRequest(const ForwardMessage& forward) { return forward.packet.dataSize && !forward.isLocating; }
+
+}
+
 void TransitAgent::askTarget(ForwardMessage forward, TimePoint now, TransitEffects& effects)
 {
     // This agent started after its target, so only the target knows whether it holds the flow. It returns the packet
@@ -12,7 +22,7 @@
     const FlowTuple& flow = forward.packet.flow;
     auto query = m_flowQueries.find(flow);
     bool isAsked = query != m_flowQueries.end() && query->second.mayBeRequest;
-    bool isRequest = forward.packet.dataSize && !isAsked;
+    bool isRequest = mayBeRequest(forward) && !isAsked;
     bool mustWait = m_unknownPackets.contains(flow) || (isRequest && !hasFreeSlot(now));
     if (mustWait)
         queueUnknown(std::move(forward), now, effects);
@@ -46,9 +56,9 @@
     if (!m_busy && !m_askedRequests)
         m_lastAnswerAt = now;
     FlowQuery& query = m_flowQueries[forward.packet.flow];
-    bool mayBeRequest = query.mayBeRequest || forward.packet.dataSize;
-    m_askedRequests += mayBeRequest && !query.mayBeRequest;
-    query = { forward.replyTo, now + flowQueryLifetime, mayBeRequest };
+    bool isRequest = query.mayBeRequest || mayBeRequest(forward);
+    m_askedRequests += isRequest && !query.mayBeRequest;
+    query = { forward.replyTo, now + flowQueryLifetime, isRequest };
     deliverToTarget(forward, effects);
 }
 
--- a/tests/transit_overload_test.cpp
+++ b/tests/transit_overload_test.cpp
@@ -202,6 +202,17 @@
         CHECK(fleet.inTimeByWindow[3] >= servedInWindow * 9 / 10);
         CHECK(fleet.server().longestQueue <= slotOversubscription + 1);
     }
+    SECTION("but a query that locates a flow is answered at once, which guards against callers of lost flows who wait "
+            "for busy targets")
+    {
+        ForwardMessage query { .replyTo = fleet.balancers[0], .isLocating = true, .hops = 1 };
+        query.packet = { .flow = flowOf(2000000), .sequence = 1, .dataSize = 100 };
+        TransitEffects effects;
+        fleet.agent(fleet.agents[0]).onMessage(fleet.balancers[0], Message { Revision(), query }, fleet.now(), effects);
+        bool isDelivered = std::any_of(effects.begin(), effects.end(),
+            [](const auto& effect) { return std::holds_alternative<DeliverToTarget>(effect); });
+        CHECK(isDelivered);
+    }
     SECTION(
         "and every request that waits runs once, which guards against requests that are lost with the agent's queue")
     {
