--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -76,6 +76,13 @@
                 world, restoredRoute, i, "after-" + std::to_string(round) + "-through-" + std::to_string(i));
         world.run(1000);
     }
+    // The next change in the store, long after it is sound again: a host drains. It makes the processes exchange their
+    // views; balancer 1 hears of it first.
+    world.store().policyOf("balancer-2").answerTime = Milliseconds(30);
+    world.host(2).setState("draining");
+    world.run(5000);
+    for (unsigned i : { 1U, 2U })
+        isBroken |= !isServed(world, restoredRoute, i, "after-the-next-change-through-" + std::to_string(i));
     return isBroken ? exitBroken : exitHeld;
 }
 
