--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -42,7 +42,8 @@
     }
     world.run(300);
     if (hasTrouble) {
-        world.kill("agent-1");
+        world.kill("agent-1", SIGTERM); // A planned restart.
+        world.awaitEnd("agent-1", 5000);
         world.run(300);
         world.startAgent(1);
         world.awaitReady("agent-1");
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -10,8 +10,8 @@
 
 constexpr std::uint16_t stableRoute = 8443;
 constexpr std::uint16_t restoredRoute = 443;
-constexpr Milliseconds slowAnswer { 240 }; ///< 4 ms x 60, as the site file's `platform_slow`.
-constexpr unsigned betweenChangesMs = 150;
+constexpr Milliseconds slowAnswer { 300 }; ///< 4 ms x 75; the site file has x = 60 and, on a day, 90.
+constexpr unsigned betweenChangesMs = 100;
 constexpr unsigned settleMs = 9000; ///< More than ConfigMs (3 s) after the last ack and ContactMs (4 s) after the disruption.
 
 /** Opens a flow and sends one request through a balancer. @return Whether the request was answered. */
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,7 +1,7 @@
 /**
  * @file case.cpp
- * MIXED: a consumer gets a reset whose `seq` is far from its last `ack`, after the agent and then the host of its open
- * flow ended.
+ * MIXED: a consumer gets a reset whose `seq` is far from its last `ack`, after the agent of its open flow
+ * restarted and its host crashed.
  */
 #include "../world.h"
 
@@ -36,7 +36,8 @@
     exchange(world, pooled, "first");
     exchange(world, pooled, "second");
     if (hasTrouble) {
-        world.kill("agent-1");
+        world.kill("agent-1", SIGTERM); // A planned restart.
+        world.awaitEnd("agent-1", 5000);
         world.run(300);
         world.startAgent(1);
         world.awaitReady("agent-1");
