--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -2,7 +2,7 @@
  * @file case.cpp
  * FLOW: an open flow is reset while its host lives. The host restarted while the store was away, and its agent after it.
  */
-#include "../standin/world.h"
+#include "../world.h"
 
 using namespace review;
 
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -2,7 +2,7 @@
  * @file case.cpp
  * CONFIG: an answer of the store that arrives late takes a route out of force that newer configurations have.
  */
-#include "../standin/world.h"
+#include "../world.h"
 
 using namespace review;
 
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -3,7 +3,7 @@
  * MIXED: a consumer gets a reset whose `seq` is far from its last `ack`, after the agent and then the host of its open
  * flow ended.
  */
-#include "../standin/world.h"
+#include "../world.h"
 
 using namespace review;
 
@@ -47,10 +47,10 @@
     std::vector<Flow*> others;
     for (unsigned i = 0; i < otherFlows; ++i) {
         others.push_back(&world.open(route, 1));
-        others.back()->request("other-" + std::to_string(i), "/work/120");
+        others.back()->request("other-" + std::to_string(i), "/take/120");
     }
     world.loop().runUntil([&] { return others.front()->isAnswered(); }, answerLimit);
-    pooled.request("fourth", "/work/20");
+    pooled.request("fourth", "/take/20");
     world.run(20);
     if (hasTrouble) {
         host.crash();
--- a/review/standin/world.h
+++ b/review/world.h
@@ -897,7 +897,7 @@
         auto field = packet.data.find("Request-Id: ");
         std::string request = packet.data.substr(field + 12, packet.data.find('\r', field) - field - 12);
         Milliseconds work = m_options.work;
-        auto at = packet.data.find("/work/");
+        auto at = packet.data.find("/take/");
         if (at != std::string::npos)
             work = Milliseconds(std::strtol(packet.data.c_str() + at + 6, nullptr, 10));
         m_waiting.push_back({ key, request, work });
