View: an answer of the store that arrives late reverts nothing

What callers saw: after two configurations in quick succession, of which the first dropped a route and the second restored it, one balancer refused new flows of the route and reset open ones.

Cause: a view applied a full read whatever its revision was. The assumption "what arrives last is the newest" was false: the read had begun before a peer sent the newer configuration. Unchanged routes keep the revision at which they were first seen, so the per-key check let the older configuration drop them. On the same assumption rested: late watch answers (a target without a tombstone came back), late evacuations, the time at which the store last confirmed a view, a full read without a configuration (all routes removed), and a view that differs from its sender's but passes itself on as complete.

Change: a view knows up to which revision its routes and services are complete as a whole, and sends that with deltas (configuration_through; processes without it count as complete up to the delta's revision). Answers from before the view's revision add only what is newer. A view advances to a delta's revision only when the digests match or after a full delta. Log lines of store answers have as_of and took_ms.

Why it works: a read answers for a revision, and nothing up to the view's own revision can be news to it.

--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -230,6 +230,7 @@
     tests/trace_test.cpp
     tests/transit_flow_test.cpp
     tests/transit_inventory_test.cpp
+    tests/transit_late_view_test.cpp
     tests/transit_load_test.cpp
     tests/transit_overload_test.cpp
     tests/transit_lost_test.cpp
--- a/src/transit_codec_func.cpp
+++ b/src/transit_codec_func.cpp
@@ -258,6 +258,7 @@
         out.flags |= body.delta.hasKeys ? flagKeys : 0;
         out.keys = body.delta.keys;
         out.digest = body.delta.digest;
+        out.configuration_through = body.delta.configurationThrough.value;
         for (const auto& item : body.delta.items)
             out.items.push_back(wireItemOf(item, now));
     }
@@ -391,6 +392,8 @@
             DeltaMessage message { { in.age_us },
                 { Revision(in.since), Revision(in.through), (in.flags & flagKeys) != 0, in.keys, {} } };
             message.delta.digest = in.digest;
+            // Processes of earlier versions do not send it.
+            message.delta.configurationThrough = Revision(std::max(in.configuration_through, in.through));
             for (const auto& item : in.items)
                 message.delta.items.push_back(itemOf(*item, now));
             return message;
--- a/src/transit_fleet.cpp
+++ b/src/transit_fleet.cpp
@@ -45,7 +45,7 @@
                 { "revision", static_cast<std::int64_t>(m_view.through().value) } } });
     }
     if (isReader && !m_isCallPending && now >= m_nextCallAt)
-        startStoreCall(effects);
+        startStoreCall(now, effects);
 }
 
 void TransitFleet::recordContact(Endpoint from, Revision through, TimePoint now, TransitEffects& effects)
@@ -137,12 +137,14 @@
         effects.push_back(ReadStore { nextAfter, readTimeout });
         return false;
     }
-    recordStoreAnswer(now, effects);
+    recordStoreAnswer(m_firstPageRevision, m_callStartedAt, now, effects);
     m_needsFullRead = false;
     Revision before = m_view.through();
     bool hasChanged = m_view.applySnapshot(m_pages, m_firstPageRevision, now, retainRemovedUntil(now));
     effects.push_back(WriteLog { "view_from_store",
         { { "call", std::string("read") }, { "from_revision", static_cast<std::int64_t>(before.value) },
+            { "as_of", static_cast<std::int64_t>(m_firstPageRevision.value) },
+            { "took_ms", (now - m_callStartedAt).us / 1000 },
             { "revision", static_cast<std::int64_t>(m_view.through().value) },
             { "items", static_cast<std::int64_t>(m_pages.size()) } } });
     m_pages = {};
@@ -155,12 +157,13 @@
 bool TransitFleet::onStoreChanges(
     const std::vector<StoreChange>& changes, Revision asOf, TimePoint now, TransitEffects& effects)
 {
-    recordStoreAnswer(now, effects);
+    recordStoreAnswer(asOf, now, now, effects);
     Revision before = m_view.through();
     bool hasChanged = m_view.applyChanges(changes, asOf, now, retainRemovedUntil(now));
     if (!changes.empty()) {
         effects.push_back(WriteLog { "view_from_store",
             { { "call", std::string("watch") }, { "from_revision", static_cast<std::int64_t>(before.value) },
+                { "as_of", static_cast<std::int64_t>(asOf.value) }, { "took_ms", (now - m_callStartedAt).us / 1000 },
                 { "revision", static_cast<std::int64_t>(m_view.through().value) },
                 { "items", static_cast<std::int64_t>(changes.size()) } } });
     }
@@ -443,8 +446,9 @@
     return rank;
 }
 
-void TransitFleet::startStoreCall(TransitEffects& effects)
+void TransitFleet::startStoreCall(TimePoint now, TransitEffects& effects)
 {
+    m_callStartedAt = now;
     effects.push_back(CountEvent { TransitCounter::StoreCalls });
     m_isCallPending = true;
     if (m_needsFullRead || !m_view.through()) {
@@ -454,7 +458,7 @@
     effects.push_back(WatchStore { m_view.through(), watchWait, watchWait + watchGrace });
 }
 
-void TransitFleet::recordStoreAnswer(TimePoint now, TransitEffects& effects)
+void TransitFleet::recordStoreAnswer(Revision asOf, TimePoint confirmedAt, TimePoint now, TransitEffects& effects)
 {
     m_isCallPending = false;
     m_nextCallAt = now;
@@ -465,7 +469,9 @@
             WriteLog { "store_regained", { { "failures", static_cast<std::int64_t>(m_consecutiveFailures) } } });
     }
     m_consecutiveFailures = 0;
-    confirm(now);
+    // A response from before the view's revision says nothing about changes after it.
+    if (asOf >= m_view.through())
+        confirm(confirmedAt);
 }
 
 TimePoint TransitFleet::retainRemovedUntil(TimePoint now) const
--- a/src/transit_fleet_base.h
+++ b/src/transit_fleet_base.h
@@ -146,8 +146,13 @@
     bool shouldReadStore(TimePoint now) const;
     Duration firstReadWait();
     std::size_t rankAmong(ProcessRole role, bool isAnyRole, TimePoint now) const;
-    void startStoreCall(TransitEffects& effects);
-    void recordStoreAnswer(TimePoint now, TransitEffects& effects);
+    void startStoreCall(TimePoint now, TransitEffects& effects);
+    /**
+     * Records that a store call was answered.
+     * @param asOf Revision of the store in the response.
+     * @param confirmedAt Time at which that was its revision, at the latest.
+     */
+    void recordStoreAnswer(Revision asOf, TimePoint confirmedAt, TimePoint now, TransitEffects& effects);
     TimePoint retainRemovedUntil(TimePoint now) const;
     std::uint64_t nextRandom();
 
@@ -165,6 +170,7 @@
     std::optional<TimePoint> m_confirmedAt;
 
     bool m_isCallPending {}; ///< A store call is in progress.
+    TimePoint m_callStartedAt; ///< When the last store call was started.
     TimePoint m_nextCallAt;
     TimePoint m_firstReadAt; ///< Earliest time at which a process without a view reads the store.
     std::uint32_t m_consecutiveFailures {}; ///< Failed store calls since the last response.
--- a/src/transit_view_base.h
+++ b/src/transit_view_base.h
@@ -22,12 +22,14 @@
 
 /**
  * Keys with their revisions, and indexes by route address, service and target address.
- * The view contains all changes up to the revision `through`.
+ * The view contains all changes up to the revision `through`, and may contain later changes of some keys. Data that is
+ * older than that, whenever it arrives, changes nothing.
  */
 class TransitView {
 public:
     /**
-     * Applies a full read of the store.
+     * Applies a full read of the store. A read that is older than the view adds only the changes after `through`: a key
+     * that it lacks, or has with another value, may have changed since.
      * @param changes Current value of every key in the store.
      * @param asOf Revision of the store when the read began.
      * @param now Current time.
@@ -38,8 +40,8 @@
         const std::vector<StoreChange>& changes, Revision asOf, TimePoint now, TimePoint retainRemovedUntil);
 
     /**
-     * Applies the changes that a watch of the store returned.
-     * @param changes Changes after `through`, in order of their revisions.
+     * Applies the changes that a watch of the store returned. Changes that the view already contains are skipped.
+     * @param changes Changes in order of their revisions, complete from `through` or an earlier revision.
      * @param asOf Revision up to which the changes are complete.
      * @param now Current time.
      * @param retainRemovedUntil As for applySnapshot.
@@ -105,7 +107,13 @@
     bool applyFullDelta(const ViewDelta& delta, TimePoint now);
     bool applyChange(
         const StoreChange& change, TimePoint now, TimePoint retainRemovedUntil, std::set<std::string>* seen);
-    bool applyConfiguration(const ConfigurationChange& change, TimePoint now, std::set<std::string>* seen);
+    bool applyConfiguration(const ConfigurationChange& change, TimePoint now);
+    bool replaceFromFullDelta(const ViewItem& item, const ViewDelta& delta, TimePoint now);
+    bool removeMissingFromFullDelta(const std::set<std::string>& seen, const ViewDelta& delta, TimePoint now);
+    Revision configurationThrough() const;
+    bool isConfigurationKnown(const StoreChange& change) const;
+    bool hasNewerConfigurationThan(const ViewDelta& delta) const;
+    Revision completeRevisionOf(const std::string& key, const ViewItem& item) const;
     bool removeKey(const std::string& key, Revision revision, TimePoint now, TimePoint retainUntil);
     bool removeMissing(
         const std::function<bool(const std::string&)>& isPresent, Revision asOf, TimePoint now, TimePoint retainUntil);
@@ -121,6 +129,8 @@
     std::set<std::string> m_evacuated;
     std::uint64_t m_digest {};
     Revision m_through;
+    Revision m_configurationThrough; ///< Routes and services are those of the newest configuration up to this revision,
+                                     ///< even where their own revisions are lower. Used where it is above `m_through`.
     Revision m_historyFloor; ///< All tombstones with a higher revision are still stored.
     bool m_hasConfiguration {};
 };
--- a/src/transit_view_cmd.cpp
+++ b/src/transit_view_cmd.cpp
@@ -53,6 +53,11 @@
         return mix64(hashOfKey(item.key), hashOfKey(text));
     }
 
+    Revision revisionOf(const StoreChange& change)
+    {
+        return std::visit([](const auto& value) { return value.revision; }, change);
+    }
+
     const TargetRecord* targetOf(const ViewItem* item)
     {
         return item && item->value ? std::get_if<TargetRecord>(&*item->value) : nullptr;
@@ -63,12 +68,18 @@
 bool TransitView::applySnapshot(
     const std::vector<StoreChange>& changes, Revision asOf, TimePoint now, TimePoint retainRemovedUntil)
 {
+    if (asOf < m_through)
+        return applyChanges(changes, asOf, now, retainRemovedUntil);
+    bool isConfigurationOlder = asOf < m_configurationThrough;
     std::set<std::string> seen;
     bool hasChanged = false;
-    for (const auto& change : changes)
-        hasChanged |= applyChange(change, now, retainRemovedUntil, &seen);
-    hasChanged
-        |= removeMissing([&](const std::string& key) { return seen.contains(key); }, asOf, now, retainRemovedUntil);
+    for (const auto& change : changes) {
+        if (!isConfigurationOlder || !isConfigurationKnown(change))
+            hasChanged |= applyChange(change, now, retainRemovedUntil, &seen);
+    }
+    // Routes and services are removed by a configuration without them. Without any configuration they stay in force.
+    auto isPresent = [&](const std::string& key) { return isConfigurationKey(key) || seen.contains(key); };
+    hasChanged |= removeMissing(isPresent, asOf, now, retainRemovedUntil);
     if (!m_through)
         m_historyFloor = asOf;
     advance(asOf);
@@ -78,9 +89,12 @@
 bool TransitView::applyChanges(
     const std::vector<StoreChange>& changes, Revision asOf, TimePoint now, TimePoint retainRemovedUntil)
 {
+    Revision known = m_through;
     bool hasChanged = false;
-    for (const auto& change : changes)
-        hasChanged |= applyChange(change, now, retainRemovedUntil, nullptr);
+    for (const auto& change : changes) {
+        if (revisionOf(change) > known && !isConfigurationKnown(change))
+            hasChanged |= applyChange(change, now, retainRemovedUntil, nullptr);
+    }
     advance(asOf);
     return hasChanged;
 }
@@ -90,20 +104,30 @@
     bool isFullDelta = !delta.since;
     if (delta.through < m_through || delta.since > m_through || (delta.through == m_through && !isFullDelta))
         return DeltaOutcome::Ignored;
+    bool isComparable = !hasNewerConfigurationThan(delta);
     bool hasChanged = isFullDelta ? applyFullDelta(delta, now) : applyItems(delta, now);
+    bool isSame = !isComparable || m_digest == delta.digest;
+    // Until the view is the same as the sender's, it must not pass itself on as complete up to that revision.
+    if (!isSame && !isFullDelta)
+        return DeltaOutcome::Mismatch;
+    bool isNewer = hasChanged || delta.through > m_through;
     if (!m_through)
         m_historyFloor = delta.through;
-    bool isNewer = hasChanged || delta.through > m_through;
+    if (isComparable)
+        m_configurationThrough = std::max(m_configurationThrough, delta.configurationThrough);
     advance(delta.through);
-    if (m_digest != delta.digest)
+    if (!isSame)
         return DeltaOutcome::Mismatch;
     return isNewer ? DeltaOutcome::Applied : DeltaOutcome::Ignored;
 }
 
 bool TransitView::applyItems(const ViewDelta& delta, TimePoint now)
 {
+    bool keepsConfiguration = hasNewerConfigurationThan(delta);
     bool hasChanged = false;
     for (ViewItem item : delta.items) {
+        if (keepsConfiguration && isConfigurationKey(item.key))
+            continue;
         item.receivedAt = now;
         hasChanged |= apply(std::move(item));
     }
@@ -121,23 +145,65 @@
     bool hasChanged = false;
     for (const ViewItem& item : delta.items) {
         seen.insert(item.key);
-        auto found = m_items.find(item.key);
-        if (found != m_items.end() && found->second.revision > delta.through)
-            continue;
-        bool isSame
-            = found != m_items.end() && found->second.isRemoved == item.isRemoved && found->second.value == item.value;
-        if (isSame)
+        hasChanged |= replaceFromFullDelta(item, delta, now);
+    }
+    return removeMissingFromFullDelta(seen, delta, now) || hasChanged;
+}
+
+bool TransitView::replaceFromFullDelta(const ViewItem& item, const ViewDelta& delta, TimePoint now)
+{
+    auto found = m_items.find(item.key);
+    bool isConfiguration = isConfigurationKey(item.key);
+    if (isConfiguration && hasNewerConfigurationThan(delta))
+        return false;
+    // Routes and services are replaced as a whole; of any other key the newer value stays.
+    if (!isConfiguration && found != m_items.end() && found->second.revision > delta.through)
+        return false;
+    bool isSame
+        = found != m_items.end() && found->second.isRemoved == item.isRemoved && found->second.value == item.value;
+    if (isSame)
+        return false;
+    ViewItem received = item;
+    received.receivedAt = now;
+    // This view had another value, and so may processes that learned it from here. The new revision makes the
+    // correction part of the deltas to them.
+    if (found != m_items.end())
+        received.revision = std::max({ item.revision, found->second.revision, delta.through });
+    return replace(std::move(received));
+}
+
+bool TransitView::removeMissingFromFullDelta(const std::set<std::string>& seen, const ViewDelta& delta, TimePoint now)
+{
+    bool keepsConfiguration = hasNewerConfigurationThan(delta);
+    std::vector<std::pair<std::string, Revision>> missing;
+    for (const auto& [key, item] : m_items) {
+        if (item.isRemoved || seen.contains(key))
             continue;
-        ViewItem received = item;
-        received.receivedAt = now;
-        // This view had another value, and so may processes that learned it from here. The new revision makes the
-        // correction part of the deltas to them.
-        if (found != m_items.end())
-            received.revision = delta.through;
-        hasChanged |= replace(std::move(received));
+        bool isNewer = isConfigurationKey(key) ? keepsConfiguration : item.revision > delta.through;
+        if (!isNewer)
+            missing.emplace_back(key, std::max(item.revision, delta.through));
     }
-    hasChanged |= removeMissing([&](const std::string& key) { return seen.contains(key); }, delta.through, now, now);
-    return hasChanged;
+    for (const auto& [key, revision] : missing)
+        replace({ .key = key, .revision = revision, .isRemoved = true, .retainedUntil = now, .receivedAt = now });
+    return !missing.empty();
+}
+
+Revision TransitView::configurationThrough() const { return std::max(m_through, m_configurationThrough); }
+
+bool TransitView::isConfigurationKnown(const StoreChange& change) const
+{
+    const auto* configuration = std::get_if<ConfigurationChange>(&change);
+    return configuration && configuration->revision <= m_configurationThrough;
+}
+
+bool TransitView::hasNewerConfigurationThan(const ViewDelta& delta) const
+{
+    return configurationThrough() > std::max(delta.through, delta.configurationThrough);
+}
+
+Revision TransitView::completeRevisionOf(const std::string& key, const ViewItem& item) const
+{
+    return isConfigurationKey(key) ? std::max(item.revision, m_configurationThrough) : item.revision;
 }
 
 void TransitView::expire(TimePoint now)
@@ -168,7 +234,7 @@
     const StoreChange& change, TimePoint now, TimePoint retainRemovedUntil, std::set<std::string>* seen)
 {
     if (const auto* configuration = std::get_if<ConfigurationChange>(&change))
-        return applyConfiguration(*configuration, now, seen);
+        return applyConfiguration(*configuration, now);
     if (const auto* removal = std::get_if<TargetRemoval>(&change))
         return removeKey(keyOf(targetPrefix, removal->id), removal->revision, now, retainRemovedUntil);
     if (const auto* end = std::get_if<EvacuationEnd>(&change))
@@ -188,8 +254,9 @@
     return apply(std::move(item));
 }
 
-bool TransitView::applyConfiguration(const ConfigurationChange& change, TimePoint now, std::set<std::string>* seen)
+bool TransitView::applyConfiguration(const ConfigurationChange& change, TimePoint now)
 {
+    m_configurationThrough = std::max(m_configurationThrough, change.revision);
     std::set<std::string> written;
     bool hasChanged = false;
     auto put = [&](std::string key, ViewValue value) {
@@ -212,8 +279,6 @@
     }
     for (const auto& key : dropped)
         hasChanged |= removeKey(key, change.revision, now, now);
-    if (seen)
-        seen->merge(written);
     return hasChanged;
 }
 
@@ -233,7 +298,7 @@
 {
     std::vector<std::string> missing;
     for (const auto& [key, item] : m_items) {
-        if (!item.isRemoved && item.revision <= asOf && !isPresent(key))
+        if (!item.isRemoved && completeRevisionOf(key, item) <= asOf && !isPresent(key))
             missing.push_back(key);
     }
     for (const auto& key : missing)
--- a/src/transit_view_query.cpp
+++ b/src/transit_view_query.cpp
@@ -23,6 +23,7 @@
             delta.items.push_back(item);
     }
     delta.digest = m_digest;
+    delta.configurationThrough = configurationThrough();
     return delta;
 }
 
--- a/src/transit_view_type.h
+++ b/src/transit_view_type.h
@@ -87,13 +87,16 @@
     std::vector<std::uint64_t> keys; ///< Hashes of all existing keys, so that unchanged items need not be sent.
     std::vector<ViewItem> items;
     std::uint64_t digest {}; ///< Digest of the sender's view; see TransitView::digest.
+    Revision configurationThrough; ///< Revision up to which the sender's routes and services are complete; may be above
+                                   ///< `through`.
 };
 
 /** Result of applying a delta. */
 enum class DeltaOutcome : std::uint8_t {
     Ignored, ///< Contains nothing new, or does not start at or below the revision of the view.
     Applied,
-    Mismatch, ///< Applied, but the digest still differs from the sender's: a full delta has to be requested.
+    Mismatch, ///< The digest still differs from the sender's, so that the view does not advance to the revision of the
+              ///< delta: a full delta has to be requested.
 };
 
 /** @return Hash of a key; the same in all processes. */
--- a/tests/transit_sim.cpp
+++ b/tests/transit_sim.cpp
@@ -338,13 +338,10 @@
         }
         deliver(watch.process, watch.incarnation, [this, watch, isFullRead](TransitCore& core) {
             TransitEffects effects;
-            std::vector<StoreChange> all;
-            for (const auto& [key, change] : m_store)
-                all.push_back(change);
             if (m_isStoreDown)
                 core.onStoreFailure(StoreFailure::Unreachable, m_now, effects);
             else if (isFullRead)
-                core.onStorePage(all, m_revision, {}, m_now, effects);
+                core.onStorePage(storeContent(), m_revision, {}, m_now, effects);
             else
                 core.onStoreChanges(changesAfter(watch.after), m_revision, m_now, effects);
             applyEffects(watch.process, effects);
@@ -352,6 +349,14 @@
     }
 }
 
+std::vector<StoreChange> TransitSim::storeContent() const
+{
+    std::vector<StoreChange> all;
+    for (const auto& [key, change] : m_store)
+        all.push_back(change);
+    return all;
+}
+
 std::vector<StoreChange> TransitSim::changesAfter(Revision after) const
 {
     std::vector<StoreChange> changes;
--- a/tests/transit_sim.h
+++ b/tests/transit_sim.h
@@ -87,6 +87,12 @@
     void pause(Endpoint process) { m_paused.insert(process); }
     void resume(Endpoint process) { m_paused.erase(process); }
 
+    /** @return Revision of the last change in the store. */
+    Revision lastRevision() const { return m_revision; }
+
+    /** @return Current value of every key in the store. */
+    std::vector<StoreChange> storeContent() const;
+
     /** While the store is down, its calls fail as unreachable. */
     void setStoreDown(bool isDown) { m_isStoreDown = isDown; }
     void writeRoutes(const std::vector<RouteRecord>& routes, double warmupPerSecond = 0);
