Tests: a property that does not hold fails its test

Three calls of rc::check ignored the result, so that a counterexample was printed and the test passed.

--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -193,13 +193,13 @@
     }
     SECTION("malformed messages are rejected")
     {
-        rc::check("arbitrary bytes do not crash the decoder",
-            [&](std::vector<std::uint8_t> bytes) { decodeMessage(bytes, format, now); });
-        rc::check("messages with one changed byte do not crash the decoder", [&] {
+        REQUIRE(rc::check("arbitrary bytes do not crash the decoder",
+            [&](std::vector<std::uint8_t> bytes) { decodeMessage(bytes, format, now); }));
+        REQUIRE(rc::check("messages with one changed byte do not crash the decoder", [&] {
             auto bytes = encodeMessage({ Revision(7), HeldMessage { packet.flow, 9, true, {} } }, now);
             bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] ^= *rc::gen::inRange<std::uint8_t>(1, 255);
             decodeMessage(bytes, format, now);
-        });
+        }));
     }
 }
 
--- a/tests/transit_view_test.cpp
+++ b/tests/transit_view_test.cpp
@@ -159,7 +159,7 @@
 
 TEST_CASE("Views that exchange deltas in any order converge to the same state", "[transit][view]")
 {
-    rc::check("views converge", [] {
+    REQUIRE(rc::check("views converge", [] {
         // Content of the store. `source` watches every change; the others get deltas or do full reads at random.
         std::map<std::string, StoreChange> store;
         std::vector<StoreChange> all;
@@ -210,7 +210,7 @@
             for (const auto& [address, targetEntry] : source.targets())
                 RC_ASSERT(other.targetAt(address)->record == targetEntry.record);
         }
-    });
+    }));
 }
 
 TEST_CASE("A change reaches every process", "[transit][fleet]")
