View: deltas remove what came and went between two full reads

What callers would see: new flows are sent to a target that has left, until its address is used again or all processes have restarted.

Cause: a view's history floor, from which on it has all tombstones, was set by the first read only. The assumption "a key that this view never had needs no removal" was false for the receivers of its deltas. The same held for deltas that list keys instead of tombstones, and for full deltas.

Change: the floor follows every full read, full delta and delta with keys. Tombstones above the view's own revision survive the limit on their number.

--- a/src/transit_view_cmd.cpp
+++ b/src/transit_view_cmd.cpp
@@ -80,7 +80,8 @@
     // Routes and services are removed by a configuration without them. Without any configuration they stay in force.
     auto isPresent = [&](const std::string& key) { return isConfigurationKey(key) || seen.contains(key); };
     hasChanged |= removeMissing(isPresent, asOf, now, retainRemovedUntil);
-    if (!m_through)
+    // Keys that were written and removed since the revision of the view leave no tombstone here.
+    if (asOf > m_through)
         m_historyFloor = asOf;
     advance(asOf);
     return hasChanged;
@@ -111,7 +112,8 @@
     if (!isSame && !isFullDelta)
         return DeltaOutcome::Mismatch;
     bool isNewer = hasChanged || delta.through > m_through;
-    if (!m_through)
+    // Such a delta has no tombstones of keys that this view never had.
+    if (isFullDelta || delta.hasKeys)
         m_historyFloor = delta.through;
     if (isComparable)
         m_configurationThrough = std::max(m_configurationThrough, delta.configurationThrough);
@@ -226,7 +228,9 @@
         reindexTarget(address);
     if (removed <= maxRemovedItems)
         return;
-    std::erase_if(m_items, [](const auto& entry) { return entry.second.isRemoved && !entry.second.value; });
+    std::erase_if(m_items, [&](const auto& entry) {
+        return entry.second.isRemoved && !entry.second.value && entry.second.revision <= m_through;
+    });
     m_historyFloor = m_through;
 }
 
--- a/tests/transit_late_view_test.cpp
+++ b/tests/transit_late_view_test.cpp
@@ -3,6 +3,9 @@
 #include "table/transit_limits.h"
 
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <map>
 
 using namespace hawthorncroft;
 using namespace hawthorncroft::tests;
@@ -144,6 +147,34 @@
     CHECK(third.routeAt(routeAddress));
 }
 
+// Guards against a target that has left and stays in use, as no process that knows of it is told.
+TEST_CASE(
+    "A target that registered and left between two full reads of one process leaves the others", "[transit][view]")
+{
+    TransitView watching;
+    TransitView reading;
+    for (TransitView* view : { &watching, &reading })
+        view->applySnapshot({ routes(5, bothRoutes) }, Revision(5), start, start);
+    watching.applyChanges({ target(6, 11) }, Revision(6), start, start);
+
+    SECTION("when they get the view from it")
+    {
+        reading.applySnapshot({ routes(5, bothRoutes) }, Revision(8), start, start);
+        pullDelta(watching, reading);
+    }
+    SECTION("when they get it from a process that got it from there")
+    {
+        reading.applySnapshot({ routes(5, bothRoutes) }, Revision(8), start, start);
+        TransitView between;
+        between.applySnapshot({ routes(5, bothRoutes) }, Revision(5), start, start);
+        pullDelta(between, reading);
+        pullDelta(watching, between);
+    }
+    watching.expire(start);
+    CHECK(watching.through() == Revision(8));
+    CHECK(watching.targetsOf("web").empty());
+}
+
 TEST_CASE("A balancer that reads the store late serves the routes in force", "[transit][fleet]")
 {
     Fleet fleet;
@@ -205,3 +236,179 @@
     fleet.balancer(reader).onStorePage(stale, before, {}, fleet.now(), effects);
     CHECK(fleet.balancer(reader).fleet().viewAge(fleet.now()) >= seconds(1));
 }
+
+namespace {
+
+/** Store with its whole history, and answers of it that have not arrived yet. */
+struct StoreModel {
+    struct State {
+        std::uint64_t version {}; ///< Revision of the configuration.
+        bool hasRoute {};
+        std::map<std::string, StoreChange> targets;
+        std::set<std::string> evacuated;
+    };
+    struct Answer {
+        std::size_t receiver {};
+        bool isRead {};
+        std::uint64_t asOf {};
+        std::vector<StoreChange> changes;
+    };
+
+    std::uint64_t revision { 1 };
+    std::map<std::uint64_t, State> states { { 1, State {} } };
+    std::vector<std::pair<std::uint64_t, StoreChange>> history;
+    std::vector<Answer> answers;
+
+    void write(StoreChange change, State state)
+    {
+        history.emplace_back(revision, std::move(change));
+        states[revision] = std::move(state);
+    }
+
+    StoreChange configuration(std::uint64_t version, bool hasRoute) const
+    {
+        RouteRecord marked = routeTo("web", stableAddress); // The timeout shows which version a view has.
+        marked.timeout = milliseconds(static_cast<std::int64_t>(version));
+        return routes(version, hasRoute ? std::vector { marked, routeTo("web") } : std::vector { marked });
+    }
+
+    void change(int kind, int which)
+    {
+        State state = states.at(revision);
+        ++revision;
+        std::string name = "t" + std::to_string(20 + which);
+        if (kind < 3) {
+            state.version = revision;
+            state.hasRoute = which % 2;
+            write(configuration(revision, state.hasRoute), state);
+        } else if (kind == 3) {
+            state.targets[name] = target(revision, static_cast<std::uint32_t>(20 + which));
+            write(state.targets[name], state);
+        } else if (kind == 4) {
+            state.targets.erase(name);
+            write(TargetRemoval { Revision(revision), name }, state);
+        } else if (state.evacuated.insert(name).second) {
+            write(EvacuationChange { Revision(revision), name }, state);
+        } else {
+            state.evacuated.erase(name);
+            write(EvacuationEnd { Revision(revision), name }, state);
+        }
+    }
+
+    /** The content is as of now, whatever revision the read began at, as the pages of a read are no snapshot. */
+    Answer read(std::size_t receiver, std::uint64_t begunAt) const
+    {
+        const State& state = states.at(revision);
+        Answer answer { .receiver = receiver, .isRead = true, .asOf = begunAt, .changes = {} };
+        if (state.version)
+            answer.changes.push_back(configuration(state.version, state.hasRoute));
+        for (const auto& [id, change] : state.targets)
+            answer.changes.push_back(change);
+        for (const auto& domain : state.evacuated) {
+            auto written = std::find_if(history.rbegin(), history.rend(), [&](const auto& entry) {
+                auto* evacuation = std::get_if<EvacuationChange>(&entry.second);
+                return evacuation && evacuation->failureDomain == domain;
+            });
+            answer.changes.push_back(written->second);
+        }
+        return answer;
+    }
+
+    Answer watch(std::size_t receiver, Revision after) const
+    {
+        Answer answer { .receiver = receiver, .isRead = false, .asOf = revision, .changes = {} };
+        for (const auto& [at, change] : history) {
+            if (at > after.value)
+                answer.changes.push_back(change);
+        }
+        return answer;
+    }
+};
+
+std::uint64_t versionIn(const TransitView& view)
+{
+    const RouteRecord* marked = view.routeAt(stableAddress);
+    return marked ? static_cast<std::uint64_t>(marked->timeout.us / 1000) : 0;
+}
+
+/** Checks that a view has one whole version of the configuration. */
+void checkConfiguration(const StoreModel& store, const TransitView& view)
+{
+    std::uint64_t version = versionIn(view);
+    const StoreModel::State& state = store.states.at(std::max<std::uint64_t>(version, 1));
+    RC_ASSERT(state.version == version);
+    RC_ASSERT((view.routeAt(routeAddress) != nullptr) == state.hasRoute);
+}
+
+/** Checks that a view is the state of the store at its revision. */
+void checkState(const StoreModel& store, const TransitView& view)
+{
+    if (!view.through())
+        return;
+    const StoreModel::State& state = store.states.at(view.through().value);
+    RC_ASSERT(versionIn(view) == state.version);
+    RC_ASSERT(view.targets().size() == state.targets.size());
+    for (int i = 20; i < 23; ++i)
+        RC_ASSERT(view.isEvacuated("t" + std::to_string(i)) == state.evacuated.contains("t" + std::to_string(i)));
+}
+
+void runLateAnswers(bool arePagesSnapshots)
+{
+    StoreModel store;
+    std::vector<TransitView> views(3);
+    std::uint64_t begunAt = 1;
+    auto steps = *rc::gen::container<std::vector<std::tuple<int, int, int>>>(
+        rc::gen::tuple(rc::gen::inRange(0, 14), rc::gen::inRange(0, 3), rc::gen::inRange(0, 8)));
+    for (auto [kind, which, other] : steps) {
+        auto index = static_cast<std::size_t>(which);
+        TransitView& view = views[index];
+        std::uint64_t version = versionIn(view);
+        Revision through = view.through();
+        if (kind < 6) {
+            store.change(kind, which);
+        } else if (kind == 6) {
+            begunAt = store.revision;
+        } else if (kind < 9) {
+            store.answers.push_back(store.read(index, arePagesSnapshots ? store.revision : begunAt));
+        } else if (kind == 9 && through) {
+            store.answers.push_back(store.watch(index, through));
+        } else if (kind < 12 && !store.answers.empty()) {
+            const auto& answer = store.answers[static_cast<std::size_t>(other) % store.answers.size()];
+            TransitView& receiver = views[answer.receiver];
+            version = versionIn(receiver);
+            if (answer.isRead)
+                receiver.applySnapshot(answer.changes, Revision(answer.asOf), start, start);
+            else
+                receiver.applyChanges(answer.changes, Revision(answer.asOf), start, start);
+            RC_ASSERT(versionIn(receiver) >= version);
+        } else if (kind >= 12) {
+            pullDelta(view, views[static_cast<std::size_t>(other) % 3]);
+            RC_ASSERT(versionIn(view) >= version);
+        }
+        RC_ASSERT(view.through() >= through);
+        for (auto& each : views) {
+            each.expire(start);
+            checkConfiguration(store, each);
+            if (arePagesSnapshots)
+                checkState(store, each);
+        }
+    }
+    for (auto& view : views) {
+        auto last = view.through() ? store.watch(0, view.through()) : store.read(0, store.revision);
+        if (last.isRead)
+            view.applySnapshot(last.changes, Revision(last.asOf), start, start);
+        else
+            view.applyChanges(last.changes, Revision(last.asOf), start, start);
+        view.expire(start);
+        checkState(store, view);
+    }
+}
+
+}
+
+TEST_CASE("Views whose answers arrive late and in any order never go back", "[transit][view]")
+{
+    REQUIRE(rc::check("they are the state of the store at their revision", [] { runLateAnswers(true); }));
+    REQUIRE(rc::check("they have whole configurations, also when the pages of a read are no snapshot",
+        [] { runLateAnswers(false); }));
+}
