Agent: a registration does not prove when its target started

Cause: the agent took the change of its target's registration for the start of the target ("this incarnation started after the agent, so the agent saw all of its flows"). A target that the store does not hear registers long after its start. The agent then answered "not held" without asking its target, and told the locators that its inventory was complete. On the same assumption rested that a registration shows that the target's process runs, so that a late one let new flows in beside a process that had ended.

Probes alone decide whether the target's process runs. target_lifetime logs knows_all_flows.

Why it works: a target gets packets from its own machine only, so an agent that saw it not running saw all of its flows; nothing else shows that.

--- a/spec/inventory.pml
+++ b/spec/inventory.pml
@@ -276,6 +276,14 @@
     }
 }
 
+#ifdef REGISTRATION_SHOWS_START
+/* The target registers, possibly long after it started. */
+inline targetRegisters()
+{
+    atomic { agentUp && !agentComplete -> agentComplete = true; printf("the target registers\n") }
+}
+#endif
+
 inline locatorEnds(i)
 {
     atomic { l[i].up && FAULT -> faults++; l[i].up = false; l[i].status = NoReport; printf("locator %d ends\n", i) }
@@ -384,6 +392,9 @@
     :: agentEnds(true)
     :: agentEnds(false)
     :: agentStarts()
+#ifdef REGISTRATION_SHOWS_START
+    :: targetRegisters()
+#endif
     EACH(locatorEnds)
     EACH(locatorStarts)
     EACH(disconnectLink)
--- a/src/transit_agent_cmd.cpp
+++ b/src/transit_agent_cmd.cpp
@@ -138,12 +138,11 @@
     effects.push_back(WriteLog { "target_lifetime",
         { { "target", own.record.id }, { "started_at", static_cast<std::int64_t>(own.record.startedAt) },
             { "revision", static_cast<std::int64_t>(own.revision.value) }, { "cold_ms", own.record.coldLeft.us / 1000 },
-            { "cold_limit_per_s", coldLimit() }, { "flows_before", static_cast<std::int64_t>(m_flows.size()) } } });
+            { "cold_limit_per_s", coldLimit() }, { "flows_before", static_cast<std::int64_t>(m_flows.size()) },
+            { "knows_all_flows", static_cast<std::int64_t>(m_knowsAllFlows) } } });
     m_health = {};
-    m_isTargetGone = false; // This incarnation has registered, so it is running.
-    m_refusedProbes = 0;
-    // This incarnation started after the agent, so the agent saw all of its flows.
-    m_knowsAllFlows |= !m_targetId.empty();
+    // A registration tells neither when the incarnation started nor whether it still runs: it may be delayed by any
+    // time while the store is unreachable. Only probes and packets of the target do.
     m_targetId = own.record.id;
     m_targetStartedAt = own.record.startedAt;
 }
--- a/tests/transit_lost_test.cpp
+++ b/tests/transit_lost_test.cpp
@@ -2,6 +2,7 @@
 
 #include "table/transit_limits.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace hawthorncroft;
@@ -259,6 +260,62 @@
     }
 }
 
+// Guards against a reset of flows that a target accepted before its agent restarted (incident review-2).
+TEST_CASE("An agent that restarts beside a target that has not registered yet does not know its flows", "[transit]")
+{
+    Fleet fleet(3);
+    Endpoint agent = fleet.agents[0];
+    fleet.setStoreDown(true);
+    fleet.run(milliseconds(200));
+
+    // The target restarts, and accepts flows under the registration of its earlier incarnation.
+    fleet.restartTarget(agent.address, "again");
+    std::vector<FlowTuple> flows;
+    for (std::uint32_t i = 1; flows.size() < 3; ++i) {
+        if (fleet.open(fleet.balancers[i % 2], flowOf(i)) == agent.address)
+            flows.push_back(flowOf(i));
+    }
+    for (const auto& flow : flows)
+        fleet.sendRequest(fleet.balancers[0], flow);
+    fleet.run(milliseconds(300));
+
+    auto sendRequestsAfterRegistration = [&] {
+        fleet.run(seconds(1));
+        fleet.setStoreDown(false);
+        fleet.run(milliseconds(5500));
+        REQUIRE(fleet.agent(agent).fleet().view().targetAt({ agent.address, targetPort })->record.id == "again");
+        for (const auto& flow : flows) {
+            fleet.sendRequest(fleet.balancers[0], flow, 2);
+            fleet.run(milliseconds(200));
+            CHECK_FALSE(fleet.caller(flow).resetAt);
+            CHECK(fleet.caller(flow).answers == 2);
+        }
+    };
+
+    SECTION("when it shuts down and starts again")
+    {
+        fleet.stop(agent);
+        fleet.run(milliseconds(300));
+        fleet.restart(agent);
+        sendRequestsAfterRegistration();
+    }
+    SECTION("when it is killed and starts again")
+    {
+        fleet.kill(agent);
+        fleet.run(milliseconds(300));
+        fleet.restart(agent);
+        sendRequestsAfterRegistration();
+    }
+    SECTION("when the balancers restart too, so that no process has the flows in a table")
+    {
+        fleet.stop(agent);
+        fleet.restart(agent);
+        for (Endpoint balancer : fleet.balancers)
+            fleet.restart(balancer);
+        sendRequestsAfterRegistration();
+    }
+}
+
 TEST_CASE("The agent detects that its target's process has ended", "[transit]")
 {
     Fleet fleet(40);
@@ -290,6 +347,22 @@
         fleet.run(milliseconds(200));
         CHECK(fleet.caller(idle).resetAt);
     }
+    SECTION("a registration that arrives after that does not let new flows in, as the process may have ended since")
+    {
+        fleet.crashTarget(holder);
+        fleet.run(milliseconds(300));
+        TargetRecord late = targetRecord(holder, "late");
+        fleet.writeTarget(late);
+        fleet.run(milliseconds(20));
+        REQUIRE(fleet.agent({ holder, fleetPort }).fleet().view().targetAt(late.address)->record.id == "late");
+        ForwardMessage forward { .replyTo = fleet.balancers[0], .service = "web", .packet = { .flow = flowOf(900) } };
+        forward.packet.flags.isOpening = true;
+        TransitEffects effects;
+        fleet.agent({ holder, fleetPort })
+            .onMessage(fleet.balancers[0], { fleet.lastRevision(), forward }, fleet.now(), effects);
+        CHECK(std::none_of(effects.begin(), effects.end(),
+            [](const auto& effect) { return std::holds_alternative<DeliverToTarget>(effect); }));
+    }
     SECTION("the flows of a target that hangs or takes long are not reset")
     {
         fleet.target(holder).isResponding = false;
