Agent: reset a learned flow with a sequence number that its caller accepts

Cause: the caller's acknowledgement was kept from packets as they were delivered. The packet from which the agent learned the flow was delivered before the flow was known, and the next one waited in the queue, so that the field still had its initial 0. The assumption "a field that was never set is a value" was false.

Change: the field is optional, is taken from every packet of the caller on arrival and from delivered queries, and never goes back. Without a number no reset is sent.

The simulated callers check every reset.

--- a/src/transit_agent_base.h
+++ b/src/transit_agent_base.h
@@ -70,7 +70,9 @@
     struct HeldFlow {
         FlowState state {};
         std::uint32_t targetSequence {}; ///< First sequence number of the target; zero when unknown.
-        std::uint32_t acknowledged {}; ///< Acknowledgement number of the caller's last packet.
+        /// Highest acknowledgement number in the caller's packets, delivered to the target or not. If none was seen,
+        /// the sequence number of the target, which is ahead of it by the packets in flight only.
+        std::optional<std::uint32_t> acknowledged;
         TimePoint usedAt;
         std::optional<TimePoint> requestAt; ///< Start of the request in progress; none when there is none.
         std::string requestId;
@@ -97,6 +99,7 @@
         Endpoint balancer;
         TimePoint expiresAt;
         bool mayBeRequest {}; ///< Counted in m_askedRequests.
+        std::optional<std::uint32_t> acknowledged; ///< Highest acknowledgement number of the caller.
     };
 
     // Messages; in transit_agent_message.cpp.
@@ -128,6 +131,7 @@
     void onReturned(TransitPacket packet, TransitEffects& effects);
     void onUnknownReset(const TransitPacket& packet, TransitEffects& effects);
     void learnFlow(const TransitPacket& packet, TimePoint now, TransitEffects& effects);
+    static void trackAcknowledgement(std::optional<std::uint32_t>& highest, const TransitPacket& packet);
     void trackTargetPacket(HeldFlow& flow, const TransitPacket& packet, TimePoint now, TransitEffects& effects);
     void trackCallerPacket(HeldFlow& flow, const TransitPacket& packet, TimePoint now, TransitEffects& effects);
 
@@ -143,7 +147,7 @@
     void queueUnknown(ForwardMessage forward, TimePoint now, TransitEffects& effects);
     void deliverUnknown(const ForwardMessage& forward, TimePoint now, TransitEffects& effects);
     void releaseUnknown(TimePoint now, TransitEffects& effects);
-    std::optional<Endpoint> takeFlowQuery(const FlowTuple& flow);
+    std::optional<FlowQuery> takeFlowQuery(const FlowTuple& flow);
 
     // Requests that wait for a slot; in transit_agent_queue.cpp.
     void deliverOrQueue(HeldFlow& flow, ForwardMessage forward, TimePoint now, TransitEffects& effects);
--- a/src/transit_agent_probe.cpp
+++ b/src/transit_agent_probe.cpp
@@ -68,7 +68,8 @@
         effects.push_back(WriteLog { "flow_ended_with_target",
             { { "request", held.requestId }, { "flow", toString(flow.caller) }, { "to", toString(flow.service) },
                 { "target", m_targetId } } });
-        effects.push_back(ResetCaller { flow, held.acknowledged });
+        if (held.acknowledged)
+            effects.push_back(ResetCaller { flow, *held.acknowledged });
     }
     for (const auto& flow : flows)
         forgetFlow(flow);
--- a/src/transit_agent_queue.cpp
+++ b/src/transit_agent_queue.cpp
@@ -9,6 +9,7 @@
 void TransitAgent::deliverOrQueue(HeldFlow& flow, ForwardMessage forward, TimePoint now, TransitEffects& effects)
 {
     flow.usedAt = now;
+    trackAcknowledgement(flow.acknowledged, forward.packet);
     if (!flow.queuedPackets.empty() && forward.packet.flags.isReset) {
         // The caller gave up, so the request is not run.
         flow.queuedPackets.clear();
--- a/src/transit_agent_target.cpp
+++ b/src/transit_agent_target.cpp
@@ -70,8 +70,8 @@
     effects.push_back(WriteLog { "reset_withheld",
         { { "flow", toString(packet.flow.caller) }, { "to", toString(packet.flow.service) },
             { "target", m_targetId } } });
-    if (auto balancer = takeFlowQuery(packet.flow))
-        queueNotHeldReply(*balancer, packet.flow, effects);
+    if (auto query = takeFlowQuery(packet.flow))
+        queueNotHeldReply(query->balancer, packet.flow, effects);
 }
 
 void TransitAgent::learnFlow(const TransitPacket& packet, TimePoint now, TransitEffects& effects)
@@ -88,8 +88,19 @@
                 { "target", m_targetId } } });
         announceFlow(held, packet.flow, now, effects);
     }
-    if (auto balancer = takeFlowQuery(packet.flow))
-        effects.push_back(SendMessage { *balancer, HeldMessage { .flow = packet.flow, .load = load() } });
+    auto query = takeFlowQuery(packet.flow);
+    held.acknowledged = query && query->acknowledged ? query->acknowledged : packet.sequence;
+    if (query)
+        effects.push_back(SendMessage { query->balancer, HeldMessage { .flow = packet.flow, .load = load() } });
+}
+
+void TransitAgent::trackAcknowledgement(std::optional<std::uint32_t>& highest, const TransitPacket& packet)
+{
+    if (!packet.flags.hasAcknowledgement)
+        return;
+    // Packets may arrive out of order; the difference is signed, as the numbers wrap around.
+    if (!highest || static_cast<std::int32_t>(packet.acknowledged - *highest) > 0)
+        highest = packet.acknowledged;
 }
 
 void TransitAgent::trackTargetPacket(
@@ -143,7 +154,7 @@
     HeldFlow& flow, const TransitPacket& packet, TimePoint now, TransitEffects& effects)
 {
     flow.usedAt = now;
-    flow.acknowledged = packet.acknowledged;
+    trackAcknowledgement(flow.acknowledged, packet);
     if (packet.dataSize)
         recordDelivery(now);
     if (packet.dataSize && !flow.requestAt) {
--- a/src/transit_agent_unknown.cpp
+++ b/src/transit_agent_unknown.cpp
@@ -58,17 +58,20 @@
     FlowQuery& query = m_flowQueries[forward.packet.flow];
     bool isRequest = query.mayBeRequest || mayBeRequest(forward);
     m_askedRequests += isRequest && !query.mayBeRequest;
-    query = { forward.replyTo, now + flowQueryLifetime, isRequest };
+    query.balancer = forward.replyTo;
+    query.expiresAt = now + flowQueryLifetime;
+    query.mayBeRequest = isRequest;
+    trackAcknowledgement(query.acknowledged, forward.packet);
     deliverToTarget(forward, effects);
 }
 
-std::optional<Endpoint> TransitAgent::takeFlowQuery(const FlowTuple& flow)
+std::optional<TransitAgent::FlowQuery> TransitAgent::takeFlowQuery(const FlowTuple& flow)
 {
     auto node = m_flowQueries.extract(flow);
     if (node.empty())
         return std::nullopt;
     m_askedRequests -= node.mapped().mayBeRequest;
-    return node.mapped().balancer;
+    return node.mapped();
 }
 
 void TransitAgent::releaseUnknown(TimePoint now, TransitEffects& effects)
--- a/tests/transit_lost_test.cpp
+++ b/tests/transit_lost_test.cpp
@@ -403,6 +403,63 @@
     }
 }
 
+// Guards against a reset that is no reset to the caller of an open flow (incident review-4).
+TEST_CASE("An agent resets a flow that it learned with a sequence number that the caller accepts", "[transit]")
+{
+    Fleet fleet(1);
+    Endpoint agent = fleet.agents[0];
+    TargetRecord record = targetRecord(agent.address, "t" + std::to_string(agent.address));
+    record.slots = 1;
+    fleet.writeTarget(record);
+    fleet.target(agent.address).slots = 1;
+    FlowTuple flow = flowOf(1);
+    REQUIRE(fleet.open(fleet.balancers[0], flow));
+    fleet.sendRequest(fleet.balancers[0], flow);
+    fleet.run(milliseconds(100));
+
+    auto occupyTarget = [&] {
+        fleet.target(agent.address).serviceTime = milliseconds(120);
+        for (std::uint32_t i = 2; i < 6; ++i)
+            fleet.open(fleet.balancers[0], flowOf(i));
+        for (std::uint32_t i = 2; i < 6; ++i)
+            fleet.sendRequest(fleet.balancers[0], flowOf(i));
+        fleet.run(milliseconds(10));
+    };
+    auto crash = [&] {
+        fleet.crashTarget(agent.address);
+        fleet.run(milliseconds(600));
+        CHECK(fleet.caller(flow).resetAt);
+        CHECK(fleet.caller(flow).forgedResets == 0);
+    };
+
+    SECTION("when the next request waits at the agent")
+    {
+        fleet.stop(agent);
+        fleet.restart(agent);
+        fleet.run(milliseconds(500));
+        fleet.sendRequest(fleet.balancers[0], flow, 2);
+        fleet.run(milliseconds(100));
+        occupyTarget();
+        fleet.sendRequest(fleet.balancers[0], flow, 3);
+        fleet.run(milliseconds(20));
+        crash();
+    }
+    SECTION("when its request was delivered before the agent restarted")
+    {
+        fleet.target(agent.address).serviceTime = milliseconds(700);
+        fleet.sendRequest(fleet.balancers[0], flow, 2);
+        fleet.run(milliseconds(10));
+        fleet.kill(agent);
+        fleet.restart(agent);
+        fleet.run(milliseconds(800));
+        REQUIRE(fleet.caller(flow).answers == 2);
+        occupyTarget();
+        fleet.sendRequest(fleet.balancers[0], flow, 3);
+        fleet.run(milliseconds(20));
+        crash();
+    }
+}
+
 TEST_CASE("A flow that several targets answered is located at the one that the caller chose", "[transit]")
 {
     Fleet fleet(40);
--- a/tests/transit_sim.cpp
+++ b/tests/transit_sim.cpp
@@ -9,8 +9,12 @@
 namespace {
 
     constexpr Duration delay = milliseconds(1); ///< Network delay of a message between processes.
+    constexpr std::int64_t resetWindow = 76800; ///< Distance from a caller's acknowledgement within which it is reset.
     constexpr Duration localDelay = microseconds(100); ///< Delay between an agent and its target.
 
+    /** @return First sequence number of a target. */
+    std::uint32_t initialSequenceOf(std::uint32_t address) { return 1000000 * (address & 0xff); }
+
     bool isLocateTraffic(const MessageBody& body)
     {
         const auto* forward = std::get_if<ForwardMessage>(&body);
@@ -193,6 +197,7 @@
         .dataSize = 100,
         .requestId = "r" + std::to_string(sequence) };
     packet.bytes.resize(132);
+    m_callers[flow].acknowledged = packet.acknowledged;
     deliver(balancer, 0, [this, packet, balancer](TransitCore& core) {
         TransitEffects effects;
         core.onPacket(packet, m_now, effects);
@@ -313,8 +318,8 @@
             if (!m_disconnected.contains(process.address))
                 receiveAtCaller(answer->packet);
         } else if (auto* reset = std::get_if<ResetCaller>(&effect)) {
-            if (!m_disconnected.contains(process.address) && !m_callers[reset->flow].resetAt)
-                m_callers[reset->flow].resetAt = m_now;
+            if (!m_disconnected.contains(process.address))
+                receiveResetAtCaller(*reset);
         } else if (std::get_if<ReadStore>(&effect) || std::get_if<WatchStore>(&effect)) {
             ++m_storeCalls;
             auto* watch = std::get_if<WatchStore>(&effect);
@@ -384,7 +389,7 @@
             target.opened.emplace_back(m_now, packet.flow);
         TransitPacket answer { .flow = packet.flow,
             .flags = { .isOpening = true, .hasAcknowledgement = true },
-            .sequence = 1000000 * (address & 0xff) };
+            .sequence = initialSequenceOf(address) };
         sendFromTarget(address, answer);
         return;
     }
@@ -426,7 +431,11 @@
             if (current.id != id || !current.isResponding)
                 return; // The target was restarted or hangs.
             --current.running;
-            sendFromTarget(address, { .flow = flow, .flags = { .hasAcknowledgement = true }, .dataSize = 500 });
+            sendFromTarget(address,
+                { .flow = flow,
+                    .flags = { .hasAcknowledgement = true },
+                    .sequence = initialSequenceOf(address) + 1,
+                    .dataSize = 500 });
             startNext(address);
         });
     }
@@ -450,6 +459,16 @@
     });
 }
 
+void TransitSim::receiveResetAtCaller(const ResetCaller& reset)
+{
+    CallerState& view = m_callers[reset.flow];
+    auto distance = static_cast<std::int32_t>(reset.sequence - view.acknowledged);
+    bool isForged = view.acknowledged && std::abs(static_cast<std::int64_t>(distance)) > resetWindow;
+    view.forgedResets += isForged;
+    if (!isForged && !view.resetAt)
+        view.resetAt = m_now;
+}
+
 void TransitSim::receiveAtCaller(const TransitPacket& packet)
 {
     CallerState& view = m_callers[packet.flow];
--- a/tests/transit_sim.h
+++ b/tests/transit_sim.h
@@ -48,6 +48,8 @@
     std::size_t answers {}; ///< Received packets with data.
     std::optional<TimePoint> answeredAt; ///< Time of the last packet with data.
     std::optional<TimePoint> resetAt;
+    std::uint32_t acknowledged {}; ///< Acknowledgement number that the caller sent last on the open flow; zero before.
+    std::size_t forgedResets {}; ///< Resets of the system on the open flow that are too far from that number.
 };
 
 /** Simulated fleet of balancers, agents, targets, callers and a store. */
@@ -173,6 +175,7 @@
     void startNext(std::uint32_t address);
     void sendFromTarget(std::uint32_t address, TransitPacket packet);
     void receiveAtCaller(const TransitPacket& packet);
+    void receiveResetAtCaller(const ResetCaller& reset);
     void answerWatches();
     std::vector<StoreChange> changesAfter(Revision after) const;
     std::unique_ptr<TransitCore> makeCore(Endpoint process);
