Balancer: refuse only opening packets that cannot have opened yet

Cause: a refusal took the flow to be as it was when the caller sent the packet. The check for retransmissions covered declined packets only, not unknown routes, and no check covered a packet that had waited.

Change: a balancer keeps the time before which all packets have been read. Only a first transmission that arrived less than 150 ms ago is refused; for others refusal_withheld is logged. What arrives in time is refused at once as before.

--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -141,6 +141,9 @@
 /** Time for which a balancer still forwards packets after it left rotation. Routers stop using it after two failed
  * probes, half a second apart. */
 inline constexpr Duration drainTime = milliseconds(3000);
+/** Time from the arrival of an opening packet within which its refusal reaches the caller before a retransmission, sent
+ * after 200 ms, can open the flow. */
+inline constexpr Duration openRefusalLimit = milliseconds(150);
 /** Part of the grace period kept in reserve for a late tick and the network delay. */
 inline constexpr Duration shutdownMargin = milliseconds(500);
 
--- a/src/transit_balancer_base.h
+++ b/src/transit_balancer_base.h
@@ -70,6 +70,7 @@
     /** What the agents that were tried for one opening packet did. */
     struct OpenProgress {
         TimePoint startedAt;
+        TimePoint arrivedAfter; ///< The packet did not arrive before this time.
         std::size_t declines {}; ///< Agents whose targets certainly did not accept the packet.
         std::size_t overloadDeclines {}; ///< Those of them that are overloaded.
     };
@@ -99,10 +100,13 @@
     };
 
     // Opening packets, in transit_balancer_open.cpp.
-    void openFlow(TransitPacket packet, const RouteRecord& route, TimePoint now, TransitEffects& effects);
+    void openFlow(
+        TransitPacket packet, const RouteRecord& route, TimePoint arrivedAfter, TimePoint now, TransitEffects& effects);
     void sendOpen(ForwardMessage forward, OpenProgress progress, TimePoint now, TransitEffects& effects);
     void refuseIfDeclined(const ForwardMessage& forward, const OpenProgress& progress, std::string_view reason,
         TimePoint now, TransitEffects& effects);
+    void refuseUnlessOpen(const TransitPacket& packet, const OpenProgress& progress, std::string_view reason,
+        std::size_t tried, TimePoint now, TransitEffects& effects);
     void refuseOpen(const TransitPacket& packet, std::string_view reason, std::size_t tried, TimePoint now,
         TransitEffects& effects);
     void onHeld(Endpoint from, const HeldMessage& held, TimePoint now, TransitEffects& effects);
@@ -145,7 +149,7 @@
     // In transit_balancer_cmd.cpp.
     bool mayLeaveRotation(TimePoint now) const;
     void leaveRotation(TimePoint now, TransitEffects& effects);
-    void handlePacket(TransitPacket packet, TimePoint now, TransitEffects& effects);
+    void handlePacket(TransitPacket packet, TimePoint arrivedAfter, TimePoint now, TransitEffects& effects);
     void onViewChanged(TimePoint now, TransitEffects& effects) override;
     void releaseWaitingPackets(TimePoint now, TransitEffects& effects);
     void sweepFlows(TimePoint now);
@@ -167,9 +171,10 @@
     std::uint32_t m_immediateQueries {}; ///< Number of queries sent immediately since the last tick.
     std::size_t m_relayRotation {}; ///< Round-robin position for the choice of relays.
     std::deque<std::pair<TimePoint, TransitPacket>>
-        m_waitingPackets; ///< Packets buffered until the first view arrives, with the time of receipt.
+        m_waitingPackets; ///< Packets buffered until the first view arrives, with the time after which they arrived.
     TimePoint m_nextSweepAt;
     std::optional<TimePoint> m_lastTickAt;
+    TimePoint m_caughtUpAt; ///< Packets that arrived before this time have been read.
     std::optional<TimePoint> m_stoppedAt;
     std::optional<TimePoint> m_leftRotationAt; ///< Not ready since then, but packets are still forwarded.
     bool m_wasReady {};
--- a/src/transit_balancer_cmd.cpp
+++ b/src/transit_balancer_cmd.cpp
@@ -20,6 +20,7 @@
     // After a late tick, answers that are waiting in the sockets have to be read before timeouts are evaluated.
     bool isLate = m_lastTickAt && now >= *m_lastTickAt + lateTickThreshold;
     refillLocateBytes(m_lastTickAt ? now - *m_lastTickAt : Duration {});
+    m_caughtUpAt = m_lastTickAt.value_or(now); // What has arrived since the last tick may still wait in the sockets.
     m_lastTickAt = now;
     if (!isLate) {
         retryOpens(now, effects);
@@ -45,14 +46,14 @@
 {
     effects.push_back(CountEvent { TransitCounter::PacketsFromCallers });
     if (m_fleet.view().hasConfiguration()) {
-        handlePacket(std::move(packet), now, effects);
+        handlePacket(std::move(packet), m_caughtUpAt, now, effects);
         return;
     }
     if (m_waitingPackets.size() >= maxWaitingPackets) {
         m_waitingPackets.pop_front();
         effects.push_back(CountEvent { TransitCounter::PacketsDropped });
     }
-    m_waitingPackets.emplace_back(now, std::move(packet));
+    m_waitingPackets.emplace_back(m_caughtUpAt, std::move(packet));
 }
 
 void TransitBalancer::onMessage(Endpoint from, Message message, TimePoint now, TransitEffects& effects)
@@ -132,7 +133,7 @@
     return found->second.holder.agent;
 }
 
-void TransitBalancer::handlePacket(TransitPacket packet, TimePoint now, TransitEffects& effects)
+void TransitBalancer::handlePacket(TransitPacket packet, TimePoint arrivedAfter, TimePoint now, TransitEffects& effects)
 {
     const RouteRecord* route = m_fleet.view().routeAt(packet.flow.service);
     bool isOpening = packet.flags.asksForFlow();
@@ -141,11 +142,14 @@
     bool isRefused = !route && (isOpening || m_fleet.view().wasRouteDropped(packet.flow.service));
     if (isRefused) {
         effects.push_back(CountEvent { TransitCounter::NoRoute });
-        refuseOpen(packet, "no_route", 0, now, effects);
+        if (isOpening)
+            refuseUnlessOpen(packet, { .arrivedAfter = arrivedAfter }, "no_route", 0, now, effects);
+        else
+            refuseOpen(packet, "no_route", 0, now, effects);
         return;
     }
     if (isOpening)
-        openFlow(std::move(packet), *route, now, effects);
+        openFlow(std::move(packet), *route, arrivedAfter, now, effects);
     else
         forwardData(std::move(packet), now, effects);
 }
@@ -167,8 +171,8 @@
         return;
     auto waiting = std::move(m_waitingPackets);
     m_waitingPackets.clear();
-    for (auto& [since, packet] : waiting)
-        handlePacket(std::move(packet), now, effects);
+    for (auto& [arrivedAfter, packet] : waiting)
+        handlePacket(std::move(packet), arrivedAfter, now, effects);
 }
 
 void TransitBalancer::sweepFlows(TimePoint now)
--- a/src/transit_balancer_open.cpp
+++ b/src/transit_balancer_open.cpp
@@ -20,11 +20,13 @@
 
 }
 
-void TransitBalancer::openFlow(TransitPacket packet, const RouteRecord& route, TimePoint now, TransitEffects& effects)
+void TransitBalancer::openFlow(
+    TransitPacket packet, const RouteRecord& route, TimePoint arrivedAfter, TimePoint now, TransitEffects& effects)
 {
+    OpenProgress progress { .startedAt = now, .arrivedAfter = arrivedAfter };
     const std::string* service = serviceFor(route, packet.flow, now);
     if (!service) {
-        refuseOpen(packet, "no_service", 0, now, effects);
+        refuseUnlessOpen(packet, progress, "no_service", 0, now, effects);
         return;
     }
     FlowTuple flow = packet.flow;
@@ -47,7 +49,7 @@
         forward.tried = pending->second.forward.tried;
         m_opens.erase(pending);
     }
-    sendOpen(std::move(forward), { .startedAt = now }, now, effects);
+    sendOpen(std::move(forward), progress, now, effects);
 }
 
 void TransitBalancer::sendOpen(ForwardMessage forward, OpenProgress progress, TimePoint now, TransitEffects& effects)
@@ -92,10 +94,25 @@
 void TransitBalancer::refuseIfDeclined(const ForwardMessage& forward, const OpenProgress& progress,
     std::string_view reason, TimePoint now, TransitEffects& effects)
 {
-    // An agent that did not answer, or got an earlier transmission through another balancer, may have opened the flow.
-    bool isCopy = forward.packet.acknowledged > 0;
-    if (!isCopy && progress.declines == forward.tried.size())
-        refuseOpen(forward.packet, reason, forward.tried.size(), now, effects);
+    // An agent that did not answer may have opened the flow.
+    if (progress.declines == forward.tried.size())
+        refuseUnlessOpen(forward.packet, progress, reason, forward.tried.size(), now, effects);
+}
+
+void TransitBalancer::refuseUnlessOpen(const TransitPacket& packet, const OpenProgress& progress,
+    std::string_view reason, std::size_t tried, TimePoint now, TransitEffects& effects)
+{
+    // Another transmission of the packet may have opened the flow through another balancer: an earlier one, or, when
+    // this one waited in a paused process, a later one. On an open flow the reset would not be one to the caller.
+    bool isCopy = packet.acknowledged > 0;
+    if (!isCopy && now < progress.arrivedAfter + openRefusalLimit) {
+        refuseOpen(packet, reason, tried, now, effects);
+        return;
+    }
+    effects.push_back(WriteLog { "refusal_withheld",
+        { { "flow", toString(packet.flow.caller) }, { "to", toString(packet.flow.service) },
+            { "reason", std::string(reason) }, { "copy", static_cast<std::int64_t>(packet.acknowledged) },
+            { "age_ms", (now - progress.arrivedAfter).us / 1000 } } });
 }
 
 void TransitBalancer::refuseOpen(
--- a/tests/transit_flow_test.cpp
+++ b/tests/transit_flow_test.cpp
@@ -184,6 +184,72 @@
     CHECK(fleet.target(other).returned == before);
 }
 
+// Guards against resets of flows that another transmission of their opening packet opened (incident review-4).
+TEST_CASE("An opening packet that waited in a paused balancer is not refused", "[transit]")
+{
+    // The balancers are in two failure domains and prefer the targets of their own, so that the late packet goes to
+    // another target than its retransmission.
+    TransitSim fleet;
+    Endpoint paused = fleet.addBalancer(1, "a");
+    Endpoint running = fleet.addBalancer(2, "b");
+    std::vector<Endpoint> agents;
+    for (std::uint32_t i = 11; i < 23; ++i)
+        agents.push_back(fleet.addAgent(i, "web", i % 2 ? "a" : "b"));
+    fleet.run(seconds(2));
+    fleet.pause(paused);
+    std::vector<FlowTuple> flows;
+    for (std::uint32_t i = 1; i <= 10; ++i)
+        flows.push_back(flowOf(i));
+    for (const auto& flow : flows)
+        fleet.sendOpen(paused, flow);
+    fleet.run(milliseconds(200));
+    for (const auto& flow : flows) {
+        fleet.sendOpen(running, flow, 1);
+        fleet.run(milliseconds(10));
+        fleet.sendRequest(running, flow);
+    }
+    for (Endpoint agent : agents) {
+        TargetRecord record
+            = targetRecord(agent.address, "t" + std::to_string(agent.address), "web", agent.address % 2 ? "a" : "b");
+        record.isDraining = true;
+        fleet.writeTarget(record);
+    }
+    fleet.run(milliseconds(50));
+    fleet.resume(paused);
+    fleet.run(milliseconds(300));
+    for (const auto& flow : flows) {
+        CHECK_FALSE(fleet.caller(flow).resetAt);
+        CHECK(fleet.caller(flow).forgedResets == 0);
+        fleet.sendRequest(running, flow, 2);
+        fleet.run(milliseconds(50));
+        CHECK(fleet.caller(flow).answers == 2);
+    }
+
+    SECTION("but one that arrives afterwards is refused at once")
+    {
+        fleet.sendOpen(paused, flowOf(20));
+        fleet.run(milliseconds(30));
+        CHECK(fleet.caller(flowOf(20)).resetAt);
+    }
+}
+
+TEST_CASE("A retransmitted opening packet is not refused by a balancer that does not know its route yet", "[transit]")
+{
+    Fleet fleet;
+    Endpoint added { 0x0a630002, 8443 };
+    fleet.disconnect(fleet.balancers[1].address);
+    fleet.writeRoutes({ routeTo("web"), routeTo("web", added) });
+    fleet.run(milliseconds(200));
+    FlowTuple flow { { 0x64000009, 40000 }, added };
+    REQUIRE(fleet.open(fleet.balancers[0], flow));
+    fleet.sendRequest(fleet.balancers[0], flow);
+    fleet.run(milliseconds(50));
+    fleet.reconnect(fleet.balancers[1].address);
+    fleet.sendOpen(fleet.balancers[1], flow, 1);
+    CHECK_FALSE(fleet.caller(flow).resetAt);
+    CHECK(fleet.caller(flow).forgedResets == 0);
+}
+
 TEST_CASE("A balancer with an old view does not reset flows of a new route", "[transit]")
 {
     Fleet fleet;
