--- a/src/transit_fleet.cpp
+++ b/src/transit_fleet.cpp
@@ -177,8 +177,9 @@
     m_isCallPending = false;
     m_pages = {};
     m_firstPageRevision = {};
+    // A watch that returned something unreadable would return it again; a full read has current values only.
+    m_needsFullRead |= failure == StoreFailure::Invalid || failure == StoreFailure::HistoryGone;
     if (failure == StoreFailure::HistoryGone) {
-        m_needsFullRead = true;
         m_nextCallAt = now;
     } else {
         Duration backoff = storeBackoffMin * (std::int64_t { 1 } << std::min<std::uint32_t>(m_consecutiveFailures, 6));
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -13,6 +13,7 @@
 #include <rapidcheck.h>
 
 #include <fcntl.h>
+#include <map>
 #include <unistd.h>
 
 using namespace hawthorncroft;
@@ -181,10 +182,12 @@
         ViewItem evacuation { .key = "evacuation/a", .revision = Revision(7), .value = EvacuationRecord { "a" } };
         DeltaMessage message { milliseconds(4),
             { Revision(1), Revision(7), true, { 42 }, { target, route, service, evacuation }, 77 } };
+        message.delta.configurationThrough = Revision(9);
         auto body = std::get<DeltaMessage>(roundTrip(message));
         REQUIRE(body.delta.items.size() == 4);
         CHECK(body.delta.keys == std::vector<std::uint64_t> { 42 });
         CHECK(body.delta.digest == 77);
+        CHECK(body.delta.configurationThrough == Revision(9));
         CHECK(std::get<TargetRecord>(*body.delta.items[0].value).coldLeft == milliseconds(1500));
         CHECK(body.delta.items[0].retainedUntil == now + milliseconds(300));
         CHECK(body.delta.items[1].value == route.value);
@@ -321,6 +324,56 @@
                 faults.handler());
         CHECK(std::get<StorePage>(outcome).nextAfter == "servers/i-1");
     }
+    // Guards against processes that end or stop following the store because of one odd entry.
+    SECTION("an odd entry of another writer is reported, and the entries around it are decoded")
+    {
+        std::string deep = std::string(200000, '[') + std::string(200000, ']');
+        std::string deepField = R"({"Service":)" + deep + "}";
+        auto with = [](const std::string& name, const std::string& value) {
+            std::map<std::string, std::string> fields { { "Service", R"("web")" }, { "Addr", R"("10.0.0.9:8080")" },
+                { "Zone", R"("a")" }, { "MaxConcurrency", "4" }, { "State", R"("ready")" }, { "WarmupLeftMs", "0" },
+                { "born", "7" } };
+            fields[name] = value;
+            std::string text;
+            for (const auto& [field, content] : fields)
+                text += (text.empty() ? "{\"" : ",\"") + field + "\":" + content;
+            return text + "}";
+        };
+        std::string longName = '"' + std::string(1000000, 'x') + '"';
+        std::vector<std::string> odd { deep, deepField, "", "{", "\xff\xfe", std::string(10, '\0'), "17", "null",
+            R"("text")", "[1e999]", with("Addr", R"("10.0.0.9:65536")"), with("Addr", R"("10.0.0.9:0")"),
+            with("Addr", R"("10.0.0.9:99999999999999999999")"), with("Addr", R"("10.0.0.9:-1")"),
+            with("Addr", R"("10.0.0.9")"), with("Addr", R"("10.0.0.256:80")"), with("Addr", deep),
+            with("MaxConcurrency", "1e400"), with("MaxConcurrency", "4294967296"), with("MaxConcurrency", "-1"),
+            with("MaxConcurrency", "1.5"), with("MaxConcurrency", "9223372036854775808"),
+            with("WarmupLeftMs", "9223372036854775807"), with("WarmupLeftMs", "1e18"),
+            with("WarmupLeftMs", std::string(5000, '9')), with("born", "1e300"), with("born", "\"7\""),
+            with("Service", longName), with("Zone", longName), with("State", "true"), with("Service", "{}") };
+        for (const std::string& text : odd) {
+            faults.lines.clear();
+            auto changes = page(item("servers/a", 1, goodTarget) + "," + item("servers/odd", 2, text) + ","
+                + item("servers/z", 3, goodTarget))
+                               .changes;
+            REQUIRE(changes.size() == 3);
+            CHECK(std::holds_alternative<TargetChange>(changes[0]));
+            CHECK(std::holds_alternative<TargetRemoval>(changes[1]));
+            CHECK(std::holds_alternative<TargetChange>(changes[2]));
+            CHECK(faults.lines.size() == 1);
+
+            auto outcome
+                = decodeWatch(R"({"events":[)" + item("servers/odd", 4, text) + R"(],"AsOf":4})", faults.handler());
+            CHECK(std::holds_alternative<TargetRemoval>(std::get<StoreChanges>(outcome).changes.front()));
+        }
+    }
+    SECTION("an item without a readable key or revision is skipped by a full read, and makes a watch invalid")
+    {
+        for (const std::string& text : { std::string("7"), std::string(R"({"Revision":4,"Value":"e30="})"),
+                 std::string(R"({"Key":"servers/x","Revision":99999999999999999999,"Value":"e30="})") }) {
+            CHECK(page(text + "," + item("servers/z", 3, goodTarget)).changes.size() == 1);
+            auto outcome = decodeWatch(R"({"events":[)" + text + R"(],"AsOf":4})", faults.handler());
+            CHECK(std::get<StoreFailure>(outcome) == StoreFailure::Invalid);
+        }
+    }
     SECTION("a malformed response counts as a failed call")
     {
         for (const char* body :
--- a/tests/transit_late_view_test.cpp
+++ b/tests/transit_late_view_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <map>
 
 using namespace hawthorncroft;
@@ -237,6 +238,24 @@
     CHECK(fleet.balancer(reader).fleet().viewAge(fleet.now()) >= seconds(1));
 }
 
+// Guards against a process that repeats an unreadable watch and no longer follows the store.
+TEST_CASE("A process whose watch is unreadable reads the store in full", "[transit][fleet]")
+{
+    Fleet fleet;
+    Endpoint reader = *std::find_if(fleet.balancers.begin(), fleet.balancers.end(),
+        [&](Endpoint each) { return fleet.balancer(each).fleet().isPermanentReader(fleet.now()); });
+    TransitEffects effects;
+    fleet.balancer(reader).onStoreFailure(StoreFailure::Invalid, fleet.now(), effects);
+    for (int i = 0; i < 100; ++i)
+        fleet.balancer(reader).onTick(fleet.now() + tickInterval * i, effects);
+    auto isCall = [](const auto& effect) {
+        return std::holds_alternative<ReadStore>(effect) || std::holds_alternative<WatchStore>(effect);
+    };
+    auto call = std::find_if(effects.begin(), effects.end(), isCall);
+    REQUIRE(call != effects.end());
+    CHECK(std::holds_alternative<ReadStore>(*call));
+}
+
 namespace {
 
 /** Store with its whole history, and answers of it that have not arrived yet. */
