Locators: an entry of an unknown service is no agent

What callers would see: one entry of another writer, valid but of a service that the configuration does not have, and lost flows are no longer reset: its VM counts as a locator of flows and as an agent that has to answer, and never does.

Cause: every entry with an address was taken for a target with an agent beside it.

--- a/src/transit_view_base.h
+++ b/src/transit_view_base.h
@@ -95,6 +95,9 @@
     /** @return The target at an address, or null. */
     const TargetEntry* targetAt(Endpoint address) const;
 
+    /** @return Whether the configuration has the target's service. Otherwise the record is not one of a target. */
+    bool isOfKnownService(const TargetEntry& target) const;
+
     /** @return All targets by address. */
     const std::map<Endpoint, TargetEntry>& targets() const { return m_targets; }
 
--- a/tests/transit_lost_test.cpp
+++ b/tests/transit_lost_test.cpp
@@ -97,6 +97,15 @@
         REQUIRE(timeToReset);
         CHECK(*timeToReset < milliseconds(300));
     }
+    SECTION("and so does an entry of a service that the configuration does not have, beside which no agent runs")
+    {
+        for (std::uint32_t i = 200; i < 220; ++i)
+            fleet.writeTarget(targetRecord(i, "odd" + std::to_string(i), "unknown"));
+        fleet.run(seconds(2));
+        auto timeToReset = fleet.timeUntilReset();
+        REQUIRE(timeToReset);
+        CHECK(*timeToReset < milliseconds(100));
+    }
     SECTION("when it starts during a query, which must be retried without waiting for the caller's retransmission")
     {
         fleet.restart(endedAgent);
