--- a/src/ctl_explain_log.cpp
+++ b/src/ctl_explain_log.cpp
@@ -42,9 +42,10 @@
     };
 
     /** Events that decide the outcome of a flow. The last line of a flow with one of these events is the cause. */
-    constexpr std::array<Cause, 14> causes { {
+    constexpr std::array<Cause, 15> causes { {
         { "request_answered", "the target answered; what came later was lost on the way to the caller" },
         { "flow_refused", "refused before it ran; the line gives the reason" },
+        { "refusal_withheld", "no agent took the flow, and it was not refused: another packet may have opened it" },
         { "request_reset", "the target reset the flow while the request was under way" },
         { "flow_ended_with_target", "the target's process ended while the request was under way" },
         { "flow_lost", "no agent's target holds the flow: the target's process ended or restarted" },
--- a/tests/ctl_test.cpp
+++ b/tests/ctl_test.cpp
@@ -223,6 +223,12 @@
 2.0 s1 {"t_us":9,"vm":"s1","event":"request_reset","request":"ef","flow":"1.0.0.2:1","to":"2.0.0.1:1"}
 )");
         CHECK(Run({ "explain", "--log", reset, "--request", "ef" }).outputContains("cause: the target reset the flow"));
+        std::string withheld = files.write("withheld.log",
+            R"(1.0 f1 {"t_us":9,"vm":"f1","event":"open_declined","flow":"1.0.0.3:1","to":"2.0.0.1:1","reason":"full"}
+2.0 f1 {"t_us":9,"vm":"f1","event":"refusal_withheld","flow":"1.0.0.3:1","to":"2.0.0.1:1","copy":1}
+)");
+        CHECK(Run({ "explain", "--log", withheld, "--flow", "1.0.0.3:1" })
+                  .outputContains("cause: no agent took the flow, and it was not refused"));
     }
     SECTION("an unknown id gives status 1, missing arguments and unreadable files give status 2")
     {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -383,6 +383,75 @@
     }
 }
 
+namespace {
+
+rc::Gen<std::string> oddValue()
+{
+    return rc::gen::oneOf(rc::gen::element<std::string>("0", "-1", "1.5", "1e300", "1e999", "9223372036854775807",
+                              "9223372036854775808", "18446744073709551616", "4294967296", "null", "true", "[]", "{}",
+                              "\"\"", "\"ready\"", "\"10.0.0.1:65536\"", "\"255.255.255.255:65535\"", "\"0.0.0.0:1\""),
+        rc::gen::map(rc::gen::arbitrary<std::int64_t>(), [](std::int64_t n) { return std::to_string(n); }),
+        rc::gen::map(rc::gen::inRange(1, 5000),
+            [](int depth) {
+                auto size = static_cast<std::size_t>(depth);
+                return std::string(size, '[') + std::string(size, ']');
+            }),
+        rc::gen::map(rc::gen::inRange(1, 2000),
+            [](int size) { return '"' + std::string(static_cast<std::size_t>(size), 'x') + '"'; }));
+}
+
+/** An entry of a target in which some fields have another value or are missing, or which is cut off. */
+rc::Gen<std::string> oddEntry()
+{
+    return rc::gen::exec([] {
+        std::map<std::string, std::string> fields { { "Service", R"("web")" }, { "Addr", R"("10.0.0.9:8080")" },
+            { "Zone", R"("a")" }, { "MaxConcurrency", "4" }, { "State", R"("ready")" }, { "WarmupLeftMs", "0" },
+            { "born", "7" } };
+        std::string text = "{";
+        for (auto& [name, value] : fields) {
+            int change = *rc::gen::inRange(0, 6);
+            if (!change)
+                continue;
+            text += (text.size() > 1 ? ",\"" : "\"") + name + "\":" + (change == 1 ? *oddValue() : value);
+        }
+        text += "}";
+        if (!*rc::gen::inRange(0, 8))
+            text.resize(*rc::gen::inRange<std::size_t>(0, text.size()));
+        return text;
+    });
+}
+
+}
+
+// Guards against processes that end because of an entry that passes the decoder.
+TEST_CASE("Generated entries of the store end no process", "[platform][transit]")
+{
+    REQUIRE(rc::check("a view and an agent take whatever the decoder lets through", [] {
+        TimePoint now { seconds(9).us };
+        auto entries = *rc::gen::container<std::vector<std::string>>(oddEntry());
+        std::string items = item(
+            "op/config", 1, R"({"Routes":[],"Services":[{"Name":"web","MaxConns":9,"WarmupS":2.5,"WarmupPerS":4.0}]})");
+        for (std::size_t i = 0; i < entries.size(); ++i)
+            items += "," + item("servers/" + std::to_string(i), i + 2, entries[i]);
+        Faults faults;
+        auto page = std::get<StorePage>(decodeRange(range(items), faults.handler()));
+        RC_ASSERT(page.changes.size() == entries.size() + 1);
+        TransitAgent agent({ .fleet = { .self = { 0x0a000009, 7000 }, .role = ProcessRole::Agent, .incarnation = 5 },
+            .admission = { .service = "web", .target = { 0x0a000009, 8080 } },
+            .fleetPort = 7000 });
+        TransitEffects effects;
+        agent.onTick(now, effects);
+        agent.onStorePage(page.changes, Revision(entries.size() + 2), {}, now, effects);
+        ForwardMessage forward { .replyTo = { 1, 7000 }, .service = "web", .packet = { .flow = flowOf(9) } };
+        forward.packet.flags.isOpening = true;
+        agent.onMessage({ 1, 7000 }, { Revision(1), forward }, now, effects);
+        agent.onTick(now + seconds(1), effects);
+        DeltaMessage delta { milliseconds(1), agent.fleet().view().deltaSince(Revision()) };
+        auto bytes = encodeMessage({ Revision(1), delta }, now + seconds(1));
+        RC_ASSERT(decodeMessage(bytes, PlatformPacketFormat(), now).has_value());
+    }));
+}
+
 TEST_CASE("All settings of a process on the platform are validated", "[platform][settings]")
 {
     const std::string good
