--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -300,6 +300,24 @@
         CHECK_FALSE(change.routes[1].isIdempotent);
         CHECK(change.services.front().warmup == milliseconds(2500));
     }
+    SECTION("numbers of a configuration that are too large are capped, so that it comes into force")
+    {
+        std::string text
+            = R"({"Routes":[{"Name":"r","Host":"198.18.0.1","Prefix":"/8443/","Kind":"safe","TimeoutMs":9223372036854775807,
+            "TargetLatencyMs":9223372036854775807,"Priority":9223372036854775807,
+            "Backends":[{"Service":"web","Weight":4294967296}]}],
+            "Services":[{"Name":"web","MaxConns":9007199254740991,"WarmupS":1e300,"WarmupPerS":1e300}]})";
+        auto changes = page(item("op/config", 9, text)).changes;
+        REQUIRE(changes.size() == 1);
+        const auto& change = std::get<ConfigurationChange>(changes.front());
+        CHECK(change.routes.front().timeout > seconds(3600));
+        CHECK(change.routes.front().latencyObjective > seconds(3600));
+        CHECK(change.routes.front().shares.front().weight == 4294967295);
+        CHECK(change.services.front().flowLimit == 4294967295);
+        CHECK(change.services.front().warmup > seconds(3600));
+        CHECK(change.services.front().warmupPerSecond > 1e6);
+        CHECK(faults.lines.empty());
+    }
     SECTION("a malformed configuration is reported and ignored, so that the previous one stays in force")
     {
         CHECK(page(item("op/config", 9, R"({"Routes":7})")).changes.empty());
