--- a/tests/transit_flow_test.cpp
+++ b/tests/transit_flow_test.cpp
@@ -7,6 +7,23 @@
 using namespace hawthorncroft;
 using namespace hawthorncroft::tests;
 
+namespace {
+
+/** A fleet with an open flow of a route that the second balancer, which is disconnected, does not know. */
+struct FlowOfNewRoute : Fleet {
+    FlowTuple flow { { 0x64000009, 40000 }, { 0x0a630002, 8443 } };
+
+    FlowOfNewRoute()
+    {
+        disconnect(balancers[1].address);
+        writeRoutes({ routeTo("web"), routeTo("web", flow.service) });
+        run(milliseconds(200));
+        REQUIRE(open(balancers[0], flow));
+    }
+};
+
+}
+
 TEST_CASE("A transparent flow is opened at one target and its requests are answered", "[transit]")
 {
     Fleet fleet;
@@ -235,13 +252,8 @@
 
 TEST_CASE("A retransmitted opening packet is not refused by a balancer that does not know its route yet", "[transit]")
 {
-    Fleet fleet;
-    Endpoint added { 0x0a630002, 8443 };
-    fleet.disconnect(fleet.balancers[1].address);
-    fleet.writeRoutes({ routeTo("web"), routeTo("web", added) });
-    fleet.run(milliseconds(200));
-    FlowTuple flow { { 0x64000009, 40000 }, added };
-    REQUIRE(fleet.open(fleet.balancers[0], flow));
+    FlowOfNewRoute fleet;
+    FlowTuple flow = fleet.flow;
     fleet.sendRequest(fleet.balancers[0], flow);
     fleet.run(milliseconds(50));
     fleet.reconnect(fleet.balancers[1].address);
@@ -252,13 +264,8 @@
 
 TEST_CASE("A balancer with an old view does not reset flows of a new route", "[transit]")
 {
-    Fleet fleet;
-    Endpoint added { 0x0a630002, 8443 };
-    fleet.disconnect(fleet.balancers[1].address);
-    fleet.writeRoutes({ routeTo("web"), routeTo("web", added) });
-    fleet.run(milliseconds(200));
-    FlowTuple flow { { 0x64000009, 40000 }, added };
-    REQUIRE(fleet.open(fleet.balancers[0], flow));
+    FlowOfNewRoute fleet;
+    FlowTuple flow = fleet.flow;
     fleet.reconnect(fleet.balancers[1].address);
     fleet.sendRequest(fleet.balancers[1], flow);
     fleet.run(milliseconds(60));
