--- a/tests/transit_flow_test.cpp
+++ b/tests/transit_flow_test.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-/** A fleet with an open flow of a route that the second balancer, which is disconnected, does not know. */
+/** A fleet with a new route that the second balancer, which is disconnected, does not know; and a flow of this route.
+ */
 struct FlowOfNewRoute : Fleet {
     FlowTuple flow { { 0x64000009, 40000 }, { 0x0a630002, 8443 } };
 
@@ -18,7 +19,6 @@
         disconnect(balancers[1].address);
         writeRoutes({ routeTo("web"), routeTo("web", flow.service) });
         run(milliseconds(200));
-        REQUIRE(open(balancers[0], flow));
     }
 };
 
@@ -254,6 +254,7 @@
 {
     FlowOfNewRoute fleet;
     FlowTuple flow = fleet.flow;
+    REQUIRE(fleet.open(fleet.balancers[0], flow));
     fleet.sendRequest(fleet.balancers[0], flow);
     fleet.run(milliseconds(50));
     fleet.reconnect(fleet.balancers[1].address);
@@ -266,6 +267,7 @@
 {
     FlowOfNewRoute fleet;
     FlowTuple flow = fleet.flow;
+    REQUIRE(fleet.open(fleet.balancers[0], flow));
     fleet.reconnect(fleet.balancers[1].address);
     fleet.sendRequest(fleet.balancers[1], flow);
     fleet.run(milliseconds(60));
