Balancer: no reset from a packet that acknowledges nothing

What callers would see: a caller gives up while its lost flow is searched; the search ends with a reset whose sequence number is that of the caller's own reset, 0.

The check for a caller that has given up looked at the first packet of the search only.

Change: the reset takes the last packet with an acknowledgement, and is not sent when there is none or when any packet is a reset of the caller.

--- a/src/transit_balancer_locate.cpp
+++ b/src/transit_balancer_locate.cpp
@@ -315,7 +315,6 @@
 
 void TransitBalancer::declareLost(const FlowTuple& flow, const Locate& locate, TimePoint now, TransitEffects& effects)
 {
-    const TransitPacket& packet = locate.packets.front();
     effects.push_back(WriteLog { locate.isComplete ? "flow_lost" : "locate_incomplete",
         { { "flow", toString(flow.caller) }, { "to", toString(flow.service) },
             { "asked", static_cast<std::int64_t>(locate.queried.size()) },
@@ -323,13 +322,18 @@
             { "vouchers", static_cast<std::int64_t>(locate.reportingLocators.size()) },
             { "revision", static_cast<std::int64_t>(m_fleet.view().through().value) },
             { "took_us", (now - locate.startedAt).us } } });
-    if (!locate.isComplete || packet.flags.isReset) {
+    bool hasGivenUp = std::any_of(
+        locate.packets.begin(), locate.packets.end(), [](const auto& each) { return each.flags.isReset; });
+    auto last = std::find_if(
+        locate.packets.rbegin(), locate.packets.rend(), [](const auto& each) { return each.flags.hasAcknowledgement; });
+    // Without an acknowledgement of the caller there is no sequence number that it would accept.
+    if (!locate.isComplete || hasGivenUp || last == locate.packets.rend()) {
         effects.push_back(CountEvent { TransitCounter::LocatesUnanswered });
         return;
     }
     // No target holds the flow. The reset lets the caller reconnect without waiting for its timeout.
     effects.push_back(CountEvent { TransitCounter::FlowsLost });
-    effects.push_back(ResetCaller { flow, locate.packets.back().acknowledged });
+    effects.push_back(ResetCaller { flow, last->acknowledged });
 }
 
 void TransitBalancer::tickLocates(TimePoint now, TransitEffects& effects)
--- a/tests/transit_lost_test.cpp
+++ b/tests/transit_lost_test.cpp
@@ -66,6 +66,17 @@
     CHECK(locateMessagesForLostFlow(1000) == smallFleetMessages);
 }
 
+// Guards against a reset whose sequence number is that of a packet without an acknowledgement (incident review-4).
+TEST_CASE("A caller that gives up while its flow is searched is not reset", "[transit]")
+{
+    LostFlow fleet(10);
+    fleet.sendRequest(fleet.balancers[1], fleet.flow, 2);
+    fleet.sendReset(fleet.balancers[1], fleet.flow);
+    fleet.run(seconds(1));
+    CHECK(fleet.caller(fleet.flow).forgedResets == 0);
+    CHECK_FALSE(fleet.caller(fleet.flow).resetAt);
+}
+
 TEST_CASE("An agent that has ended does not block the detection of a lost flow", "[transit]")
 {
     LostFlow fleet(40);
--- a/tests/transit_sim.cpp
+++ b/tests/transit_sim.cpp
@@ -205,6 +205,16 @@
     });
 }
 
+void TransitSim::sendReset(Endpoint balancer, const FlowTuple& flow)
+{
+    TransitPacket packet { .flow = flow, .flags = { .isReset = true } };
+    deliver(balancer, 0, [this, packet, balancer](TransitCore& core) {
+        TransitEffects effects;
+        core.onPacket(packet, m_now, effects);
+        applyEffects(balancer, effects);
+    });
+}
+
 std::uint32_t TransitSim::open(Endpoint balancer, const FlowTuple& flow)
 {
     sendOpen(balancer, flow);
--- a/tests/transit_sim.h
+++ b/tests/transit_sim.h
@@ -117,6 +117,9 @@
     /** Delivers a request of one packet to a balancer. A repeated sequence number is a retransmission. */
     void sendRequest(Endpoint balancer, const FlowTuple& flow, std::uint32_t sequence = 1);
 
+    /** Delivers a caller's reset to a balancer: the caller has given up. It acknowledges nothing. */
+    void sendReset(Endpoint balancer, const FlowTuple& flow);
+
     /** Opens a flow and runs for 10 ms. @return Address of the VM whose target holds the flow; zero when none does. */
     std::uint32_t open(Endpoint balancer, const FlowTuple& flow);
 
