--- a/src/transit_agent_target.cpp
+++ b/src/transit_agent_target.cpp
@@ -154,7 +154,6 @@
     HeldFlow& flow, const TransitPacket& packet, TimePoint now, TransitEffects& effects)
 {
     flow.usedAt = now;
-    trackAcknowledgement(flow.acknowledged, packet);
     if (packet.dataSize)
         recordDelivery(now);
     if (packet.dataSize && !flow.requestAt) {
--- a/src/transit_agent_unknown.cpp
+++ b/src/transit_agent_unknown.cpp
@@ -83,6 +83,7 @@
     for (ForwardMessage& forward : node.mapped()) {
         auto known = m_flows.find(request->flow);
         if (known != m_flows.end()) {
+            trackAcknowledgement(known->second.acknowledged, forward.packet);
             trackCallerPacket(known->second, forward.packet, now, effects);
             deliverToTarget(forward, effects);
         } else if (m_knowsAllFlows) {
--- a/src/transit_view_base.h
+++ b/src/transit_view_base.h
@@ -22,8 +22,8 @@
 
 /**
  * Keys with their revisions, and indexes by route address, service and target address.
- * The view contains all changes up to the revision `through`, and may contain later changes of some keys. Data that is
- * older than that, whenever it arrives, changes nothing.
+ * The view contains all changes up to the revision `through`, and may contain later changes of some keys. Older data
+ * changes nothing, whenever it arrives.
  */
 class TransitView {
 public:
@@ -106,13 +106,14 @@
 private:
     bool apply(ViewItem item);
     bool replace(ViewItem item);
-    bool applyItems(const ViewDelta& delta, TimePoint now);
-    bool applyFullDelta(const ViewDelta& delta, TimePoint now);
+    bool applyItems(const ViewDelta& delta, bool keepsConfiguration, TimePoint now);
+    bool applyFullDelta(const ViewDelta& delta, bool keepsConfiguration, TimePoint now);
     bool applyChange(
         const StoreChange& change, TimePoint now, TimePoint retainRemovedUntil, std::set<std::string>* seen);
     bool applyConfiguration(const ConfigurationChange& change, TimePoint now);
     bool replaceFromFullDelta(const ViewItem& item, const ViewDelta& delta, TimePoint now);
-    bool removeMissingFromFullDelta(const std::set<std::string>& seen, const ViewDelta& delta, TimePoint now);
+    bool removeMissingFromFullDelta(
+        const std::set<std::string>& seen, const ViewDelta& delta, bool keepsConfiguration, TimePoint now);
     Revision configurationThrough() const;
     bool isConfigurationKnown(const StoreChange& change) const;
     bool hasNewerConfigurationThan(const ViewDelta& delta) const;
--- a/src/transit_view_cmd.cpp
+++ b/src/transit_view_cmd.cpp
@@ -105,9 +105,11 @@
     bool isFullDelta = !delta.since;
     if (delta.through < m_through || delta.since > m_through || (delta.through == m_through && !isFullDelta))
         return DeltaOutcome::Ignored;
-    bool isComparable = !hasNewerConfigurationThan(delta);
-    bool hasChanged = isFullDelta ? applyFullDelta(delta, now) : applyItems(delta, now);
-    bool isSame = !isComparable || m_digest == delta.digest;
+    // The digest covers the configuration, so that it can differ while the view keeps a newer one.
+    bool keepsConfiguration = hasNewerConfigurationThan(delta);
+    bool hasChanged
+        = isFullDelta ? applyFullDelta(delta, keepsConfiguration, now) : applyItems(delta, keepsConfiguration, now);
+    bool isSame = keepsConfiguration || m_digest == delta.digest;
     // Until the view is the same as the sender's, it must not pass itself on as complete up to that revision.
     if (!isSame && !isFullDelta)
         return DeltaOutcome::Mismatch;
@@ -115,7 +117,7 @@
     // Such a delta has no tombstones of keys that this view never had.
     if (isFullDelta || delta.hasKeys)
         m_historyFloor = delta.through;
-    if (isComparable)
+    if (!keepsConfiguration)
         m_configurationThrough = std::max(m_configurationThrough, delta.configurationThrough);
     advance(delta.through);
     if (!isSame)
@@ -123,9 +125,8 @@
     return isNewer ? DeltaOutcome::Applied : DeltaOutcome::Ignored;
 }
 
-bool TransitView::applyItems(const ViewDelta& delta, TimePoint now)
+bool TransitView::applyItems(const ViewDelta& delta, bool keepsConfiguration, TimePoint now)
 {
-    bool keepsConfiguration = hasNewerConfigurationThan(delta);
     bool hasChanged = false;
     for (ViewItem item : delta.items) {
         if (keepsConfiguration && isConfigurationKey(item.key))
@@ -141,25 +142,23 @@
     return hasChanged || hasRemovedKeys;
 }
 
-bool TransitView::applyFullDelta(const ViewDelta& delta, TimePoint now)
+bool TransitView::applyFullDelta(const ViewDelta& delta, bool keepsConfiguration, TimePoint now)
 {
     std::set<std::string> seen;
     bool hasChanged = false;
     for (const ViewItem& item : delta.items) {
         seen.insert(item.key);
-        hasChanged |= replaceFromFullDelta(item, delta, now);
+        if (!keepsConfiguration || !isConfigurationKey(item.key))
+            hasChanged |= replaceFromFullDelta(item, delta, now);
     }
-    return removeMissingFromFullDelta(seen, delta, now) || hasChanged;
+    return removeMissingFromFullDelta(seen, delta, keepsConfiguration, now) || hasChanged;
 }
 
 bool TransitView::replaceFromFullDelta(const ViewItem& item, const ViewDelta& delta, TimePoint now)
 {
     auto found = m_items.find(item.key);
-    bool isConfiguration = isConfigurationKey(item.key);
-    if (isConfiguration && hasNewerConfigurationThan(delta))
-        return false;
     // Routes and services are replaced as a whole; of any other key the newer value stays.
-    if (!isConfiguration && found != m_items.end() && found->second.revision > delta.through)
+    if (!isConfigurationKey(item.key) && found != m_items.end() && found->second.revision > delta.through)
         return false;
     bool isSame
         = found != m_items.end() && found->second.isRemoved == item.isRemoved && found->second.value == item.value;
@@ -174,9 +173,9 @@
     return replace(std::move(received));
 }
 
-bool TransitView::removeMissingFromFullDelta(const std::set<std::string>& seen, const ViewDelta& delta, TimePoint now)
+bool TransitView::removeMissingFromFullDelta(
+    const std::set<std::string>& seen, const ViewDelta& delta, bool keepsConfiguration, TimePoint now)
 {
-    bool keepsConfiguration = hasNewerConfigurationThan(delta);
     std::vector<std::pair<std::string, Revision>> missing;
     for (const auto& [key, item] : m_items) {
         if (item.isRemoved || seen.contains(key))
