--- a/src/table/transit_names.h
+++ b/src/table/transit_names.h
@@ -59,6 +59,7 @@
     "opens_repeated",
     "opens_declined",
     "opens_refused",
+    "refusals_withheld",
     "flows_opened",
     "flows_located",
     "flows_lost",
--- a/src/transit_balancer_open.cpp
+++ b/src/transit_balancer_open.cpp
@@ -109,6 +109,7 @@
         refuseOpen(packet, reason, tried, now, effects);
         return;
     }
+    effects.push_back(CountEvent { TransitCounter::RefusalsWithheld });
     effects.push_back(WriteLog { "refusal_withheld",
         { { "flow", toString(packet.flow.caller) }, { "to", toString(packet.flow.service) },
             { "reason", std::string(reason) }, { "copy", static_cast<std::int64_t>(packet.acknowledged) },
--- a/src/transit_effect_type.h
+++ b/src/transit_effect_type.h
@@ -73,6 +73,7 @@
     OpensRepeated, ///< Retried with another agent because the first did not answer.
     OpensDeclined,
     OpensRefused, ///< Reset because no agent accepted them.
+    RefusalsWithheld, ///< Not accepted by any agent and not reset, as another transmission may have opened the flow.
     FlowsOpened,
     FlowsLocated,
     FlowsLost, ///< No agent holds the flow; reset.
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -1,5 +1,6 @@
 #include "packet_format.h"
 #include "platform_settings.h"
+#include "store_client.h"
 #include "store_decoder.h"
 #include "transit_codec_func.h"
 #include "transit_log_base.h"
@@ -8,10 +9,13 @@
 
 #include "table/transit_limits.h"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/detail/base64.hpp>
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <chrono>
 #include <fcntl.h>
 #include <map>
 #include <unistd.h>
@@ -470,6 +474,49 @@
     }));
 }
 
+// Guards against a watch with a long response that is repeated for ever.
+TEST_CASE("A response of the store that is too long is no failure of the connection", "[platform]")
+{
+    boost::asio::io_context context;
+    using boost::asio::ip::tcp;
+    tcp::acceptor acceptor(context, { boost::asio::ip::address_v4::loopback(), 0 });
+    tcp::socket peer(context);
+    std::string response;
+    acceptor.async_accept(peer, [&](boost::system::error_code) {
+        boost::asio::write(peer, boost::asio::buffer(response));
+        peer.shutdown(tcp::socket::shutdown_send);
+    });
+    auto outcomeOfWatch = [&] {
+        Faults faults;
+        PlatformStoreClient client(context, { 0x7f000001, acceptor.local_endpoint().port() }, faults.handler());
+        std::optional<StoreOutcome> outcome;
+        client.watch({ Revision(1), milliseconds(10), seconds(5) }, [&](StoreOutcome result) {
+            outcome = std::move(result);
+            context.stop();
+        });
+        context.run_for(std::chrono::seconds(5));
+        REQUIRE(outcome);
+        return std::get<StoreFailure>(*outcome);
+    };
+
+    SECTION("one that is longer than any page or watch")
+    {
+        response = "HTTP/1.1 200 OK\r\nContent-Length: 100000000\r\n\r\n{";
+        CHECK(outcomeOfWatch() == StoreFailure::Invalid);
+    }
+    SECTION("one that is no HTTP response")
+    {
+        response = "SSH-2.0-server, which speaks another protocol\r\n\r\n";
+        CHECK(outcomeOfWatch() == StoreFailure::Invalid);
+    }
+    SECTION("one that breaks off is")
+    {
+        response = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{";
+        CHECK(outcomeOfWatch() == StoreFailure::Unreachable);
+    }
+    SECTION("a connection that closes without a response is") { CHECK(outcomeOfWatch() == StoreFailure::Unreachable); }
+}
+
 TEST_CASE("All settings of a process on the platform are validated", "[platform][settings]")
 {
     const std::string good
--- a/tests/transit_flow_test.cpp
+++ b/tests/transit_flow_test.cpp
@@ -234,6 +234,7 @@
     fleet.run(milliseconds(50));
     fleet.resume(paused);
     fleet.run(milliseconds(300));
+    CHECK(fleet.logLineCount("refusal_withheld") > 0);
     for (const auto& flow : flows) {
         CHECK_FALSE(fleet.caller(flow).resetAt);
         CHECK(fleet.caller(flow).forgedResets == 0);
--- a/tests/transit_late_view_test.cpp
+++ b/tests/transit_late_view_test.cpp
@@ -1,4 +1,5 @@
 #include "transit_fixture.h"
+#include "transit_view_util.h"
 
 #include "table/transit_limits.h"
 
@@ -13,7 +14,7 @@
 
 namespace {
 
-constexpr TimePoint start { seconds(50).us };
+constexpr TimePoint start = viewStart;
 constexpr Endpoint stableAddress { 0x0a630001, 8443 };
 
 StoreChange target(std::uint64_t revision, std::uint32_t address)
@@ -21,21 +22,9 @@
     return TargetChange { Revision(revision), targetRecord(address, "t" + std::to_string(address)) };
 }
 
-StoreChange routes(std::uint64_t revision, const std::vector<RouteRecord>& list)
-{
-    return ConfigurationChange { Revision(revision), list, {} };
-}
-
 const std::vector<RouteRecord> bothRoutes { routeTo("web"), routeTo("web", stableAddress) };
 const std::vector<RouteRecord> stableRoute { routeTo("web", stableAddress) };
 
-/** Updates a view from another as processes do: by a delta, and by a full delta when their digests differ. */
-void pullDelta(TransitView& to, const TransitView& from)
-{
-    if (to.applyDelta(from.deltaSince(to.through()), start) == DeltaOutcome::Mismatch)
-        to.applyDelta(from.deltaSince(Revision()), start);
-}
-
 }
 
 // Guards against a route in force that the whole fleet refuses (incident review-1).
--- a/tests/transit_view_test.cpp
+++ b/tests/transit_view_test.cpp
@@ -1,5 +1,6 @@
 #include "transit_fleet_base.h"
 #include "transit_sim.h"
+#include "transit_view_util.h"
 
 #include "table/transit_limits.h"
 
@@ -13,7 +14,7 @@
 
 namespace {
 
-constexpr TimePoint start { seconds(50).us };
+constexpr TimePoint start = viewStart;
 
 StoreChange target(
     std::uint64_t revision, const std::string& id, std::uint32_t address = 11, std::uint64_t startedAt = 1)
@@ -23,20 +24,8 @@
     return TargetChange { Revision(revision), record };
 }
 
-/** Updates a view from another as processes do: by a delta, and by a full delta when their digests differ. */
-void pullDelta(TransitView& to, const TransitView& from)
-{
-    if (to.applyDelta(from.deltaSince(to.through()), start) == DeltaOutcome::Mismatch)
-        to.applyDelta(from.deltaSince(Revision()), start);
-}
-
 StoreChange removal(std::uint64_t revision, const std::string& id) { return TargetRemoval { Revision(revision), id }; }
 
-StoreChange routes(std::uint64_t revision, const std::vector<RouteRecord>& list)
-{
-    return ConfigurationChange { Revision(revision), list, {} };
-}
-
 }
 
 TEST_CASE("The revision of a key in a view never decreases", "[transit][view]")
