--- a/src/transit_type.h
+++ b/src/transit_type.h
@@ -51,6 +51,10 @@
     std::uint32_t acknowledged {};
     std::uint32_t tag {}; ///< Set by an agent in packets to its target; the target copies it into packets it returns.
     std::uint16_t dataSize {}; ///< Number of payload bytes in this packet.
+    bool isFull {}; ///< Carries as much data as a packet can, so more data of the request may follow.
+    /// Bytes of the request that starts in this packet, head and body. None when no request starts here, when its head
+    /// is not complete in this packet, or when the head does not tell.
+    std::optional<std::uint64_t> requestSize;
     std::string requestId; ///< Id of the request that starts in this packet; empty if none was recognised. Logs only.
     std::vector<std::uint8_t> bytes;
 };
@@ -73,7 +77,7 @@
 
 /** Load of a target, as counted by its agent. */
 struct LoadReport {
-    std::uint32_t busy {}; ///< Requests in progress, and first requests expected on newly opened flows.
+    std::uint32_t busy {}; ///< Requests in progress, and first requests expected on newly opened flows; no transfers.
     std::uint32_t slots {}; ///< Maximum number of requests that the target processes concurrently.
     std::uint32_t flows {}; ///< Open flows of the target.
 
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -124,6 +124,78 @@
     }
 }
 
+TEST_CASE("The size of a request is read from its head", "[platform][transfer]")
+{
+    const std::string line = "POST /x HTTP/1.1\r\n";
+    auto packetWith = [](const std::string& data, bool isFromTarget = false) {
+        PacketHeader header { .flags = { .hasAcknowledgement = true } };
+        return format.decode(encodePacket(header, data), isFromTarget);
+    };
+    auto sizeWith = [&](const std::string& headers, const std::string& body = "") {
+        return packetWith(line + headers + "\r\n" + body)->requestSize;
+    };
+    auto headBytes = [&](const std::string& headers) { return line.size() + headers.size() + 2; };
+
+    SECTION(
+        "head and content length, in any case and with blanks, which guards against uploads that are not recognised")
+    {
+        for (const std::string& header : { std::string("Content-Length: 80000\r\n"),
+                 std::string("CONTENT-LENGTH:80000\r\n"), std::string("content-length: \t 80000 \r\n"),
+                 std::string("Host: h\r\ncOnTeNt-LeNgTh: 80000\r\nA: b\r\n"),
+                 std::string("Content-Length: 80000\r\nContent-Length: 80000\r\n"),
+                 std::string("X-Content-Length: 7\r\nContent-Length: 80000\r\n") }) {
+            INFO(header);
+            CHECK(sizeWith(header, "body") == headBytes(header) + 80000);
+        }
+    }
+    SECTION("a request without a body ends with its head")
+    {
+        CHECK(sizeWith("Host: h\r\n") == headBytes("Host: h\r\n"));
+        CHECK(sizeWith("") == headBytes(""));
+        CHECK(packetWith("GET / HTTP/1.1\r\n\r\n")->requestSize == 18);
+        CHECK(sizeWith("Content-Length: 0\r\n") == headBytes("Content-Length: 0\r\n"));
+    }
+    SECTION("an odd length gives none, which guards against a wrong end of the request")
+    {
+        for (const char* header :
+            { "Content-Length: abc\r\n", "Content-Length: 12x\r\n", "Content-Length:\r\n", "Content-Length: -5\r\n",
+                "Content-Length: +5\r\n", "Content-Length: 5, 5\r\n", "Content-Length: 0x10\r\n",
+                "Content-Length: 9223372036854775809\r\n", "Content-Length: 18446744073709551616\r\n",
+                "Content-Length: 99999999999999999999999999\r\n", "Content-Length: 5\r\nContent-Length: 6\r\n",
+                "Content-Length : 5\r\n", "Content-Length: 5\r\n 7\r\n", "Content-Length\r\n",
+                "Transfer-Encoding: chunked\r\n", "TRANSFER-ENCODING: chunked\r\nContent-Length: 5\r\n" }) {
+            INFO(header);
+            CHECK_FALSE(sizeWith(header));
+        }
+        std::string largest = "Content-Length: 9223372036854775808\r\n";
+        CHECK(sizeWith(largest) == headBytes(largest) + (std::uint64_t { 1 } << 63));
+    }
+    SECTION("a packet that starts no request, or not the whole head, gives none")
+    {
+        CHECK_FALSE(packetWith("")->requestSize);
+        CHECK_FALSE(packetWith(line + "Content-Length: 5\r\n")->requestSize);
+        CHECK_FALSE(packetWith("x" + line + "\r\n")->requestSize);
+        CHECK_FALSE(packetWith("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", true)->requestSize);
+        CHECK_FALSE(packetWith(line + "\r\n", true)->requestSize);
+        CHECK_FALSE(format.decode(openingPacket(), false)->requestSize);
+    }
+    SECTION("a packet is full with 1,200 bytes of data")
+    {
+        CHECK(packetWith(std::string(1200, 'x'))->isFull);
+        CHECK_FALSE(packetWith(std::string(1199, 'x'))->isFull);
+        CHECK_FALSE(packetWith("")->isFull);
+    }
+    SECTION("bytes of any kind after a request line are read within the packet")
+    {
+        REQUIRE(rc::check("no size is below the head", [&](const std::vector<std::uint8_t>& noise) {
+            std::string data = line + std::string(noise.begin(), noise.end()) + "\r\n\r\n";
+            data.resize(std::min<std::size_t>(data.size(), 1200));
+            auto size = packetWith(data)->requestSize;
+            RC_ASSERT(!size || *size > line.size());
+        }));
+    }
+}
+
 TEST_CASE("Messages between processes keep their content when encoded and decoded", "[transit][codec]")
 {
     TimePoint now { seconds(9).us };
