--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -131,6 +131,7 @@
     src/transit_queue.cpp
     src/transit_service_time.cpp
     src/transit_shell.cpp
+    src/transit_transfer_cmd.cpp
     src/transit_type.cpp
     src/transit_view_cmd.cpp
     src/transit_view_query.cpp
@@ -237,6 +238,7 @@
     tests/transit_reports_test.cpp
     tests/transit_rotation_test.cpp
     tests/transit_sim.cpp
+    tests/transit_transfer_test.cpp
     tests/transit_view_test.cpp
     tests/udp_test.cpp
 )
--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -230,7 +230,18 @@
 inline constexpr Duration secondRetransmissionAge = milliseconds(600);
 /** Time without any answer after which slots no longer count as busy. */
 inline constexpr Duration slotAnswerTimeout = milliseconds(400);
-/** Maximum time that an agent that ends waits for running requests. */
+/** Distance in bytes above which no earlier byte of a caller can be missing: callers have at most 16 packets of 1,200
+ * bytes in flight, counted twice for callers that count only what the target has not received. */
+inline constexpr std::int64_t maxTransferGap = std::int64_t { 2 } * 16 * 1200;
+/** Separate ranges of bytes that are remembered for one transfer; as many as a caller has packets in flight. */
+inline constexpr std::size_t maxTransferRanges = 16;
+/** Time for which the last packet of a transfer waits for earlier ones. Callers retransmit a missing packet after 200
+ * and 600 ms; 100 ms are added for a narrow link. */
+inline constexpr Duration transferHoldLimit = milliseconds(700);
+/** Silence after which a transfer no longer counts as in progress; two of the callers' longest retransmission interval
+ * (1.6 s). */
+inline constexpr Duration transferIdleLimit = milliseconds(3200);
+/** Maximum time that an agent that ends waits for running requests and transfers. */
 inline constexpr Duration requestDrainTimeout = milliseconds(1500);
 
 // Shell.
--- a/tests/transit_sim.cpp
+++ b/tests/transit_sim.cpp
@@ -205,6 +205,28 @@
     });
 }
 
+void TransitSim::sendTransferPacket(Endpoint balancer, const FlowTuple& flow, std::uint32_t index)
+{
+    const FakeTransfer& transfer = m_transfers.at(flow);
+    std::uint32_t offset = index * FakeTransfer::packetBytes;
+    auto size = static_cast<std::uint16_t>(std::min(FakeTransfer::packetBytes, transfer.bytes - offset));
+    TransitPacket packet { .flow = flow,
+        .flags = { .hasAcknowledgement = true },
+        .sequence = transfer.sequence + offset,
+        .acknowledged = m_callers[flow].targetSequence + 1,
+        .dataSize = size,
+        .isFull = size == FakeTransfer::packetBytes,
+        .requestSize = index ? std::nullopt : transfer.requestSize,
+        .requestId = index ? std::string() : "t" + std::to_string(transfer.sequence) };
+    packet.bytes.resize(32U + size);
+    m_callers[flow].acknowledged = packet.acknowledged;
+    deliver(balancer, 0, [this, packet, balancer](TransitCore& core) {
+        TransitEffects effects;
+        core.onPacket(packet, m_now, effects);
+        applyEffects(balancer, effects);
+    });
+}
+
 void TransitSim::sendReset(Endpoint balancer, const FlowTuple& flow)
 {
     TransitPacket packet { .flow = flow, .flags = { .isReset = true } };
@@ -337,6 +359,10 @@
                 m_now + (watch ? watch->wait : Duration {}) });
         } else if (auto* line = std::get_if<WriteLog>(&effect)) {
             ++m_logLineCounts[std::string(line->event)];
+        } else if (auto* count = std::get_if<CountEvent>(&effect)) {
+            m_counts[count->counter] += count->amount;
+        } else if (auto* time = std::get_if<RecordTime>(&effect)) {
+            m_times[time->distribution].push_back(time->time);
         }
     }
 }
@@ -422,12 +448,37 @@
         sendFromTarget(address, { .flow = packet.flow, .flags = { .isReset = true } });
         return;
     }
+    if (m_transfers.contains(packet.flow)) {
+        receiveTransferAtTarget(address, packet);
+        return;
+    }
     if (target.receivedRequests.emplace(packet.flow, packet.sequence).second)
         target.queue.push_back(packet.flow);
     startNext(address);
     target.longestQueue = std::max(target.longestQueue, target.queue.size());
 }
 
+void TransitSim::receiveTransferAtTarget(std::uint32_t address, const TransitPacket& packet)
+{
+    FakeTransfer& transfer = m_transfers.at(packet.flow);
+    bool wasComplete = transfer.isComplete();
+    transfer.received.insert((packet.sequence - transfer.sequence) / FakeTransfer::packetBytes);
+    std::uint32_t contiguous = 0;
+    while (transfer.received.contains(contiguous))
+        ++contiguous;
+    sendFromTarget(address,
+        { .flow = packet.flow,
+            .flags = { .hasAcknowledgement = true },
+            .sequence = initialSequenceOf(address) + 1,
+            .acknowledged = transfer.sequence + std::min(transfer.bytes, contiguous * FakeTransfer::packetBytes) });
+    if (wasComplete || !transfer.isComplete())
+        return;
+    FakeTransitTarget& target = m_targets[address];
+    target.queue.push_back(packet.flow);
+    startNext(address);
+    target.longestQueue = std::max(target.longestQueue, target.queue.size());
+}
+
 void TransitSim::startNext(std::uint32_t address)
 {
     FakeTransitTarget& target = m_targets[address];
@@ -436,7 +487,9 @@
         target.queue.erase(target.queue.begin());
         ++target.running;
         target.started.emplace_back(m_now, flow);
-        at(m_now + target.serviceTime, [this, address, flow, id = target.id] {
+        auto transfer = m_transfers.find(flow);
+        Duration serviceTime = transfer == m_transfers.end() ? target.serviceTime : transfer->second.serviceTime;
+        at(m_now + serviceTime, [this, address, flow, id = target.id] {
             FakeTransitTarget& current = m_targets[address];
             if (current.id != id || !current.isResponding)
                 return; // The target was restarted or hangs.
--- a/tests/transit_sim.h
+++ b/tests/transit_sim.h
@@ -41,6 +41,19 @@
     std::size_t returned {}; ///< Opening packets returned, and packets of unknown flows returned or reset.
 };
 
+/** Request of several packets, as its caller sends it and its target receives it. */
+struct FakeTransfer {
+    std::uint32_t sequence {}; ///< Sequence number of the first byte.
+    std::uint32_t bytes {}; ///< Head and body.
+    std::optional<std::uint64_t> requestSize; ///< What the head tells; none when it tells nothing.
+    Duration serviceTime { microseconds(4200) }; ///< From the last byte to the answer.
+    std::set<std::uint32_t> received; ///< Indexes of the packets that the target has received.
+
+    static constexpr std::uint32_t packetBytes = 1200;
+    std::uint32_t packets() const { return (bytes + packetBytes - 1) / packetBytes; }
+    bool isComplete() const { return received.size() == packets(); }
+};
+
 /** What a caller received on one flow. */
 struct CallerState {
     std::optional<TimePoint> openedAt; ///< Time of the first answer to the opening packet.
@@ -117,6 +130,14 @@
     /** Delivers a request of one packet to a balancer. A repeated sequence number is a retransmission. */
     void sendRequest(Endpoint balancer, const FlowTuple& flow, std::uint32_t sequence = 1);
 
+    /** Declares a request of several packets, the next one of the flow, for sendTransferPacket(). */
+    void declareTransfer(const FlowTuple& flow, FakeTransfer transfer) { m_transfers[flow] = std::move(transfer); }
+
+    /** Delivers one packet of the declared request to a balancer. */
+    void sendTransferPacket(Endpoint balancer, const FlowTuple& flow, std::uint32_t index);
+
+    const FakeTransfer& transfer(const FlowTuple& flow) const { return m_transfers.at(flow); }
+
     /** Delivers a caller's reset to a balancer: the caller has given up. It acknowledges nothing. */
     void sendReset(Endpoint balancer, const FlowTuple& flow);
 
@@ -147,6 +168,16 @@
     /** @return Stamps sent from one failure domain to another. */
     std::size_t crossDomainStamps() const { return m_crossDomainStamps; }
 
+    /** @return Sum of a counter over all processes. */
+    std::uint64_t count(TransitCounter counter) const
+    {
+        auto found = m_counts.find(counter);
+        return found == m_counts.end() ? 0 : found->second;
+    }
+
+    /** @return Times that all processes recorded, in order. */
+    const std::vector<Duration>& times(TransitDistribution distribution) { return m_times[distribution]; }
+
     /** @return Number of log lines of an event. */
     std::size_t logLineCount(const std::string& event) const;
 
@@ -175,6 +206,7 @@
     bool isPartitioned(Endpoint from, Endpoint to);
     void applyEffects(Endpoint process, TransitEffects& effects);
     void receiveAtTarget(std::uint32_t address, TransitPacket packet, std::uint32_t tag);
+    void receiveTransferAtTarget(std::uint32_t address, const TransitPacket& packet);
     void startNext(std::uint32_t address);
     void sendFromTarget(std::uint32_t address, TransitPacket packet);
     void receiveAtCaller(const TransitPacket& packet);
@@ -200,6 +232,7 @@
     std::map<Endpoint, std::vector<std::function<void()>>> m_deferredDeliveries; ///< To paused processes.
     std::map<std::uint32_t, FakeTransitTarget> m_targets;
     std::map<FlowTuple, CallerState> m_callers;
+    std::map<FlowTuple, FakeTransfer> m_transfers;
     std::set<std::uint32_t> m_disconnected;
     std::string m_partitionedDomain;
     std::set<Endpoint> m_paused;
@@ -216,6 +249,8 @@
     std::size_t m_probes {};
     std::size_t m_storeCalls {};
     std::map<std::string, std::size_t> m_logLineCounts;
+    std::map<TransitCounter, std::uint64_t> m_counts;
+    std::map<TransitDistribution, std::vector<Duration>> m_times;
 };
 
 /** @return The flow from caller n to routeAddress. */
