--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -116,6 +116,7 @@
     src/transit_agent_queue.cpp
     src/transit_agent_unknown.cpp
     src/transit_agent_target.cpp
+    src/transit_agent_transfer.cpp
     src/transit_balancer_cmd.cpp
     src/transit_balancer_locate.cpp
     src/transit_balancer_open.cpp
@@ -238,6 +239,7 @@
     tests/transit_reports_test.cpp
     tests/transit_rotation_test.cpp
     tests/transit_sim.cpp
+    tests/transit_transfer_fleet_test.cpp
     tests/transit_transfer_test.cpp
     tests/transit_view_test.cpp
     tests/udp_test.cpp
--- a/src/ctl_explain_log.cpp
+++ b/src/ctl_explain_log.cpp
@@ -42,7 +42,7 @@
     };
 
     /** Events that decide the outcome of a flow. The last line of a flow with one of these events is the cause. */
-    constexpr std::array<Cause, 15> causes { {
+    constexpr std::array<Cause, 17> causes { {
         { "request_answered", "the target answered; what came later was lost on the way to the caller" },
         { "flow_refused", "refused before it ran; the line gives the reason" },
         { "refusal_withheld", "no agent took the flow, and it was not refused: another packet may have opened it" },
@@ -53,6 +53,8 @@
             "a balancer that did not know the flow asked, and the agents named as silent did not answer" },
         { "locate_incomplete", "no agent holds the flow, but not all could be asked, so that nothing was reset" },
         { "request_expired", "the request waited for a slot until its time budget was used up" },
+        { "request_abandoned", "the request had expired and was sent again too late to be answered" },
+        { "transfer_released", "bytes of the request were missing at the agent when its last packet was delivered" },
         { "request_evicted", "the queue was full, and the request had the least chance to be answered" },
         { "request_queued", "the request waits for a slot at the agent" },
         { "packet_returned", "the target returned a packet: it no longer held the flow" },
--- a/src/transit_agent_base.h
+++ b/src/transit_agent_base.h
@@ -11,8 +11,10 @@
 #include "transit_inventory_base.h"
 #include "transit_queue_base.h"
 #include "transit_service_time_base.h"
+#include "transit_transfer_base.h"
 
 #include <deque>
+#include <map>
 #include <set>
 #include <string_view>
 #include <unordered_map>
@@ -53,6 +55,8 @@
     /** @return Whether the graceful shutdown is complete. */
     bool isFinished(TimePoint now) const override;
 
+    std::vector<TransitMetrics::Gauge> gauges(TimePoint now) const override;
+
     /** @return Load of the target as observed by the agent. */
     LoadReport load() const;
 
@@ -74,14 +78,23 @@
         /// the sequence number of the target, which is ahead of it by the packets in flight only.
         std::optional<std::uint32_t> acknowledged;
         TimePoint usedAt;
-        std::optional<TimePoint> requestAt; ///< Start of the request in progress; none when there is none.
+        /// Delivery of the packet that completed the request in progress; none when there is none.
+        std::optional<TimePoint> requestAt;
         std::string requestId;
         TimePoint startedAt; ///< Estimated time at which the caller sent its first opening packet.
         bool isFirstRequest {}; ///< No request was seen since this agent opened the flow; the first one counts from
                                 ///< startedAt.
-        std::uint32_t queuedSequence {}; ///< First sequence number of the last request that was queued.
+        std::uint32_t
+            queuedSequence {}; ///< Sequence number of the packet that completed the last request in the queue.
         std::optional<TimePoint> queuedStartedAt; ///< Estimated start of that request; none before the first one.
         std::vector<ForwardMessage> queuedPackets; ///< Packets of a request in the queue.
+        bool hasExpired {}; ///< That request expired in the queue.
+        bool hasLoggedAbandoned {}; ///< A request_abandoned line was written for the flow.
+        RequestTransfer transfer;
+        std::optional<TimePoint> transferStartedAt; ///< Estimated start of the transfer in progress.
+        bool isTransferring {}; ///< Counted in m_transfers.
+        std::vector<ForwardMessage> earlyPackets; ///< Last packet of a transfer with gaps, and what follows it.
+        std::optional<std::uint32_t> targetDataEnd; ///< Highest end of the target's data; none before the first.
         bool isAwaitingFirstRequest {}; ///< Counted in m_awaitingFirstRequest.
         bool isAnnounced {}; ///< An update with this flow was sent to the locators.
         bool hasCallerEnded {};
@@ -132,6 +145,7 @@
     void onUnknownReset(const TransitPacket& packet, TransitEffects& effects);
     void learnFlow(const TransitPacket& packet, TimePoint now, TransitEffects& effects);
     static void trackAcknowledgement(std::optional<std::uint32_t>& highest, const TransitPacket& packet);
+    static void trackHighest(std::optional<std::uint32_t>& highest, std::uint32_t number);
     void trackTargetPacket(HeldFlow& flow, const TransitPacket& packet, TimePoint now, TransitEffects& effects);
     void trackCallerPacket(HeldFlow& flow, const TransitPacket& packet, TimePoint now, TransitEffects& effects);
 
@@ -149,6 +163,17 @@
     void releaseUnknown(TimePoint now, TransitEffects& effects);
     std::optional<FlowQuery> takeFlowQuery(const FlowTuple& flow);
 
+    // Requests of several packets; in transit_agent_transfer.cpp.
+    void trackRequestData(HeldFlow& flow, const TransitPacket& packet, TimePoint now);
+    void startTransfer(HeldFlow& flow, const TransitPacket& packet, TimePoint now);
+    void stopTransfer(HeldFlow& flow);
+    void stopAwaiting(HeldFlow& flow);
+    void holdEarly(HeldFlow& flow, ForwardMessage forward, TimePoint now, TransitEffects& effects);
+    void deliverCoveredEarly(HeldFlow& flow, TimePoint now, TransitEffects& effects);
+    void deliverDueEarly(TimePoint now, TransitEffects& effects);
+    void trackTargetProgress(HeldFlow& flow, const TransitPacket& packet, TimePoint now, TransitEffects& effects);
+    static std::string requestIdFor(const HeldFlow& flow, const TransitPacket& packet);
+
     // Requests that wait for a slot; in transit_agent_queue.cpp.
     void deliverOrQueue(HeldFlow& flow, ForwardMessage forward, TimePoint now, TransitEffects& effects);
     bool hasFreeSlot(TimePoint now) const;
@@ -157,7 +182,9 @@
     bool isOverloadedFor(Endpoint route, TimePoint now) const;
     WaitingRequest waitingRequest(const FlowTuple& flow, TimePoint startedAt) const;
     static TimePoint estimateRequestStart(const HeldFlow& flow, const TransitPacket& packet, TimePoint now);
-    static void appendToQueued(HeldFlow& flow, ForwardMessage forward);
+    static void appendTo(std::vector<ForwardMessage>& packets, ForwardMessage forward);
+    static bool canBeAnswered(const WaitingRequest& request, TimePoint now);
+    void abandonRequest(HeldFlow& flow, const WaitingRequest& request, TimePoint now, TransitEffects& effects);
     bool queueRequest(HeldFlow& flow, ForwardMessage& forward, TimePoint now, TransitEffects& effects);
     void evictRequest(const WaitingRequest& request, TransitEffects& effects);
     void releaseRequests(TimePoint now, TransitEffects& effects);
@@ -218,6 +245,8 @@
     TargetHealth m_health;
     TimePoint m_lastAnswerAt; ///< Last answer of the target, or last request that reached it while it was idle.
     std::uint32_t m_busy {}; ///< Flows with a request in progress at the target.
+    std::uint32_t m_transfers {}; ///< Flows with a transfer in progress.
+    std::map<FlowTuple, TimePoint> m_earlyDeadlines; ///< Flows with early packets, and when these are delivered.
     std::uint32_t m_ended {}; ///< Ended flows in m_flows.
     std::uint32_t m_awaitingFirstRequest {}; ///< Flows that were opened and have had no request yet.
     std::optional<TimePoint> m_unansweredSince; ///< Delivery of the first data since the target last sent a packet.
--- a/src/transit_agent_cmd.cpp
+++ b/src/transit_agent_cmd.cpp
@@ -32,6 +32,7 @@
     m_fleet.onTick(now, load(), effects);
     expireOpens(now, effects);
     expireFirstRequests(now);
+    deliverDueEarly(now, effects);
     releaseRequests(now, effects);
     while (!m_opensAwaitingView.empty() && now >= m_opensAwaitingView.front().first + maxWaitForView) {
         ForwardMessage forward = std::move(m_opensAwaitingView.front().second);
@@ -86,7 +87,8 @@
         return;
     m_stoppedAt = now;
     effects.push_back(WriteLog { "stopping",
-        { { "busy", static_cast<std::int64_t>(m_busy) }, { "flows", static_cast<std::int64_t>(m_flows.size()) } } });
+        { { "busy", static_cast<std::int64_t>(m_busy) }, { "transfers", static_cast<std::int64_t>(m_transfers) },
+            { "flows", static_cast<std::int64_t>(m_flows.size()) } } });
     m_fleet.announceLeaving(effects);
     sendInventoryMessages(m_streams.heartbeatAll(inventoryState(), now), effects);
     if (!m_knowsAllFlows)
@@ -97,7 +99,7 @@
 {
     if (!m_stoppedAt || now < *m_stoppedAt + finalUpdateTime)
         return false; // Until then, heartbeats let locators detect lost inventory updates.
-    return (!m_busy && m_queue.empty()) || now >= *m_stoppedAt + requestDrainTimeout;
+    return (!m_busy && !m_transfers && m_queue.empty()) || now >= *m_stoppedAt + requestDrainTimeout;
 }
 
 LoadReport TransitAgent::load() const
@@ -172,17 +174,17 @@
     while (!m_firstRequestTimers.empty() && m_firstRequestTimers.front().first <= now) {
         auto found = m_flows.find(m_firstRequestTimers.front().second);
         m_firstRequestTimers.pop_front();
-        if (found != m_flows.end() && found->second.isAwaitingFirstRequest) {
-            found->second.isAwaitingFirstRequest = false;
-            --m_awaitingFirstRequest;
-        }
+        if (found != m_flows.end())
+            stopAwaiting(found->second);
     }
 }
 
 void TransitAgent::sweepFlows(TimePoint now)
 {
     std::vector<FlowTuple> expired;
-    for (const auto& [flow, held] : m_flows) {
+    for (auto& [flow, held] : m_flows) {
+        if (held.isTransferring && now >= held.usedAt + transferIdleLimit)
+            stopTransfer(held); // The caller sends nothing more; a further packet counts again.
         Duration limit = held.state == FlowState::Ended ? endedFlowTime : flowIdleLimit;
         if (now >= held.usedAt + limit)
             expired.push_back(flow);
--- a/src/transit_agent_message.cpp
+++ b/src/transit_agent_message.cpp
@@ -69,6 +69,7 @@
     held = { .state = FlowState::Opening, .usedAt = now, .isAwaitingFirstRequest = true };
     held.startedAt = now - retransmissionAge(forward.packet.acknowledged);
     held.isFirstRequest = true;
+    held.transfer.recordOpening(forward.packet.sequence);
     ++m_awaitingFirstRequest;
     m_firstRequestTimers.emplace_back(now + firstRequestTimeout, flow);
     m_openTimers.emplace_back(now + targetAnswerTime, flow);
--- a/src/transit_agent_probe.cpp
+++ b/src/transit_agent_probe.cpp
@@ -61,7 +61,8 @@
     for (const auto& [flow, held] : m_flows) {
         flows.push_back(flow);
         // A caller that waits for an answer may send nothing that would reveal the loss, so it gets a reset.
-        bool isWaiting = held.state == FlowState::Open && (held.requestAt || !held.queuedPackets.empty());
+        bool isWaiting
+            = held.state == FlowState::Open && (held.requestAt || held.isTransferring || !held.queuedPackets.empty());
         if (!isWaiting)
             continue;
         effects.push_back(CountEvent { TransitCounter::FlowsLost });
--- a/src/transit_agent_queue.cpp
+++ b/src/transit_agent_queue.cpp
@@ -10,21 +10,32 @@
 {
     flow.usedAt = now;
     trackAcknowledgement(flow.acknowledged, forward.packet);
-    if (!flow.queuedPackets.empty() && forward.packet.flags.isReset) {
+    if (forward.packet.flags.isReset) {
         // The caller gave up, so the request is not run.
+        flow.earlyPackets.clear();
+        if (!flow.queuedPackets.empty())
+            m_queue.remove(forward.packet.flow);
         flow.queuedPackets.clear();
-        m_queue.remove(forward.packet.flow);
     }
-    bool isOrdered = forward.packet.dataSize || forward.packet.flags.isFinal; // Bare acknowledgements need not wait.
-    if (!flow.queuedPackets.empty() && isOrdered) {
-        appendToQueued(flow, std::move(forward));
+    bool hasData = forward.packet.dataSize;
+    bool isOrdered = hasData || forward.packet.flags.isFinal; // Bare acknowledgements need not wait.
+    TransferRole role = hasData ? flow.transfer.roleOf(forward.packet) : TransferRole::Part;
+    if (!flow.queuedPackets.empty() && isOrdered && role != TransferRole::Repeat) {
+        appendTo(flow.queuedPackets, std::move(forward));
         return;
     }
-    bool startsRequest = forward.packet.dataSize && !flow.requestAt && flow.state == FlowState::Open;
-    if (startsRequest && queueRequest(flow, forward, now, effects))
+    bool isBetweenRequests = hasData && !flow.requestAt && flow.state == FlowState::Open;
+    bool isBareFinal = !hasData && forward.packet.flags.isFinal;
+    if ((isBetweenRequests && role == TransferRole::Early) || (isBareFinal && !flow.earlyPackets.empty())) {
+        holdEarly(flow, std::move(forward), now, effects);
+        return;
+    }
+    bool completesRequest = isBetweenRequests && role == TransferRole::Completing;
+    if (completesRequest && queueRequest(flow, forward, now, effects))
         return;
     trackCallerPacket(flow, forward.packet, now, effects);
     deliverToTarget(forward, effects);
+    deliverCoveredEarly(flow, now, effects);
 }
 
 bool TransitAgent::hasFreeSlot(TimePoint now) const
@@ -77,6 +88,8 @@
 
 TimePoint TransitAgent::estimateRequestStart(const HeldFlow& flow, const TransitPacket& packet, TimePoint now)
 {
+    if (flow.transferStartedAt)
+        return *flow.transferStartedAt;
     bool isRetransmission = flow.queuedStartedAt && flow.queuedSequence == packet.sequence;
     if (isRetransmission)
         return *flow.queuedStartedAt;
@@ -87,16 +100,33 @@
     return wasOpenedForRequest ? flow.startedAt : now;
 }
 
-void TransitAgent::appendToQueued(HeldFlow& flow, ForwardMessage forward)
+void TransitAgent::appendTo(std::vector<ForwardMessage>& packets, ForwardMessage forward)
+{
+    bool isRetransmission = std::any_of(packets.begin(), packets.end(), [&](const ForwardMessage& earlier) {
+        return earlier.packet.sequence == forward.packet.sequence && earlier.packet.dataSize == forward.packet.dataSize
+            && earlier.packet.flags.isFinal == forward.packet.flags.isFinal;
+    });
+    if (!isRetransmission && packets.size() < maxPacketsPerLocate)
+        packets.push_back(std::move(forward));
+}
+
+bool TransitAgent::canBeAnswered(const WaitingRequest& request, TimePoint now)
+{
+    // The queue drops a request by the same rule, so what passes here is not dropped at once.
+    Duration service = std::min(request.serviceTime, request.timeout / 2);
+    return !request.timeout.us || now + service + callerNetworkDelay < request.startedAt + request.timeout;
+}
+
+void TransitAgent::abandonRequest(HeldFlow& flow, const WaitingRequest& request, TimePoint now, TransitEffects& effects)
 {
-    bool isRetransmission
-        = std::any_of(flow.queuedPackets.begin(), flow.queuedPackets.end(), [&](const ForwardMessage& earlier) {
-              return earlier.packet.sequence == forward.packet.sequence
-                  && earlier.packet.dataSize == forward.packet.dataSize
-                  && earlier.packet.flags.isFinal == forward.packet.flags.isFinal;
-          });
-    if (!isRetransmission && flow.queuedPackets.size() < maxPacketsPerLocate)
-        flow.queuedPackets.push_back(std::move(forward));
+    effects.push_back(CountEvent { TransitCounter::RequestsAbandoned });
+    if (std::exchange(flow.hasLoggedAbandoned, true))
+        return;
+    effects.push_back(WriteLog { "request_abandoned",
+        { { "request", flow.requestId }, { "flow", toString(request.flow.caller) },
+            { "to", toString(request.flow.service) }, { "target", m_targetId },
+            { "age_ms", (now - request.startedAt).us / 1000 }, { "budget_ms", request.timeout.us / 1000 },
+            { "busy", static_cast<std::int64_t>(m_busy) }, { "queued", static_cast<std::int64_t>(m_queue.size()) } } });
 }
 
 bool TransitAgent::queueRequest(HeldFlow& flow, ForwardMessage& forward, TimePoint now, TransitEffects& effects)
@@ -104,12 +134,19 @@
     if (m_queue.empty() && hasFreeSlot(now))
         return false;
     WaitingRequest request = waitingRequest(forward.packet.flow, estimateRequestStart(flow, forward.packet, now));
+    bool isRetransmission = flow.queuedStartedAt && flow.queuedSequence == forward.packet.sequence;
+    if (isRetransmission && flow.hasExpired && !canBeAnswered(request, now)) {
+        abandonRequest(flow, request, now, effects);
+        return true;
+    }
+    stopTransfer(flow);
     flow.isFirstRequest = false;
+    flow.hasExpired = false;
     flow.queuedSequence = forward.packet.sequence;
     flow.queuedStartedAt = request.startedAt;
     effects.push_back(CountEvent { TransitCounter::RequestsQueued });
     effects.push_back(WriteLog { "request_queued",
-        { { "request", forward.packet.requestId }, { "flow", toString(request.flow.caller) },
+        { { "request", requestIdFor(flow, forward.packet) }, { "flow", toString(request.flow.caller) },
             { "to", toString(request.flow.service) }, { "target", m_targetId },
             { "priority", static_cast<std::int64_t>(request.priority) },
             { "age_ms", (now - request.startedAt).us / 1000 }, { "busy", static_cast<std::int64_t>(m_busy) },
@@ -158,11 +195,12 @@
     auto found = m_flows.find(request.flow);
     if (found == m_flows.end())
         return;
-    auto queuedPackets = std::move(found->second.queuedPackets);
-    found->second.queuedPackets.clear();
+    HeldFlow& flow = found->second;
+    auto queuedPackets = std::exchange(flow.queuedPackets, {});
+    flow.hasExpired = true;
     effects.push_back(CountEvent { TransitCounter::RequestsExpired });
     effects.push_back(WriteLog { "request_expired",
-        { { "request", queuedPackets.empty() ? std::string() : queuedPackets.front().packet.requestId },
+        { { "request", queuedPackets.empty() ? std::string() : requestIdFor(flow, queuedPackets.front().packet) },
             { "flow", toString(request.flow.caller) }, { "to", toString(request.flow.service) },
             { "waited_ms", (now - request.startedAt).us / 1000 }, { "budget_ms", request.timeout.us / 1000 },
             { "busy", static_cast<std::int64_t>(m_busy) }, { "queued", static_cast<std::int64_t>(m_queue.size()) } } });
--- a/src/transit_agent_target.cpp
+++ b/src/transit_agent_target.cpp
@@ -96,11 +96,15 @@
 
 void TransitAgent::trackAcknowledgement(std::optional<std::uint32_t>& highest, const TransitPacket& packet)
 {
-    if (!packet.flags.hasAcknowledgement)
-        return;
+    if (packet.flags.hasAcknowledgement)
+        trackHighest(highest, packet.acknowledged);
+}
+
+void TransitAgent::trackHighest(std::optional<std::uint32_t>& highest, std::uint32_t number)
+{
     // Packets may arrive out of order; the difference is signed, as the numbers wrap around.
-    if (!highest || static_cast<std::int32_t>(packet.acknowledged - *highest) > 0)
-        highest = packet.acknowledged;
+    if (!highest || static_cast<std::int32_t>(number - *highest) > 0)
+        highest = number;
 }
 
 void TransitAgent::trackTargetPacket(
@@ -131,8 +135,12 @@
         m_health.recordAnswer();
         m_serviceTimes.addSample(packet.flow.service, now - *flow.requestAt);
         endRequest(flow);
+    } else {
+        trackTargetProgress(flow, packet, now, effects);
     }
-    if (packet.flags.isReset && flow.requestAt)
+    if (packet.dataSize)
+        trackHighest(flow.targetDataEnd, packet.sequence + packet.dataSize);
+    if (packet.flags.isReset && (flow.requestAt || flow.isTransferring))
         recordRequestReset(flow, packet, effects);
     flow.hasTargetEnded |= packet.flags.isFinal;
     endFlowIfClosed(flow, packet);
@@ -154,18 +162,11 @@
     HeldFlow& flow, const TransitPacket& packet, TimePoint now, TransitEffects& effects)
 {
     flow.usedAt = now;
-    if (packet.dataSize)
+    if (packet.dataSize) {
         recordDelivery(now);
-    if (packet.dataSize && !flow.requestAt) {
-        if (flow.isAwaitingFirstRequest) {
-            flow.isAwaitingFirstRequest = false;
-            --m_awaitingFirstRequest;
-        }
-        flow.requestAt = now;
-        flow.isFirstRequest = false;
-        if (!m_busy)
-            m_lastAnswerAt = now;
-        ++m_busy;
+        if (!flow.requestAt)
+            trackRequestData(flow, packet, now);
+        flow.transfer.recordDelivery(packet);
     }
     if (!packet.requestId.empty() && packet.requestId != flow.requestId) {
         flow.requestId = packet.requestId;
@@ -191,15 +192,15 @@
     if (flow.requestAt)
         --m_busy;
     flow.requestAt.reset();
-    if (flow.isAwaitingFirstRequest)
-        --m_awaitingFirstRequest;
-    flow.isAwaitingFirstRequest = false;
+    stopAwaiting(flow);
     flow.queuedPackets.clear();
 }
 
 void TransitAgent::endFlow(HeldFlow& flow)
 {
     endRequest(flow);
+    stopTransfer(flow);
+    flow.earlyPackets.clear();
     if (flow.state != FlowState::Ended)
         ++m_ended;
     flow.state = FlowState::Ended;
--- a/src/transit_agent_unknown.cpp
+++ b/src/transit_agent_unknown.cpp
@@ -10,7 +10,17 @@
      * @return Whether the target is likely to run the packet. A query by a balancer that locates the flow goes to many
      * agents, and most targets return it, which takes no slot.
      */
-    bool mayBeRequest(const ForwardMessage& forward) { return forward.packet.dataSize && !forward.isLocating; }
+    bool mayBeRequest(const ForwardMessage& forward)
+    {
+        return forward.packet.dataSize && !forward.isLocating
+            && RequestTransfer().roleOf(forward.packet) == TransferRole::Completing;
+    }
+
+    /** @return Whether the packet is one of several of its request and not the last one; it needs no slot. */
+    bool isTransferPart(const ForwardMessage& forward)
+    {
+        return forward.packet.dataSize && RequestTransfer().roleOf(forward.packet) == TransferRole::Part;
+    }
 
 }
 
@@ -23,7 +33,7 @@
     auto query = m_flowQueries.find(flow);
     bool isAsked = query != m_flowQueries.end() && query->second.mayBeRequest;
     bool isRequest = mayBeRequest(forward) && !isAsked;
-    bool mustWait = m_unknownPackets.contains(flow) || (isRequest && !hasFreeSlot(now));
+    bool mustWait = (m_unknownPackets.contains(flow) && !isTransferPart(forward)) || (isRequest && !hasFreeSlot(now));
     if (mustWait)
         queueUnknown(std::move(forward), now, effects);
     else
--- a/src/transit_effect_type.h
+++ b/src/transit_effect_type.h
@@ -82,6 +82,9 @@
     RequestsQueued, ///< Requests that waited for a slot of the target.
     RequestsEvicted, ///< Requests removed from a full queue; the caller gets no reset, and may retransmit.
     RequestsExpired, ///< Requests that waited until their timeout.
+    RequestsAbandoned, ///< Retransmissions of expired requests, dropped since no answer would arrive in time.
+    TransfersHeld, ///< Last packets of transfers that wait for earlier ones.
+    TransfersReleased, ///< Such packets delivered at their deadline, before the earlier ones.
     PacketsReturned, ///< Returned by the target.
     NoRoute,
     Malformed,
@@ -104,7 +107,7 @@
     OpenTime, ///< From an opening packet at the balancer to the answer of the agent that accepted it.
     LocateTime, ///< From a packet of an unknown flow at the balancer to the answer of its holder.
     QueueTime, ///< At the agent, from a caller's request to its delivery to the target; queued requests only.
-    RequestTime, ///< At the agent, from the first data of a request to the first data of its response.
+    RequestTime, ///< At the agent, from the packet that completes a request to the first data of its response.
     End,
 };
 
