--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -116,6 +116,7 @@
     src/transit_agent_queue.cpp
     src/transit_agent_unknown.cpp
     src/transit_agent_target.cpp
+    src/transit_agent_transfer.cpp
     src/transit_balancer_cmd.cpp
     src/transit_balancer_locate.cpp
     src/transit_balancer_open.cpp
@@ -131,6 +132,7 @@
     src/transit_queue.cpp
     src/transit_service_time.cpp
     src/transit_shell.cpp
+    src/transit_transfer_cmd.cpp
     src/transit_type.cpp
     src/transit_view_cmd.cpp
     src/transit_view_query.cpp
@@ -237,6 +239,8 @@
     tests/transit_reports_test.cpp
     tests/transit_rotation_test.cpp
     tests/transit_sim.cpp
+    tests/transit_transfer_fleet_test.cpp
+    tests/transit_transfer_test.cpp
     tests/transit_view_test.cpp
     tests/udp_test.cpp
 )
