--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -229,6 +229,7 @@
     tests/trace_config_test.cpp
     tests/trace_test.cpp
     tests/transit_flow_test.cpp
+    tests/transit_holder_test.cpp
     tests/transit_inventory_test.cpp
     tests/transit_late_view_test.cpp
     tests/transit_load_test.cpp
--- a/src/transit_agent_base.h
+++ b/src/transit_agent_base.h
@@ -83,6 +83,7 @@
         std::optional<TimePoint> queuedStartedAt; ///< Estimated start of that request; none before the first one.
         std::vector<ForwardMessage> queuedPackets; ///< Packets of a request in the queue.
         bool isAwaitingFirstRequest {}; ///< Counted in m_awaitingFirstRequest.
+        bool wasOpen {}; ///< The caller has chosen this target.
         bool isAnnounced {}; ///< An update with this flow was sent to the locators.
         bool hasCallerEnded {};
         bool hasTargetEnded {};
--- a/src/transit_agent_message.cpp
+++ b/src/transit_agent_message.cpp
@@ -86,8 +86,9 @@
         return;
     }
     HeldFlow& held = found->second;
-    bool isTargetChosen = held.state == FlowState::Open || held.state == FlowState::Ended
-        || (held.state == FlowState::Answered && acknowledgesAnswer(forward.packet, held.targetSequence));
+    // A flow that ended before the caller chose this target may be open at another one.
+    bool isTargetChosen
+        = held.wasOpen || (held.state != FlowState::Opening && acknowledgesAnswer(forward.packet, held.targetSequence));
     if (!isTargetChosen) {
         // The opening packet reached several targets, and the caller acknowledges the answer of another one.
         replyNotHeld(forward, effects);
@@ -95,6 +96,7 @@
     }
     if (held.state == FlowState::Answered) {
         held.state = FlowState::Open;
+        held.wasOpen = true;
         announceFlow(held, forward.packet.flow, now, effects);
     }
     if (forward.isLocating)
--- a/src/transit_agent_target.cpp
+++ b/src/transit_agent_target.cpp
@@ -82,7 +82,8 @@
     }
     HeldFlow& held = m_flows[packet.flow];
     held.state = packet.flags.isOpening ? FlowState::Answered : FlowState::Open;
-    if (held.state == FlowState::Open) {
+    held.wasOpen = held.state == FlowState::Open;
+    if (held.wasOpen) {
         effects.push_back(WriteLog { "flow_learned",
             { { "flow", toString(packet.flow.caller) }, { "to", toString(packet.flow.service) },
                 { "target", m_targetId } } });
@@ -91,7 +92,11 @@
     auto query = takeFlowQuery(packet.flow);
     held.acknowledged = query && query->acknowledged ? query->acknowledged : packet.sequence;
     if (query)
-        effects.push_back(SendMessage { query->balancer, HeldMessage { .flow = packet.flow, .load = load() } });
+        effects.push_back(SendMessage { query->balancer,
+            HeldMessage { .flow = packet.flow,
+                .targetSequence = packet.flags.isOpening ? packet.sequence : 0,
+                .isOpening = packet.flags.isOpening,
+                .load = load() } });
 }
 
 void TransitAgent::trackAcknowledgement(std::optional<std::uint32_t>& highest, const TransitPacket& packet)
--- a/src/transit_balancer_base.h
+++ b/src/transit_balancer_base.h
@@ -61,9 +61,17 @@
         std::uint32_t targetSequence {}; ///< First sequence number of the agent's target; zero if unknown.
     };
 
+    /** Why a balancer takes an agent for the holder of a flow. */
+    enum class HolderBasis : std::uint8_t {
+        Answered, ///< Its target answered the opening packet; the caller may have chosen another target.
+        Reported, ///< It said that its target holds the flow.
+        Acknowledged, ///< The caller acknowledged its target's answer.
+    };
+
     struct CachedFlow {
         Holder holder;
-        Holder alternative; ///< Set if two targets answered and the caller has not chosen one yet.
+        HolderBasis basis {};
+        std::vector<Holder> alternatives; ///< Other agents whose targets answered, until the caller has chosen one.
         TimePoint usedAt;
     };
 
@@ -122,6 +130,7 @@
 
     // Packets of flows, in transit_balancer_locate.cpp.
     void forwardData(TransitPacket packet, TimePoint now, TransitEffects& effects);
+    static bool chooseHolder(CachedFlow& cached, const TransitPacket& packet);
     void startLocate(TransitPacket packet, TimePoint now, TransitEffects& effects);
     void queryLocators(const FlowTuple& flow, Locate& locate, TimePoint now, TransitEffects& effects);
     void broadcastLocate(const FlowTuple& flow, Locate& locate, std::vector<Endpoint> agents, TimePoint now);
@@ -141,7 +150,9 @@
     void recordNotHeld(Endpoint from, const FlowTuple& flow, TimePoint now, TransitEffects& effects);
     void queryLocator(Endpoint agent, Locate& locate, TransitEffects& effects);
     void onNotHeld(Endpoint from, NotHeldMessage message, TimePoint now, TransitEffects& effects);
-    void finishLocate(const FlowTuple& flow, Endpoint holder, TimePoint now, TransitEffects& effects);
+    void finishLocate(
+        const FlowTuple& flow, Endpoint holder, bool hasFirstPacket, TimePoint now, TransitEffects& effects);
+    void dropCandidate(Endpoint agent, const FlowTuple& flow, TransitEffects& effects);
     void declareLost(const FlowTuple& flow, const Locate& locate, TimePoint now, TransitEffects& effects);
     void tickLocates(TimePoint now, TransitEffects& effects);
     std::vector<Endpoint> possibleHolders(TimePoint now) const;
@@ -154,6 +165,7 @@
     void releaseWaitingPackets(TimePoint now, TransitEffects& effects);
     void sweepFlows(TimePoint now);
     void cacheHolder(const FlowTuple& flow, Holder holder, bool isOpening, TimePoint now);
+    static void addCandidate(CachedFlow& cached, Holder holder);
     Endpoint agentOf(std::uint32_t address) const { return { address, m_options.fleetPort }; }
 
     TransitBalancerOptions m_options;
--- a/src/transit_balancer_cmd.cpp
+++ b/src/transit_balancer_cmd.cpp
@@ -2,6 +2,8 @@
 
 #include "table/transit_limits.h"
 
+#include <algorithm>
+
 namespace hawthorncroft {
 
 TransitBalancer::TransitBalancer(TransitBalancerOptions options)
@@ -182,21 +184,37 @@
 
 void TransitBalancer::cacheHolder(const FlowTuple& flow, Holder holder, bool isOpening, TimePoint now)
 {
+    HolderBasis basis = isOpening ? HolderBasis::Answered : HolderBasis::Reported;
     auto found = m_flows.find(flow);
     if (found == m_flows.end()) {
         if (m_flows.size() >= maxCachedFlows)
             m_flows.erase(m_flows.begin());
-        m_flows[flow] = { .holder = holder, .alternative = {}, .usedAt = now };
+        m_flows[flow] = { .holder = holder, .basis = basis, .alternatives = {}, .usedAt = now };
         return;
     }
     CachedFlow& cached = found->second;
     cached.usedAt = now;
     bool isOther = cached.holder.agent != holder.agent;
-    // A late answer to an opening packet must not replace the target that the caller may have chosen already.
-    if (isOpening && isOther)
-        cached.alternative = holder;
-    else
-        cached = { .holder = holder, .alternative = {}, .usedAt = now };
+    if (isOpening && cached.basis == HolderBasis::Answered)
+        addCandidate(cached, holder);
+    else if (!isOpening && !(isOther && cached.basis == HolderBasis::Acknowledged))
+        cached = { .holder = holder, .basis = basis, .alternatives = {}, .usedAt = now };
+    // Other answers come late: the flow has a holder that the caller has chosen or that reported it.
+}
+
+void TransitBalancer::addCandidate(CachedFlow& cached, Holder holder)
+{
+    if (cached.holder.agent == holder.agent) {
+        cached.holder = holder;
+        return;
+    }
+    auto& others = cached.alternatives;
+    auto known
+        = std::find_if(others.begin(), others.end(), [&](const Holder& other) { return other.agent == holder.agent; });
+    if (known != others.end())
+        *known = holder;
+    else if (others.size() < maxHoldersOfFlow) // Beyond it, the locators find a holder that the caller chooses.
+        others.push_back(holder);
 }
 
 } // namespace hawthorncroft
--- a/src/transit_balancer_locate.cpp
+++ b/src/transit_balancer_locate.cpp
@@ -24,16 +24,32 @@
     }
     CachedFlow& cached = found->second;
     cached.usedAt = now;
-    if (cached.alternative.agent) {
-        // Two targets answered the opening packet. The caller's acknowledgement shows which one it chose.
-        if (acknowledgesAnswer(packet, cached.alternative.targetSequence))
-            cached.holder = cached.alternative;
-        cached.alternative = {};
+    if (cached.basis == HolderBasis::Answered && !chooseHolder(cached, packet)) {
+        // The caller chose a target whose answer has not reached this balancer, or was lost. The known candidates are
+        // not asked: an agent that has restarted cannot tell that its target was not chosen.
+        startLocate(std::move(packet), now, effects);
+        return;
     }
     effects.push_back(
         SendMessage { cached.holder.agent, ForwardMessage { .replyTo = m_fleet.self(), .packet = std::move(packet) } });
 }
 
+bool TransitBalancer::chooseHolder(CachedFlow& cached, const TransitPacket& packet)
+{
+    if (!packet.flags.hasAcknowledgement)
+        return true; // Shows no choice, for example the reset of a caller that has given up.
+    bool isHolderChosen = acknowledgesAnswer(packet, cached.holder.targetSequence);
+    auto chosen = std::find_if(cached.alternatives.begin(), cached.alternatives.end(),
+        [&](const Holder& other) { return acknowledgesAnswer(packet, other.targetSequence); });
+    if (!isHolderChosen && chosen == cached.alternatives.end())
+        return false;
+    if (!isHolderChosen)
+        cached.holder = *chosen;
+    cached.basis = HolderBasis::Acknowledged;
+    cached.alternatives.clear();
+    return true;
+}
+
 void TransitBalancer::startLocate(TransitPacket packet, TimePoint now, TransitEffects& effects)
 {
     auto found = m_locates.find(packet.flow);
@@ -173,17 +189,7 @@
 void TransitBalancer::onNotHeld(Endpoint from, NotHeldMessage message, TimePoint now, TransitEffects& effects)
 {
     FlowTuple flow = message.packet.flow;
-    auto cached = m_flows.find(flow);
-    if (cached != m_flows.end() && cached->second.holder.agent == from) {
-        effects.push_back(WriteLog { "flow_not_held",
-            { { "flow", toString(flow.caller) }, { "to", toString(flow.service) }, { "agent", toString(from) } } });
-        if (cached->second.alternative.agent) {
-            cached->second.holder = cached->second.alternative;
-            cached->second.alternative = {};
-        } else {
-            m_flows.erase(cached);
-        }
-    }
+    dropCandidate(from, flow, effects);
     auto found = m_locates.find(flow);
     if (found == m_locates.end()) {
         forwardData(std::move(message.packet), now, effects);
@@ -194,6 +200,25 @@
     recordNotHeld(from, flow, now, effects);
 }
 
+void TransitBalancer::dropCandidate(Endpoint agent, const FlowTuple& flow, TransitEffects& effects)
+{
+    auto found = m_flows.find(flow);
+    if (found == m_flows.end())
+        return;
+    CachedFlow& cached = found->second;
+    std::erase_if(cached.alternatives, [&](const Holder& other) { return other.agent == agent; });
+    if (cached.holder.agent != agent)
+        return;
+    effects.push_back(WriteLog { "flow_not_held",
+        { { "flow", toString(flow.caller) }, { "to", toString(flow.service) }, { "agent", toString(agent) } } });
+    if (cached.alternatives.empty()) {
+        m_flows.erase(found);
+        return;
+    }
+    cached.holder = cached.alternatives.front();
+    cached.alternatives.erase(cached.alternatives.begin());
+}
+
 void TransitBalancer::recordNotHeld(Endpoint from, const FlowTuple& flow, TimePoint now, TransitEffects& effects)
 {
     auto found = m_locates.find(flow);
@@ -297,7 +322,8 @@
     declareLost(flow, lost, now, effects);
 }
 
-void TransitBalancer::finishLocate(const FlowTuple& flow, Endpoint holder, TimePoint now, TransitEffects& effects)
+void TransitBalancer::finishLocate(
+    const FlowTuple& flow, Endpoint holder, bool hasFirstPacket, TimePoint now, TransitEffects& effects)
 {
     auto found = m_locates.find(flow);
     Locate locate = std::move(found->second);
@@ -308,8 +334,7 @@
         { { "flow", toString(flow.caller) }, { "to", toString(flow.service) }, { "agent", toString(holder) },
             { "asked", static_cast<std::int64_t>(locate.queried.size()) },
             { "took_us", (now - locate.startedAt).us } } });
-    // The holder received the first packet with the query.
-    for (std::size_t i = 1; i < locate.packets.size(); ++i)
+    for (std::size_t i = hasFirstPacket; i < locate.packets.size(); ++i)
         forwardData(std::move(locate.packets[i]), now, effects);
 }
 
--- a/src/transit_balancer_open.cpp
+++ b/src/transit_balancer_open.cpp
@@ -40,6 +40,8 @@
     if (cached != m_flows.end()) {
         // The target has already accepted the flow and answers the retransmission as it answered the first packet.
         cached->second.usedAt = now;
+        // It may also open a new flow from the same port, so the holder has to be chosen again.
+        cached->second.basis = HolderBasis::Answered;
         effects.push_back(SendMessage { cached->second.holder.agent, std::move(forward) });
         return;
     }
@@ -145,8 +147,15 @@
         m_opens.erase(pending);
     }
     cacheHolder(held.flow, { from, held.targetSequence }, held.isOpening, now);
-    if (m_locates.contains(held.flow))
-        finishLocate(held.flow, from, now, effects);
+    auto locate = m_locates.find(held.flow);
+    if (locate == m_locates.end())
+        return;
+    // An answer to the opening packet ends a search only if the caller chose it. Otherwise the holder reports the flow
+    // when it gets the query, and the query contains the first packet.
+    if (!held.isOpening)
+        finishLocate(held.flow, from, true, now, effects);
+    else if (acknowledgesAnswer(locate->second.packets.front(), held.targetSequence))
+        finishLocate(held.flow, from, false, now, effects);
 }
 
 void TransitBalancer::onDeclined(Endpoint from, DeclinedMessage declined, TimePoint now, TransitEffects& effects)
--- a/tests/transit_sim.cpp
+++ b/tests/transit_sim.cpp
@@ -12,9 +12,6 @@
     constexpr std::int64_t resetWindow = 76800; ///< Distance from a caller's acknowledgement within which it is reset.
     constexpr Duration localDelay = microseconds(100); ///< Delay between an agent and its target.
 
-    /** @return First sequence number of a target. */
-    std::uint32_t initialSequenceOf(std::uint32_t address) { return 1000000 * (address & 0xff); }
-
     bool isLocateTraffic(const MessageBody& body)
     {
         const auto* forward = std::get_if<ForwardMessage>(&body);
@@ -34,6 +31,8 @@
 
 }
 
+std::uint32_t initialSequenceOf(std::uint32_t address) { return 1000000 * (address & 0xff); }
+
 RouteRecord routeTo(const std::string& service, Endpoint address)
 {
     return { .address = address,
@@ -303,7 +302,10 @@
             if (m_disconnected.contains(process.address) || isPartitioned(process, send->to))
                 continue;
             Endpoint to = send->to;
-            at(m_now + delay, [this, process, to, message = Message { through, std::move(send->body) }] {
+            std::optional<Duration> time = m_messageFate ? m_messageFate(process, to, send->body) : delay;
+            if (!time)
+                continue;
+            at(m_now + *time, [this, process, to, message = Message { through, std::move(send->body) }] {
                 // The message is copied, as the delivery to a paused process is deferred.
                 deliver(to, 0, [this, process, to, message](TransitCore& core) {
                     TransitEffects next;
@@ -403,7 +405,13 @@
         sendFromTarget(address, answer);
         return;
     }
-    if (!target.flows.contains(packet.flow)) {
+    if (packet.dataSize)
+        target.arrivals.emplace_back(m_now, packet.flow);
+    bool acknowledgesOther = packet.dataSize && packet.acknowledged != initialSequenceOf(address) + 1;
+    if (target.ignoresOtherAcknowledgements && acknowledgesOther && target.flows.contains(packet.flow))
+        return;
+    bool isRejected = target.checksAcknowledgements && acknowledgesOther;
+    if (!target.flows.contains(packet.flow) || isRejected) {
         ++target.returned;
         if (target.resetsUnknown) {
             sendFromTarget(address, { .flow = packet.flow, .flags = { .isReset = true } });
--- a/tests/transit_sim.h
+++ b/tests/transit_sim.h
@@ -30,9 +30,12 @@
     bool resetsRequests {}; ///< Accepts flows and resets them on their first request.
     bool returnsOpens {}; ///< Runs, but returns all opening packets.
     bool resetsUnknown {}; ///< Resets unknown flows instead of returning their packets.
+    bool checksAcknowledgements {}; ///< Returns data that acknowledges the opening answer of another target.
+    bool ignoresOtherAcknowledgements {}; ///< As above, but drops such data silently.
     std::set<FlowTuple> flows;
     std::set<std::pair<FlowTuple, std::uint32_t>> receivedRequests; ///< By sequence number; retransmissions count once.
     std::size_t deliveredPackets {}; ///< Packets with data that arrived, including retransmissions.
+    std::vector<std::pair<TimePoint, FlowTuple>> arrivals; ///< Packets with data that arrived, whether accepted or not.
     std::vector<FlowTuple> queue; ///< FIFO queue of requests that wait for a slot.
     std::size_t longestQueue {}; ///< Maximum length of that queue.
     std::uint32_t running {};
@@ -85,6 +88,12 @@
     /** Drops messages between this failure domain and the others. @param domain Empty to end the partition. */
     void partitionDomain(const std::string& domain) { m_partitionedDomain = domain; }
 
+    /**
+     * Decides how long a message takes, or that it is lost (no value). Empty for the usual delay.
+     */
+    using MessageFate = std::function<std::optional<Duration>(Endpoint from, Endpoint to, const MessageBody& body)>;
+    void setMessageFate(MessageFate fate) { m_messageFate = std::move(fate); }
+
     /** A paused process handles no events; deliveries to it are deferred until after resume(). */
     void pause(Endpoint process) { m_paused.insert(process); }
     void resume(Endpoint process) { m_paused.erase(process); }
@@ -202,6 +211,7 @@
     std::map<FlowTuple, CallerState> m_callers;
     std::set<std::uint32_t> m_disconnected;
     std::string m_partitionedDomain;
+    MessageFate m_messageFate;
     std::set<Endpoint> m_paused;
     std::vector<Endpoint> m_seeds;
     std::map<std::string, StoreChange> m_store; ///< Current items by key.
@@ -218,6 +228,9 @@
     std::map<std::string, std::size_t> m_logLineCounts;
 };
 
+/** @return First sequence number of the target on a VM. */
+std::uint32_t initialSequenceOf(std::uint32_t address);
+
 /** @return The flow from caller n to routeAddress. */
 inline FlowTuple flowOf(std::uint32_t n) { return { { 0x64000000 + n, 40000 }, routeAddress }; }
 
