--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -120,6 +120,7 @@
     src/transit_balancer_locate.cpp
     src/transit_balancer_open.cpp
     src/transit_codec_func.cpp
+    src/transit_egress_cmd.cpp
     src/transit_fleet.cpp
     src/transit_health.cpp
     src/transit_http.cpp
@@ -228,6 +229,7 @@
     tests/standin_test.cpp
     tests/trace_config_test.cpp
     tests/trace_test.cpp
+    tests/transit_egress_test.cpp
     tests/transit_flow_test.cpp
     tests/transit_holder_test.cpp
     tests/transit_inventory_test.cpp
--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -233,6 +233,21 @@
 /** Maximum time that an agent that ends waits for running requests. */
 inline constexpr Duration requestDrainTimeout = milliseconds(1500);
 
+// Queue in front of a balancer's link.
+
+/** Overhead of a datagram on the wire: the headers of IP (20 bytes) and UDP (8 bytes). */
+inline constexpr std::int64_t datagramOverheadBytes = 28;
+/** Bytes that leave without waiting after the link was idle; 13 ms at 10 Mbit/s, so that a tick fills such a link. */
+inline constexpr std::int64_t egressBurstBytes = 16384;
+/** Bytes that a flow sends in one turn, at least one datagram of `fragmentSize`. */
+inline constexpr std::int64_t egressQuantumBytes = 1500;
+/** Time that the link takes for a full queue. Callers retransmit after 200 ms, so that more would be sent twice. */
+inline constexpr Duration egressQueueTime = milliseconds(200);
+/** Age at which a waiting datagram is dropped; its sender retransmits it by then. */
+inline constexpr Duration egressMaxAge = milliseconds(200);
+/** Data bytes of a packet up to which it is small: most requests, and all acknowledgements. */
+inline constexpr std::uint16_t smallPacketBytes = 300;
+
 // Shell.
 inline constexpr Duration tickInterval = milliseconds(10); ///< Resolution of the cores' timers.
 /** Length of a pause of the process after which the packets that wait in its sockets are discarded. Callers retransmit
--- a/src/table/transit_names.h
+++ b/src/table/transit_names.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "../transit_effect_type.h"
+#include "../transit_egress_type.h"
 
 namespace hawthorncroft {
 
@@ -45,6 +46,11 @@
     "overloaded",
 };
 
+inline constexpr NameTable<EgressDrop> egressDropNames = {
+    "age",
+    "bytes",
+};
+
 inline constexpr NameTable<StoreFailure> storeFailureNames = {
     "history_gone",
     "refused",
--- a/src/transit_core_base.h
+++ b/src/transit_core_base.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "transit_egress_type.h"
 #include "transit_fleet_base.h"
 
 namespace hawthorncroft {
@@ -31,6 +32,9 @@
     /** Handles the result of a probe: whether the process of the target is running. A process that hangs is running. */
     virtual void onTargetProbe(bool isRunning, TimePoint now, TransitEffects& effects) = 0;
 
+    /** Handles the state of the queue at the process's link. Called before each tick if the link has a rate. */
+    virtual void onEgressState(const EgressState&) { }
+
     /** Starts a graceful shutdown. */
     virtual void onStop(TimePoint now, TransitEffects& effects) = 0;
 
--- a/src/transit_shell.cpp
+++ b/src/transit_shell.cpp
@@ -4,6 +4,7 @@
 #include "table/transit_limits.h"
 
 #include <csignal>
+#include <limits>
 #include <unistd.h>
 
 namespace hawthorncroft {
@@ -18,6 +19,8 @@
     , m_log(STDOUT_FILENO, m_options.part, m_options.vm)
     , m_packetSocket(context)
     , m_fleetSocket(context)
+    , m_egress(m_options.linkBytesPerSecond)
+    , m_egressTimer(context)
     , m_timer(context)
     , m_signals(context, SIGTERM, SIGINT, SIGHUP)
     , m_probe(context)
@@ -128,8 +131,11 @@
     if (isAfterPause(now))
         discardStale(now);
     m_lastTickAt = now;
+    if (m_options.linkBytesPerSecond)
+        m_core.onEgressState(m_egress.state(now));
     m_core.onTick(now, m_effects);
     applyEffects();
+    logEgressDrops(now);
     if (m_core.isFinished(now)) {
         log({ "stopped", {} });
         m_context.stop();
@@ -153,20 +159,86 @@
     for (auto& effect : m_effects)
         std::visit([this](auto& kind) { applyEffect(kind); }, effect);
     m_effects.clear();
+    if (!m_egress.empty())
+        releaseEgress(monotonicNow());
+}
+
+UdpSocket& TransitShell::socketOf(EgressSocket socket)
+{
+    return socket == EgressSocket::Fleet ? m_fleetSocket : m_packetSocket;
+}
+
+void TransitShell::sendOrQueue(const EgressDatagram& head, std::span<const std::uint8_t> bytes, TimePoint now)
+{
+    if (m_egress.trySend(bytes.size(), now)) {
+        socketOf(head.socket).send(head.to, bytes);
+        return;
+    }
+    EgressDatagram datagram = head;
+    datagram.bytes.assign(bytes.begin(), bytes.end());
+    m_egress.push(std::move(datagram), now);
+}
+
+void TransitShell::releaseEgress(TimePoint now)
+{
+    while (auto datagram = m_egress.pop(now))
+        socketOf(datagram->socket).send(datagram->to, datagram->bytes);
+    armEgressTimer();
+}
+
+void TransitShell::armEgressTimer()
+{
+    // A fast link sends more than the burst between two ticks.
+    auto releaseAt = m_egress.releaseAt();
+    if (!releaseAt || m_isEgressTimerArmed)
+        return;
+    m_isEgressTimerArmed = true;
+    m_egressTimer.expires_after(std::chrono::microseconds((*releaseAt - monotonicNow()).us));
+    m_egressTimer.async_wait([this](boost::system::error_code error) {
+        m_isEgressTimerArmed = false;
+        if (!error)
+            releaseEgress(monotonicNow());
+    });
+}
+
+void TransitShell::logEgressDrops(TimePoint now)
+{
+    auto reports = m_egress.takeDrops();
+    for (std::size_t i = 0; i < reports.size(); ++i) {
+        const TransitEgress::DropReport& report = reports[i];
+        if (!report.drops.datagrams)
+            continue;
+        log({ "egress_dropped",
+            { { "reason", std::string(nameOf(static_cast<EgressDrop>(i))) },
+                { "datagrams", static_cast<std::int64_t>(report.drops.datagrams) },
+                { "bytes", static_cast<std::int64_t>(report.drops.bytes) }, { "flow", toString(report.flow.caller) },
+                { "to", toString(report.flow.service) }, { "class", static_cast<std::int64_t>(report.order.rank) },
+                { "age_ms", report.age.us / 1000 }, { "waiting_bytes", m_egress.state(now).waitingBytes },
+                { "link_bytes_per_s", m_options.linkBytesPerSecond } } });
+    }
 }
 
 void TransitShell::applyEffect(SendMessage& effect)
 {
     m_metrics.add(TransitCounter::MessagesOut);
     std::size_t kind = effect.body.index();
+    EgressDatagram head { .socket = EgressSocket::Fleet, .to = effect.to };
+    head.flowHash = std::hash<Endpoint> {}(effect.to);
+    if (const FlowTuple* flow = forwardedFlowOf(effect.body); flow && m_options.linkBytesPerSecond) {
+        const RouteRecord* route = m_core.fleet().view().routeAt(flow->service);
+        head.order = egressClassOf(effect.body, route ? route->priority : std::numeric_limits<std::uint8_t>::max());
+        head.flowHash = hashOf(*flow);
+        head.flow = *flow;
+    }
+    TimePoint now = monotonicNow();
     Message message { m_core.fleet().view().through(), std::move(effect.body) };
-    auto datagrams = m_joiner.split(encodeMessage(message, monotonicNow()));
+    auto datagrams = m_joiner.split(encodeMessage(message, now));
     if (datagrams.empty())
         log({ "message_too_long", { { "peer", toString(effect.to) } } });
     bool isInSameDomain = m_core.fleet().isInSameDomain(effect.to);
     for (const auto& datagram : datagrams) {
         m_metrics.countSent(kind, isInSameDomain, datagram.size());
-        m_fleetSocket.send(effect.to, datagram);
+        sendOrQueue(head, datagram, now);
     }
 }
 
@@ -183,8 +255,9 @@
 
 void TransitShell::applyEffect(ResetCaller& effect)
 {
-    m_packetSocket.send(
-        { effect.flow.caller.address, m_options.callerPort }, m_format.makeReset(effect.flow, effect.sequence));
+    EgressDatagram head { .flowHash = hashOf(effect.flow), .flow = effect.flow, .socket = EgressSocket::Packets };
+    head.to = { effect.flow.caller.address, m_options.callerPort };
+    sendOrQueue(head, m_format.makeReset(effect.flow, effect.sequence), monotonicNow());
 }
 
 void TransitShell::applyEffect(ReadStore& effect)
@@ -242,7 +315,9 @@
     if (path != m_options.metricsPath)
         return { 404, "no such page\n" };
     const TransitFleet& fleet = m_core.fleet();
-    auto age = fleet.viewAge(monotonicNow());
+    TimePoint now = monotonicNow();
+    auto age = fleet.viewAge(now);
+    EgressState egress = m_egress.state(now);
     return { 200,
         m_metrics.text({
             { "view_revision", static_cast<std::int64_t>(fleet.view().through().value) },
@@ -250,6 +325,11 @@
             { "members", static_cast<std::int64_t>(fleet.members().size()) },
             { "targets", static_cast<std::int64_t>(fleet.view().targets().size()) },
             { "datagrams_not_taken", static_cast<std::int64_t>(m_packetSocket.dropped() + m_fleetSocket.dropped()) },
+            { "egress_waiting_bytes", egress.waitingBytes },
+            { "egress_dropped_total{reason=\"age\"}",
+                static_cast<std::int64_t>(egress.droppedBy(EgressDrop::Age).datagrams) },
+            { "egress_dropped_total{reason=\"bytes\"}",
+                static_cast<std::int64_t>(egress.droppedBy(EgressDrop::Bytes).datagrams) },
             { "log_lines_left_out", static_cast<std::int64_t>(m_log.dropped()) },
         }) };
 }
--- a/src/transit_shell.h
+++ b/src/transit_shell.h
@@ -8,6 +8,7 @@
 
 #include "transit_codec_func.h"
 #include "transit_core_base.h"
+#include "transit_egress_base.h"
 #include "transit_http_base.h"
 #include "transit_log_base.h"
 #include "transit_metrics_base.h"
@@ -29,6 +30,7 @@
     Endpoint fleet; ///< Receives messages of other processes.
     Endpoint status; ///< Serves readiness and metrics over HTTP.
     Endpoint target; ///< Agent only: receives the packets for the target.
+    std::int64_t linkBytesPerSecond {}; ///< Balancer only: rate of the VM's link. Zero: datagrams are not held back.
     std::uint16_t callerPort {}; ///< Port to which packets for callers are sent.
     std::string readyPath;
     std::string metricsPath;
@@ -60,6 +62,11 @@
     void tick();
     void armTimer();
     void applyEffects();
+    void sendOrQueue(const EgressDatagram& head, std::span<const std::uint8_t> bytes, TimePoint now);
+    void releaseEgress(TimePoint now);
+    void armEgressTimer();
+    void logEgressDrops(TimePoint now);
+    UdpSocket& socketOf(EgressSocket socket);
     void applyEffect(SendMessage& effect);
     void applyEffect(DeliverToTarget& effect);
     void applyEffect(DeliverToCaller& effect);
@@ -84,6 +91,9 @@
     UdpSocket m_packetSocket;
     UdpSocket m_fleetSocket;
     FragmentJoiner m_joiner;
+    TransitEgress m_egress;
+    boost::asio::steady_timer m_egressTimer; ///< Armed while datagrams wait for the link.
+    bool m_isEgressTimerArmed {};
     TransitHttpServer m_statusServer;
     boost::asio::steady_timer m_timer;
     boost::asio::signal_set m_signals;
--- a/src/transit_type.cpp
+++ b/src/transit_type.cpp
@@ -12,6 +12,8 @@
 
 std::string_view nameOf(DeclineReason reason) { return lookUpName(declineReasonNames, reason); }
 
+std::string_view nameOf(EgressDrop reason) { return lookUpName(egressDropNames, reason); }
+
 std::string_view nameOf(StoreFailure failure) { return lookUpName(storeFailureNames, failure); }
 
 std::string_view nameOf(TransitCounter counter) { return lookUpName(transitCounterNames, counter); }
