--- a/src/transit_agent_base.h
+++ b/src/transit_agent_base.h
@@ -96,6 +96,7 @@
         std::vector<ForwardMessage> earlyPackets; ///< Last packet of a transfer with gaps, and what follows it.
         std::optional<std::uint32_t> targetDataEnd; ///< Highest end of the target's data; none before the first.
         bool isAwaitingFirstRequest {}; ///< Counted in m_awaitingFirstRequest.
+        bool wasOpen {}; ///< The caller has chosen this target.
         bool isAnnounced {}; ///< An update with this flow was sent to the locators.
         bool hasCallerEnded {};
         bool hasTargetEnded {};
