--- a/src/transit_agent_queue.cpp
+++ b/src/transit_agent_queue.cpp
@@ -10,12 +10,10 @@
 {
     flow.usedAt = now;
     trackAcknowledgement(flow.acknowledged, forward.packet);
-    if (forward.packet.flags.isReset) {
+    if (!flow.queuedPackets.empty() && forward.packet.flags.isReset) {
         // The caller gave up, so the request is not run.
-        flow.earlyPackets.clear();
-        if (!flow.queuedPackets.empty())
-            m_queue.remove(forward.packet.flow);
         flow.queuedPackets.clear();
+        m_queue.remove(forward.packet.flow);
     }
     bool hasData = forward.packet.dataSize;
     bool isOrdered = hasData || forward.packet.flags.isFinal; // Bare acknowledgements need not wait.
@@ -25,8 +23,9 @@
         return;
     }
     bool isBetweenRequests = hasData && !flow.requestAt && flow.state == FlowState::Open;
-    bool isBareFinal = !hasData && forward.packet.flags.isFinal;
-    if ((isBetweenRequests && role == TransferRole::Early) || (isBareFinal && !flow.earlyPackets.empty())) {
+    bool isEarly = isBetweenRequests && role == TransferRole::Early;
+    bool endsEarly = !hasData && forward.packet.flags.isFinal && !forward.packet.flags.isReset;
+    if (isEarly || (endsEarly && !flow.earlyPackets.empty())) {
         holdEarly(flow, std::move(forward), now, effects);
         return;
     }
--- a/tests/transit_sim.cpp
+++ b/tests/transit_sim.cpp
@@ -466,11 +466,12 @@
     std::uint32_t contiguous = 0;
     while (transfer.received.contains(contiguous))
         ++contiguous;
-    sendFromTarget(address,
-        { .flow = packet.flow,
-            .flags = { .hasAcknowledgement = true },
-            .sequence = initialSequenceOf(address) + 1,
-            .acknowledged = transfer.sequence + std::min(transfer.bytes, contiguous * FakeTransfer::packetBytes) });
+    TransitPacket acknowledgement { .flow = packet.flow,
+        .flags = { .hasAcknowledgement = true },
+        .sequence = initialSequenceOf(address) + 1,
+        .acknowledged = transfer.sequence + std::min(transfer.bytes, contiguous * FakeTransfer::packetBytes) };
+    if (transfer.isAcknowledged)
+        sendFromTarget(address, acknowledgement);
     if (wasComplete || !transfer.isComplete())
         return;
     FakeTransitTarget& target = m_targets[address];
--- a/tests/transit_sim.h
+++ b/tests/transit_sim.h
@@ -47,6 +47,7 @@
     std::uint32_t bytes {}; ///< Head and body.
     std::optional<std::uint64_t> requestSize; ///< What the head tells; none when it tells nothing.
     Duration serviceTime { microseconds(4200) }; ///< From the last byte to the answer.
+    bool isAcknowledged { true }; ///< The target acknowledges each packet; otherwise it sends only its answer.
     std::set<std::uint32_t> received; ///< Indexes of the packets that the target has received.
 
     static constexpr std::uint32_t packetBytes = 1200;
--- a/tests/transit_transfer_fleet_test.cpp
+++ b/tests/transit_transfer_fleet_test.cpp
@@ -48,11 +48,11 @@
     }
 
     /** Opens a flow and declares a transfer on it. */
-    FlowTuple startTransfer(std::uint32_t n, std::uint32_t bytes, bool hasLength = true)
+    FlowTuple startTransfer(std::uint32_t n, std::uint32_t bytes, bool hasLength = true, bool isAcknowledged = true)
     {
         FlowTuple flow = flowOf(n);
         REQUIRE(open(balancers[0], flow));
-        FakeTransfer transfer { .sequence = firstSequence, .bytes = bytes };
+        FakeTransfer transfer { .sequence = firstSequence, .bytes = bytes, .isAcknowledged = isAcknowledged };
         if (hasLength)
             transfer.requestSize = bytes;
         declareTransfer(flow, transfer);
@@ -157,6 +157,28 @@
             CHECK(fleet.busy() == 0);
         }
     }
+    SECTION(
+        "a packet fills the gap before the last one, whose target acknowledges nothing, which guards against a wait "
+        "for an acknowledgement")
+    {
+        fleet.run(milliseconds(700));
+        FlowTuple silent = fleet.startTransfer(2, 3000, true, false);
+        fleet.sendPackets(silent, 0, 1);
+        fleet.sendPackets(silent, 2, 3);
+        REQUIRE(fleet.count(TransitCounter::TransfersHeld) == 1);
+        ForwardMessage forward { .replyTo = fleet.balancers[0] };
+        forward.packet = {
+            .flow = silent, .flags = { .hasAcknowledgement = true, .isFinal = true }, .sequence = firstSequence + 3000
+        };
+        TransitEffects effects;
+        fleet.theAgent().onMessage(fleet.balancers[0], Message { Revision(), forward }, fleet.now(), effects);
+        bool isDelivered = std::any_of(effects.begin(), effects.end(),
+            [](const auto& effect) { return std::holds_alternative<DeliverToTarget>(effect); });
+        CHECK_FALSE(isDelivered); // A final packet waits as well.
+        fleet.sendPackets(silent, 1, 2);
+        fleet.run(milliseconds(10));
+        CHECK(fleet.caller(silent).answers == 1);
+    }
     SECTION("a request of two packets is a small transfer")
     {
         FlowTuple small = fleet.startTransfer(2, 1300);
@@ -243,6 +265,16 @@
         CHECK(fleet.probes() == probes);
         CHECK(fleet.logLineCount("target_gone") == 0);
     }
+    SECTION("a target that acknowledges nothing is probed and stays, which guards against a dead target that is not "
+            "noticed")
+    {
+        FlowTuple silent = fleet.startTransfer(2, uploadBytes, true, false);
+        fleet.sendPackets(silent, 0, 10);
+        fleet.run(milliseconds(400));
+        CHECK(fleet.probes() > probes);
+        CHECK(fleet.logLineCount("target_gone") == 0);
+        CHECK(fleet.gauge("transfers") == 2);
+    }
     SECTION("the target ends, and the caller is told, which guards against an upload into nothing")
     {
         fleet.crashTarget(fleet.agentEndpoint.address);
@@ -279,9 +311,13 @@
         fleet.restart(fleet.agentEndpoint);
         fleet.run(milliseconds(150));
         fleet.fillSlots(200);
+        bool isLastFirst = GENERATE(false, true); // Then the last packet waits while the agent does not know the flow.
+        if (isLastFirst)
+            fleet.sendPackets(flow, last, last + 1);
         fleet.sendPackets(flow, 20, last);
         CHECK(fleet.transfer(flow).received.size() == last);
-        fleet.sendPackets(flow, last, last + 1);
+        if (!isLastFirst)
+            fleet.sendPackets(flow, last, last + 1);
         fleet.run(seconds(2));
         CHECK(fleet.caller(flow).answers == 1);
         CHECK(fleet.busy() == 0);
@@ -321,9 +357,12 @@
     fleet.open(fleet.balancers[0], single);
     fleet.sendPackets(flow, 0, 2);
     keepBusy(milliseconds(150), 6);
+    keepBusy(milliseconds(850), 1);
     fleet.sendPackets(flow, 2, 3);
     fleet.sendRequest(fleet.balancers[0], single);
-    keepBusy(milliseconds(2200), 1);
+    keepBusy(milliseconds(1050), 1);
+    REQUIRE(fleet.count(TransitCounter::RequestsExpired) == 1); // The time of the transfer counts.
+    keepBusy(milliseconds(1100), 1);
     REQUIRE(fleet.count(TransitCounter::RequestsExpired) == 2);
     REQUIRE(fleet.transfer(flow).received.size() == 2);
     std::uint64_t queued = fleet.count(TransitCounter::RequestsQueued);
