--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -117,9 +117,12 @@
     src/transit_agent_unknown.cpp
     src/transit_agent_target.cpp
     src/transit_balancer_cmd.cpp
+    src/transit_balancer_entry.cpp
     src/transit_balancer_locate.cpp
     src/transit_balancer_open.cpp
     src/transit_codec_func.cpp
+    src/transit_entry_cmd.cpp
+    src/transit_entry_query.cpp
     src/transit_fleet.cpp
     src/transit_health.cpp
     src/transit_http.cpp
@@ -228,6 +231,7 @@
     tests/standin_test.cpp
     tests/trace_config_test.cpp
     tests/trace_test.cpp
+    tests/transit_entry_test.cpp
     tests/transit_flow_test.cpp
     tests/transit_inventory_test.cpp
     tests/transit_late_view_test.cpp
--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -147,6 +147,53 @@
 /** Part of the grace period kept in reserve for a late tick and the network delay. */
 inline constexpr Duration shutdownMargin = milliseconds(500);
 
+// Rotation of balancers (docs/design/entry-capacity.md).
+
+/** Interval of the load measurement; ten of them make up the last second. */
+inline constexpr Duration entryLoadInterval = milliseconds(100);
+/** Interval between two decisions on rotation; a tenth of the routers' probe interval. */
+inline constexpr Duration entryUpdateInterval = milliseconds(50);
+/** Interval between stamps to the balancers of the own failure domain; half of the routers' probe interval. */
+inline constexpr Duration entryStampInterval = milliseconds(250);
+/** Balancers of the own failure domain that get each of these stamps; a larger failure domain uses
+ * `entrySampleSize`. */
+inline constexpr std::size_t maxEntryPeers = 16;
+/** Balancers that get each of these stamps in failure domains of more than `maxEntryPeers` others. Such a stamp has 220
+ * bytes on the link, a usual one 204; with five of these together they are 9.3 of the 10 KB/s that a process may use.
+ */
+inline constexpr std::size_t entrySampleSize = 5;
+/** Age from which a report no longer counts; two in a row may be lost. */
+inline constexpr Duration entryReportLifetime = milliseconds(800);
+/** Time after a pause of the process during which rotation does not change. All balancers report within it, and the
+ * measured load covers it. */
+inline constexpr Duration entryHoldTime = seconds(1);
+/** Maximum time that a balancer waits after its start for the first reports; peers answer its first stamp at once. */
+inline constexpr Duration entryStartWait = milliseconds(100);
+/** Time for which the load has to be known before a slow balancer joins after its start. */
+inline constexpr Duration entryStartLoadTime = seconds(2);
+/** Time after a change of rotation before the next one: the routers' probe interval. */
+inline constexpr Duration entrySettleTime = milliseconds(500);
+/** Time until the measured load shows that another balancer joined: two probes, and the second of the measurement. */
+inline constexpr Duration entrySpreadTime = seconds(2);
+/** Minimum time out of rotation, and age of the highest load that counts for a return. Loads swing with periods of up
+ * to 15 s. */
+inline constexpr Duration entryReturnWait = seconds(20);
+/** Share of its capacity above which a balancer leaves. A link has bursts of several times its mean rate. */
+inline constexpr double entryLeaveLimit = 0.35;
+/** Share of its capacity below which a balancer returns. A domain that doubles its balancers halves their load, so that
+ * the two limits are far enough apart. */
+inline constexpr double entryReturnLimit = 0.2;
+/** A balancer is slow if this many of its kind have less capacity than one of the needed ones on average. */
+inline constexpr double entrySlowFactor = 2;
+/** Processor time of one forwarded packet, with its system calls. */
+inline constexpr Duration entryPacketTime = microseconds(12);
+/** Mean size of a packet for the forwarding rate of a processor, in bytes. */
+inline constexpr double entryPacketBytes = 600;
+/** Bytes of the IP and UDP headers of a datagram. */
+inline constexpr std::size_t datagramHeaderBytes = 28;
+/** Bytes that a forwarded packet needs beyond its own: the message around it, the fragment header, IP and UDP. */
+inline constexpr std::size_t forwardOverheadBytes = 120;
+
 // Agent.
 
 /** Window in which the admissions of a cold target are counted, so that its limit holds in any second. */
--- a/src/table/transit_names.h
+++ b/src/table/transit_names.h
@@ -76,6 +76,21 @@
     "store_calls",
     "store_failures",
     "log_lines_dropped",
+    "entry_changes",
+};
+
+inline constexpr NameTable<TransitGauge> transitGaugeNames = {
+    "entry_ready",
+    "entry_share_bytes",
+    "entry_capacity_bytes",
+};
+
+inline constexpr NameTable<EntryReason> entryReasonNames = {
+    "load",
+    "start",
+    "half",
+    "fits",
+    "no_reports",
 };
 
 inline constexpr NameTable<TransitDistribution> transitDistributionNames = {
--- a/src/transit_balancer_base.h
+++ b/src/transit_balancer_base.h
@@ -7,10 +7,12 @@
 
 #include "retry_budget_type.h"
 #include "transit_core_base.h"
+#include "transit_entry_base.h"
 #include "transit_locator_base.h"
 #include "transit_placement_base.h"
 
 #include <deque>
+#include <span>
 #include <unordered_map>
 
 namespace hawthorncroft {
@@ -22,6 +24,9 @@
     std::uint16_t fleetPort {}; ///< Port at which every process of the system receives messages.
     std::int64_t linkBytesPerSecond { 125000000 }; ///< Bandwidth of the VM's network link.
     Duration grace { seconds(6) }; ///< Time from the termination signal until the process is killed.
+    std::uint32_t processorMillis { 1000 }; ///< Processor share of the VM, in thousandths of a core.
+    bool entryRotation { true }; ///< Balancers of low capacity leave rotation under load.
+    bool isFlowHashStable { true }; ///< A change of rotation remaps only the flows of the balancer that changes.
 };
 
 /** Balancer core for transparent flows. */
@@ -49,6 +54,8 @@
     /** @return Whether the graceful shutdown is complete. */
     bool isFinished(TimePoint now) const override;
 
+    std::vector<std::pair<TransitGauge, std::int64_t>> gauges() const override;
+
     const TransitPlacement& placement() const { return m_placement; }
 
     /** @return Cached holder of the flow. */
@@ -146,9 +153,14 @@
     void tickLocates(TimePoint now, TransitEffects& effects);
     std::vector<Endpoint> possibleHolders(TimePoint now) const;
 
-    // In transit_balancer_cmd.cpp.
+    // Rotation, in transit_balancer_entry.cpp.
+    void updateEntry(TimePoint now, TransitEffects& effects);
+    void recordSentPackets(std::span<const TransitEffect> sent, TimePoint now);
     bool mayLeaveRotation(TimePoint now) const;
     void leaveRotation(TimePoint now, TransitEffects& effects);
+
+    // In transit_balancer_cmd.cpp.
+    void handleMessage(Endpoint from, Message message, TimePoint now, TransitEffects& effects);
     void handlePacket(TransitPacket packet, TimePoint arrivedAfter, TimePoint now, TransitEffects& effects);
     void onViewChanged(TimePoint now, TransitEffects& effects) override;
     void releaseWaitingPackets(TimePoint now, TransitEffects& effects);
@@ -158,6 +170,8 @@
 
     TransitBalancerOptions m_options;
     TransitPlacement m_placement;
+    EntryRotation m_entry;
+    TimePoint m_nextEntryUpdateAt;
     TransitLocators m_locators;
     std::unordered_map<FlowTuple, CachedFlow> m_flows;
     std::unordered_map<FlowTuple, PendingOpen> m_opens;
--- a/src/transit_balancer_cmd.cpp
+++ b/src/transit_balancer_cmd.cpp
@@ -8,6 +8,12 @@
     : TransitCore(options.fleet)
     , m_options(std::move(options))
     , m_placement(m_options.failureDomain)
+    , m_entry({ .self = m_options.fleet.self,
+          .linkBytesPerSecond = m_options.linkBytesPerSecond,
+          .processorMillis = m_options.processorMillis,
+          .isFlowHashStable = m_options.isFlowHashStable,
+          .isEnabled = m_options.entryRotation,
+          .grace = m_options.grace })
     , m_retryBudget({ .atStart = openRetryReserve, .reserve = openRetryReserve, .refillPerSecond = openRetryRefill })
     , m_locateBytes(m_options.linkBytesPerSecond / locateLinkShare)
 {
@@ -15,6 +21,7 @@
 
 void TransitBalancer::onTick(TimePoint now, TransitEffects& effects)
 {
+    std::size_t firstEffect = effects.size();
     m_fleet.onTick(now, {}, effects);
     releaseWaitingPackets(now, effects);
     // After a late tick, answers that are waiting in the sockets have to be read before timeouts are evaluated.
@@ -30,6 +37,9 @@
         m_nextSweepAt = now + seconds(5);
         sweepFlows(now);
     }
+    recordSentPackets(std::span(effects).subspan(firstEffect), now);
+    if (now >= m_nextEntryUpdateAt)
+        updateEntry(now, effects);
     if (m_stoppedAt && !m_leftRotationAt && mayLeaveRotation(now))
         leaveRotation(now, effects);
     if (isReady() != m_wasReady) {
@@ -45,8 +55,11 @@
 void TransitBalancer::onPacket(TransitPacket packet, TimePoint now, TransitEffects& effects)
 {
     effects.push_back(CountEvent { TransitCounter::PacketsFromCallers });
+    m_entry.meter().recordReceived(packet.bytes.size() + datagramHeaderBytes, now);
     if (m_fleet.view().hasConfiguration()) {
+        std::size_t firstEffect = effects.size();
         handlePacket(std::move(packet), m_caughtUpAt, now, effects);
+        recordSentPackets(std::span(effects).subspan(firstEffect), now);
         return;
     }
     if (m_waitingPackets.size() >= maxWaitingPackets) {
@@ -57,6 +70,13 @@
 }
 
 void TransitBalancer::onMessage(Endpoint from, Message message, TimePoint now, TransitEffects& effects)
+{
+    std::size_t firstEffect = effects.size();
+    handleMessage(from, std::move(message), now, effects);
+    recordSentPackets(std::span(effects).subspan(firstEffect), now);
+}
+
+void TransitBalancer::handleMessage(Endpoint from, Message message, TimePoint now, TransitEffects& effects)
 {
     effects.push_back(CountEvent { TransitCounter::MessagesIn });
     m_fleet.recordContact(from, message.through, now, effects);
@@ -93,33 +113,20 @@
     m_stoppedAt = now;
     effects.push_back(WriteLog {
         "stopping", { { "drain_ms", drainTime.us / 1000 }, { "flows", static_cast<std::int64_t>(m_flows.size()) } } });
+    m_entry.stop(now);
+    updateEntry(now, effects);
     if (mayLeaveRotation(now))
         leaveRotation(now, effects);
+    else
+        m_fleet.sendEntryStamps(now, effects); // The others learn that this one is about to leave.
 }
 
-bool TransitBalancer::mayLeaveRotation(TimePoint now) const
-{
-    // If fewer than half of a failure domain's balancers are in rotation, the routers use all of them, including those
-    // that have ended. While others are out of rotation, this one therefore stays in as long as the grace period leaves
-    // it time to drain.
-    auto others = m_fleet.sameDomainBalancers(now);
-    bool areEnoughReady = !others.known || others.ready * 2 >= others.known + 1;
-    return areEnoughReady || now + drainTime + shutdownMargin >= *m_stoppedAt + m_options.grace;
-}
-
-void TransitBalancer::leaveRotation(TimePoint now, TransitEffects& effects)
+bool TransitBalancer::isReady() const
 {
-    m_leftRotationAt = now;
-    m_wasReady = false;
-    m_fleet.setReady(false, now, effects);
-    auto others = m_fleet.sameDomainBalancers(now);
-    effects.push_back(WriteLog { "leaving_rotation",
-        { { "waited_ms", (now - *m_stoppedAt).us / 1000 }, { "others", static_cast<std::int64_t>(others.known) },
-            { "others_ready", static_cast<std::int64_t>(others.ready) } } });
+    bool isInRotation = !m_options.entryRotation || m_entry.isReady();
+    return isInRotation && !m_leftRotationAt && m_fleet.view().hasConfiguration();
 }
 
-bool TransitBalancer::isReady() const { return !m_leftRotationAt && m_fleet.view().hasConfiguration(); }
-
 bool TransitBalancer::isFinished(TimePoint now) const
 {
     return m_leftRotationAt && now >= *m_leftRotationAt + drainTime;
--- a/src/transit_codec_func.cpp
+++ b/src/transit_codec_func.cpp
@@ -5,6 +5,7 @@
 #include "table/transit_limits.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace hawthorncroft {
 
@@ -40,6 +41,15 @@
     constexpr std::uint8_t flagFinal = 128;
     constexpr std::uint8_t flagRegistered = 1; ///< Of an InventoryUpdateMessage, which does not use flagLocating.
 
+    std::uint64_t numberOf(std::int64_t rate) { return static_cast<std::uint64_t>(std::max<std::int64_t>(rate, 0)); }
+
+    /** @return A rate of a message, at most the highest that the type can hold. */
+    std::int64_t rateOf(std::uint64_t number)
+    {
+        constexpr std::uint64_t highest = std::numeric_limits<std::int64_t>::max();
+        return static_cast<std::int64_t>(std::min(number, highest));
+    }
+
     wire::Node nodeOf(Endpoint endpoint) { return { endpoint.address, endpoint.port }; }
 
     Endpoint endpointOf(const wire::Node& node) { return { node.address(), node.port() }; }
@@ -238,6 +248,28 @@
         out.flags |= body.isRegistered ? flagRegistered : 0;
     }
 
+    wire::EntryT wireEntryOf(const EntryReport& report)
+    {
+        wire::EntryT entry;
+        entry.link_bytes_per_second = numberOf(report.linkBytesPerSecond);
+        entry.processor_millis = report.processorMillis;
+        entry.carried_bytes_per_second = numberOf(report.carriedBytesPerSecond);
+        entry.carried_packets_per_second = numberOf(report.carriedPacketsPerSecond);
+        entry.is_stopping = report.isStopping;
+        return entry;
+    }
+
+    std::optional<EntryReport> entryOf(const wire::MessageT& in)
+    {
+        if (!in.entry)
+            return std::nullopt;
+        return EntryReport { .linkBytesPerSecond = rateOf(in.entry->link_bytes_per_second),
+            .processorMillis = in.entry->processor_millis,
+            .carriedBytesPerSecond = rateOf(in.entry->carried_bytes_per_second),
+            .carriedPacketsPerSecond = rateOf(in.entry->carried_packets_per_second),
+            .isStopping = in.entry->is_stopping };
+    }
+
     void putBody(wire::MessageT& out, const StampMessage& body, TimePoint)
     {
         out.role = static_cast<std::uint8_t>(body.role);
@@ -249,6 +281,8 @@
         putNodes(out, body.balancers);
         out.failure_domain = body.failureDomain;
         out.flags |= body.isReady ? flagReady : 0;
+        if (body.entry)
+            out.entry = std::make_unique<wire::EntryT>(wireEntryOf(*body.entry));
     }
 
     void putBody(wire::MessageT& out, const DeltaMessage& body, TimePoint now)
@@ -387,7 +421,7 @@
                 return std::nullopt;
             return StampMessage { static_cast<ProcessRole>(in.role), in.incarnation, { in.age_us },
                 (in.flags & flagWantsReply) != 0, (in.flags & flagWantsFullDelta) != 0, loadOf(in), endpointsOf(in),
-                in.failure_domain, (in.flags & flagReady) != 0 };
+                in.failure_domain, (in.flags & flagReady) != 0, entryOf(in) };
         case Kind::Delta: {
             DeltaMessage message { { in.age_us },
                 { Revision(in.since), Revision(in.through), (in.flags & flagKeys) != 0, in.keys, {} } };
--- a/src/transit_core_base.h
+++ b/src/transit_core_base.h
@@ -40,6 +40,9 @@
     /** @return Whether the graceful shutdown is complete. */
     virtual bool isFinished(TimePoint now) const = 0;
 
+    /** @return Current values of the gauges that only this core has. */
+    virtual std::vector<std::pair<TransitGauge, std::int64_t>> gauges() const { return {}; }
+
     /** Handles one page of a full read of the store; see TransitFleet::onStorePage. */
     void onStorePage(std::vector<StoreChange> changes, Revision asOf, const std::string& nextAfter, TimePoint now,
         TransitEffects& effects)
--- a/src/transit_effect_type.h
+++ b/src/transit_effect_type.h
@@ -90,6 +90,15 @@
     StoreCalls,
     StoreFailures,
     LogLinesDropped,
+    EntryChanges, ///< A balancer left rotation or returned because of the load.
+    End,
+};
+
+/** Values of a core that are sampled when the metrics are printed. Their names are in table/transit_names.h. */
+enum class TransitGauge : std::uint8_t {
+    EntryReady, ///< Whether the routers may use this balancer.
+    EntryShareBytes, ///< Bytes per second that each ready balancer of the failure domain carries.
+    EntryCapacityBytes, ///< Bytes per second that this balancer can carry.
     End,
 };
 
@@ -129,6 +138,7 @@
 
 std::string_view nameOf(StoreFailure failure);
 std::string_view nameOf(TransitCounter counter);
+std::string_view nameOf(TransitGauge gauge);
 std::string_view nameOf(TransitDistribution distribution);
 
 } // namespace hawthorncroft
--- a/src/transit_fleet.cpp
+++ b/src/transit_fleet.cpp
@@ -32,6 +32,8 @@
         m_nextStampAt = now + (m_view.through() ? stampInterval : stampInterval / 10);
         sendStampRound(now, effects);
     }
+    if (m_entry && now >= m_nextEntryStampAt)
+        sendEntryStamps(now, effects);
     if (now >= m_nextExpiryAt) {
         m_nextExpiryAt = now + stampInterval;
         expireMembers(now, effects);
@@ -73,6 +75,11 @@
     member.incarnation = stamp.incarnation;
     member.failureDomain = stamp.failureDomain;
     member.isReady = stamp.isReady;
+    // The usual stamps carry no report. A new process may be of a version that has none.
+    if (stamp.entry || isNew) {
+        member.entry = stamp.entry;
+        member.entryAt = now;
+    }
     for (Endpoint balancer : stamp.balancers)
         addMember(balancer, ProcessRole::Balancer, now);
     if (stamp.age.us >= 0 && through <= m_view.through())
@@ -226,10 +233,57 @@
 void TransitFleet::setReady(bool isReady, TimePoint now, TransitEffects& effects)
 {
     m_isReady = isReady;
+    sendEntryStamps(now, effects);
+}
+
+void TransitFleet::sendEntryStamps(TimePoint now, TransitEffects& effects)
+{
+    m_nextEntryStampAt = now + entryStampInterval;
+    StampMessage stamp = makeStamp(now, false);
+    stamp.balancers.clear(); // The usual stamps name them.
+    stamp.entry = m_entry;
+    for (Endpoint receiver : entryReceivers())
+        effects.push_back(SendMessage { receiver, stamp });
+}
+
+std::vector<Endpoint> TransitFleet::entryReceivers() const
+{
+    std::vector<Endpoint> receivers;
     for (const auto& [endpoint, member] : m_members) {
         if (member.role == ProcessRole::Balancer && isInSameDomain(member))
-            sendStamp(endpoint, false, now, effects);
+            receivers.push_back(endpoint);
+    }
+    if (receivers.size() <= maxEntryPeers)
+        return receivers;
+    // The next ones after this process in a fixed circle. Each balancer gets the reports of the same few others for as
+    // long as they live, so that a missing report is that of a failed process and not of one that drew others.
+    std::hash<Endpoint> hash;
+    std::uint64_t own = hash(m_options.self);
+    auto end = receivers.begin() + entrySampleSize;
+    std::partial_sort(receivers.begin(), end, receivers.end(),
+        [&](Endpoint one, Endpoint other) { return hash(one) - own < hash(other) - own; });
+    receivers.erase(end, receivers.end());
+    return receivers;
+}
+
+EntryBalancers TransitFleet::entryBalancers(TimePoint now) const
+{
+    EntryBalancers balancers { .peers = {}, .isComplete = true };
+    for (const auto& [endpoint, member] : m_members) {
+        if (member.role != ProcessRole::Balancer)
+            continue;
+        balancers.isComplete &= !member.failureDomain.empty();
+        if (!isInSameDomain(member))
+            continue;
+        balancers.isComplete &= member.entry.has_value();
+        balancers.peers.push_back(
+            { endpoint, member.entry, now - member.entryAt, member.isReady && isAlive(member, now) });
+    }
+    if (balancers.peers.size() > maxEntryPeers) {
+        std::erase_if(
+            balancers.peers, [](const EntryPeer& peer) { return !peer.report || peer.age > memberRetention; });
     }
+    return balancers;
 }
 
 SameDomainBalancers TransitFleet::sameDomainBalancers(TimePoint now) const
@@ -331,6 +385,7 @@
         .balancers = {},
         .failureDomain = m_options.failureDomain,
         .isReady = m_isReady,
+        .entry = {},
     };
     std::vector<Endpoint> balancers;
     for (const auto& [endpoint, member] : m_members) {
@@ -346,7 +401,12 @@
 
 void TransitFleet::sendStamp(Endpoint to, bool wantsReply, TimePoint now, TransitEffects& effects)
 {
-    effects.push_back(SendMessage { to, makeStamp(now, wantsReply) });
+    StampMessage stamp = makeStamp(now, wantsReply);
+    auto member = m_members.find(to);
+    // A balancer that starts decides by the reports in the first answers.
+    if (member != m_members.end() && member->second.role == ProcessRole::Balancer && isInSameDomain(member->second))
+        stamp.entry = m_entry;
+    effects.push_back(SendMessage { to, std::move(stamp) });
 }
 
 void TransitFleet::sendDelta(Endpoint to, Revision since, TimePoint now, TransitEffects& effects)
--- a/src/transit_fleet_base.h
+++ b/src/transit_fleet_base.h
@@ -30,6 +30,8 @@
     TimePoint lastHeardAt {}; ///< When the last message was received, or when the member was added.
     std::string failureDomain; ///< Empty while unknown.
     bool isReady {}; ///< Balancers only: whether routers may send packets there, by its last stamp.
+    std::optional<EntryReport> entry; ///< Balancers only: its last report.
+    TimePoint entryAt; ///< When that report was received.
 };
 
 /** Counts of the other balancers in the failure domain of this process. */
@@ -110,6 +112,18 @@
     /** Sets the readiness of this process and sends it to the balancers of the same failure domain. */
     void setReady(bool isReady, TimePoint now, TransitEffects& effects);
 
+    /** Sets the capacity and load of this balancer that its stamps carry. */
+    void setEntry(const EntryReport& report) { m_entry = report; }
+
+    /** Sends a stamp to the balancers of the same failure domain, or to a fixed part of them in a large one. */
+    void sendEntryStamps(TimePoint now, TransitEffects& effects);
+
+    /**
+     * @return The other balancers in the same failure domain; in a large one those that send their reports to this
+     * process.
+     */
+    EntryBalancers entryBalancers(TimePoint now) const;
+
     /** @return Counts of the other balancers in the same failure domain. */
     SameDomainBalancers sameDomainBalancers(TimePoint now) const;
 
@@ -135,6 +149,7 @@
     void sendStamps(
         const StampMessage& stamp, const std::vector<Endpoint>& members, std::size_t count, TransitEffects& effects);
     void sendStampRound(TimePoint now, TransitEffects& effects);
+    std::vector<Endpoint> entryReceivers() const;
     Member* findOrAddMember(Endpoint endpoint);
     void expireMembers(TimePoint now, TransitEffects& effects);
     void confirm(TimePoint at);
@@ -162,6 +177,8 @@
     std::size_t m_sameDomainMembers {}; ///< Members in the same failure domain, as of the last gossip round.
     LoadReport m_load;
     bool m_isReady {};
+    std::optional<EntryReport> m_entry;
+    TimePoint m_nextEntryStampAt;
     std::uint64_t m_random;
     TimePoint m_deltaRequestedAt { -seconds(1).us }; ///< When a delta was last requested; set back when one arrives.
     TimePoint m_lastChangeRoundAt { -seconds(1).us }; ///< When a view change last started a gossip round.
--- a/src/transit_message_type.h
+++ b/src/transit_message_type.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "transit_entry_type.h"
 #include "transit_view_type.h"
 
 #include <variant>
@@ -117,6 +118,7 @@
     std::vector<Endpoint> balancers; ///< Some balancers that the sender recently learned of.
     std::string failureDomain; ///< Of the sender's VM.
     bool isReady {}; ///< Balancers only: the sender is ready to receive packets from routers.
+    std::optional<EntryReport> entry; ///< In stamps to balancers of the own failure domain, from balancers.
 };
 
 /** Part of the view that the receiver lacks. */
