--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -167,6 +167,10 @@
                   roundTrip(StampMessage { ProcessRole::Agent, 5, milliseconds(3), true, true, {}, { { 1, 2 } } }))
                   .balancers.size()
             == 1);
+        StampMessage stamp { .role = ProcessRole::Balancer, .entry = EntryReport { 125000000000, 90, 7, 8, true } };
+        CHECK(std::get<StampMessage>(roundTrip(stamp)).entry == stamp.entry);
+        // Guards against a balancer of an earlier version that counts as one without capacity.
+        CHECK_FALSE(std::get<StampMessage>(roundTrip(StampMessage { .role = ProcessRole::Balancer })).entry);
         CHECK(std::get<LeavingMessage>(roundTrip(LeavingMessage { ProcessRole::Agent })).role == ProcessRole::Agent);
     }
     SECTION("a delta, whose cold time is reduced by the time since the sender received the record")
@@ -198,6 +202,15 @@
         CHECK(body.delta.items[2].value == service.value);
         CHECK(body.delta.items[3].value == evacuation.value);
     }
+    SECTION("a report with rates that no process can have, which guards against a negative load")
+    {
+        EntryReport report { std::numeric_limits<std::int64_t>::max(), 4294967295, -1, 0, false };
+        auto decoded = std::get<StampMessage>(roundTrip(StampMessage { .entry = report })).entry;
+        REQUIRE(decoded);
+        CHECK(decoded->linkBytesPerSecond == report.linkBytesPerSecond);
+        CHECK(decoded->processorMillis == report.processorMillis);
+        CHECK(decoded->carriedBytesPerSecond == 0);
+    }
     SECTION("malformed messages are rejected")
     {
         REQUIRE(rc::check("arbitrary bytes do not crash the decoder",
@@ -545,6 +558,36 @@
         CHECK_THAT(faults[1], Catch::Matchers::StartsWith("vm: \"\""));
         CHECK_THAT(faults[2], Catch::Matchers::StartsWith("packets: \"nowhere\""));
     }
+    SECTION("settings of rotation have defaults, so that a file without them works")
+    {
+        PlatformSettings settings = parsePlatformSettings(ProcessRole::Balancer, good, faults);
+        CHECK(faults.empty());
+        CHECK(settings.processorShare == 1);
+        CHECK(settings.entryRotation);
+        CHECK(settings.isFlowHashStable);
+    }
+    SECTION("settings of rotation are read")
+    {
+        std::string text = good;
+        text.insert(1, R"("processorShare":0.09,"entryRotation":false,"flowHash":"mod",)");
+        PlatformSettings settings = parsePlatformSettings(ProcessRole::Balancer, text, faults);
+        CHECK(faults.empty());
+        CHECK(settings.processorShare == 0.09);
+        CHECK_FALSE(settings.entryRotation);
+        CHECK_FALSE(settings.isFlowHashStable);
+        text.replace(text.find("mod"), 3, "steady");
+        CHECK(parsePlatformSettings(ProcessRole::Balancer, text, faults).isFlowHashStable);
+    }
+    SECTION("faults of the settings of rotation are reported, which guards against a word that is taken for the other")
+    {
+        std::string text = good;
+        text.insert(1, R"("processorShare":0,"entryRotation":"on","flowHash":"Mod",)");
+        parsePlatformSettings(ProcessRole::Balancer, text, faults);
+        REQUIRE(faults.size() == 3);
+        CHECK(faults[0] == "processorShare: 0; allowed: a number from 0.001000 to 1024.000000");
+        CHECK(faults[1] == "entryRotation: \"on\"; allowed: true or false");
+        CHECK(faults[2] == "flowHash: \"Mod\"; allowed: \"steady\" or \"mod\"");
+    }
     SECTION("a file that is not JSON is reported as one fault")
     {
         parsePlatformSettings(ProcessRole::Balancer, "NodeName=x", faults);
