--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -118,10 +118,13 @@
     src/transit_agent_target.cpp
     src/transit_agent_transfer.cpp
     src/transit_balancer_cmd.cpp
+    src/transit_balancer_entry.cpp
     src/transit_balancer_locate.cpp
     src/transit_balancer_open.cpp
     src/transit_codec_func.cpp
     src/transit_egress_cmd.cpp
+    src/transit_entry_cmd.cpp
+    src/transit_entry_query.cpp
     src/transit_fleet.cpp
     src/transit_health.cpp
     src/transit_http.cpp
@@ -232,6 +235,7 @@
     tests/trace_config_test.cpp
     tests/trace_test.cpp
     tests/transit_egress_test.cpp
+    tests/transit_entry_test.cpp
     tests/transit_flow_test.cpp
     tests/transit_holder_test.cpp
     tests/transit_inventory_test.cpp
--- a/src/table/transit_names.h
+++ b/src/table/transit_names.h
@@ -85,6 +85,15 @@
     "store_calls",
     "store_failures",
     "log_lines_dropped",
+    "entry_changes",
+};
+
+inline constexpr NameTable<EntryReason> entryReasonNames = {
+    "load",
+    "start",
+    "half",
+    "fits",
+    "no_reports",
 };
 
 inline constexpr NameTable<TransitDistribution> transitDistributionNames = {
--- a/src/transit_effect_type.h
+++ b/src/transit_effect_type.h
@@ -93,6 +93,7 @@
     StoreCalls,
     StoreFailures,
     LogLinesDropped,
+    EntryChanges, ///< A balancer left rotation or returned because of the load.
     End,
 };
 
