--- a/src/transit_egress_base.h
+++ b/src/transit_egress_base.h
@@ -20,7 +20,7 @@
  * @param body A message that a balancer sends.
  * @param priority Priority of the route of the packet in the message; see RouteRecord.
  * @return Class of the message. Messages between processes and opening packets come first, then packets of open flows
- * by priority, small ones before full ones.
+ * by priority, small ones and queries for a holder before full ones.
  */
 EgressClass egressClassOf(const MessageBody& body, std::uint8_t priority);
 
--- a/src/transit_egress_cmd.cpp
+++ b/src/transit_egress_cmd.cpp
@@ -18,7 +18,8 @@
     const auto* forward = std::get_if<ForwardMessage>(&body);
     if (!forward || forward->packet.flags.asksForFlow())
         return {};
-    bool isSmall = forward->packet.dataSize <= smallPacketBytes;
+    // The other packets of a flow wait for the answer to a query, and an unanswered query is sent to many agents.
+    bool isSmall = forward->packet.dataSize <= smallPacketBytes || forward->isLocating;
     return { static_cast<std::uint16_t>(1 + 2 * priority + (isSmall ? 0 : 1)) };
 }
 
--- a/tests/transit_egress_test.cpp
+++ b/tests/transit_egress_test.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::int64_t tenMbit = 1250000; ///< Bytes per second.
 constexpr std::size_t fullBytes = 1232; ///< A packet of 1,200 bytes with its header.
+constexpr std::int64_t fullWireBytes = 1260;
 constexpr std::size_t smallBytes = 132;
 constexpr std::uint64_t bulkFlow = 1;
 
@@ -141,7 +142,7 @@
     EgressState state = link.egress.state(link.now);
     CHECK(state.linkBytesPerSecond == tenMbit);
     CHECK(state.waitingBytes <= tenMbit / 5);
-    CHECK(state.waitingBytes > tenMbit / 5 - 2 * 1260);
+    CHECK(state.waitingBytes > tenMbit / 5 - 2 * fullWireBytes);
     CHECK(state.droppedBy(EgressDrop::Bytes).datagrams + state.waitingDatagrams + link.sent.size() == 400);
     CHECK(state.droppedBy(EgressDrop::Bytes).bytes == state.droppedBy(EgressDrop::Bytes).datagrams * 1260);
     CHECK(state.droppedBy(EgressDrop::Age).datagrams == 0);
@@ -191,7 +192,7 @@
     for (int i = 0; i < 100; ++i)
         link.send(full, bulkFlow, fullBytes);
     CHECK(link.wireBytes <= egressBurstBytes);
-    CHECK(link.wireBytes > egressBurstBytes - 1260);
+    CHECK(link.wireBytes > egressBurstBytes - fullWireBytes);
     CHECK_FALSE(link.egress.trySend(10, link.now)); // Others wait before it.
 
     SECTION("the queue tells when several datagrams may leave")
@@ -201,8 +202,8 @@
         std::int64_t before = link.wireBytes;
         link.now = *releaseAt;
         link.release();
-        CHECK(link.wireBytes - before > egressBurstBytes / 2 - 1260);
-        CHECK(link.wireBytes - before <= egressBurstBytes / 2 + 1260);
+        CHECK(link.wireBytes - before > egressBurstBytes / 2 - fullWireBytes);
+        CHECK(link.wireBytes - before <= egressBurstBytes / 2 + fullWireBytes);
     }
 }
 
@@ -298,4 +299,8 @@
     CHECK(egressClassOf(forward(data, 1200), 0) < egressClassOf(forward(data, 0), 1));
     CHECK(egressClassOf(forward(data, 1200), 254) < egressClassOf(forward(data, 0), 255));
     CHECK(forwardedFlowOf(StampMessage {}) == nullptr);
+    ForwardMessage query;
+    query.isLocating = true;
+    query.packet = { .flags = data, .dataSize = 1200 };
+    CHECK(egressClassOf(query, 1) == egressClassOf(forward(data, 0), 1));
 }
--- a/tests/transit_holder_test.cpp
+++ b/tests/transit_holder_test.cpp
@@ -161,7 +161,7 @@
         bool areAgentsRestarted = m_scenario.restartAgentsAtMs < 0;
         bool isRestarted = m_scenario.restartBalancerAtMs < 0;
         for (std::uint32_t i = 0; i < m_scenario.dataBalancers.size(); ++i)
-            pending.push_back({ 100 + i, startedAt + milliseconds(7 * i), 0 });
+            pending.push_back({ 100 + i, startedAt + milliseconds(std::int64_t { 7 } * i), 0 });
         while (m_sim.now() < startedAt + seconds(6)) {
             if (!isRestarted && m_sim.now() >= startedAt + milliseconds(m_scenario.restartBalancerAtMs)) {
                 m_sim.restart(m_balancers[0]);
