--- a/src/transit_type.cpp
+++ b/src/transit_type.cpp
@@ -18,7 +18,6 @@
 
 std::string_view nameOf(TransitCounter counter) { return lookUpName(transitCounterNames, counter); }
 
-
 std::string_view nameOf(TransitDistribution distribution) { return lookUpName(transitDistributionNames, distribution); }
 
 } // namespace hawthorncroft
