--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -76,8 +76,9 @@
 /** Queries for unknown flows may use one part in this many of the link's bandwidth. */
 inline constexpr std::int64_t locateLinkShare = 8;
 inline constexpr std::size_t maxOpenAttempts = 5; ///< Maximum number of agents that one opening packet is sent to.
-/** Overloaded agents that decline an opening packet before its caller is refused; the first was the least loaded. */
-inline constexpr std::uint32_t maxOverloadDeclines = 2;
+/** An agent that declined as overloaded has spare capacity again when its load has dropped to this share. It declines
+ * with a full queue, in which one free place is not worth a message. */
+inline constexpr double spareLoadShare = 0.75;
 /** Time for which an agent that did not answer an opening packet is avoided. */
 inline constexpr Duration suspicionTime = milliseconds(1000);
 /** Time for which a target that returned an opening packet is avoided; the caller retransmits after this time. */
@@ -208,6 +209,21 @@
  * The upper one bounds the memory of an agent; a waiting request is one packet in most cases. */
 inline constexpr std::size_t minQueueCapacity = 16;
 inline constexpr std::size_t maxQueueCapacity = 4096;
+/** A late request is released before requests in time from this part of its timeout ahead of its latest start time.
+ * Service times vary, and after a burst many requests reach their latest start times at once. */
+inline constexpr std::int64_t rescueMarginShare = 8;
+/** Time constant of the rate at which requests are queued; some 30 requests at the capacity of a target. */
+inline constexpr Duration arrivalRateWindow = milliseconds(300);
+/** Requests queued for each one that the target can start: above the first figure there is an overload, and below the
+ * second one it has ended. The distance exceeds the deviation of the rates that are compared. */
+inline constexpr double overloadEntryRatio = 1.0;
+inline constexpr double overloadExitRatio = 0.8;
+/** Requests queued for each one that the target can start, above which late requests are not released early. A burst at
+ * twice the capacity that lasts for a timeout leaves as much work as the target does within a timeout, so that it
+ * cannot be answered beside new requests. */
+inline constexpr double heavyOverloadRatio = 1.75;
+/** Inverse weight of a sample in the mean start interval that the rate is compared with. */
+inline constexpr double startIntervalShare = 32;
 /** Flows that only the target knows, with data that waits for a slot. Their callers and balancers repeat the data. */
 inline constexpr std::size_t maxUnknownRequests = 256;
 /** Consecutive reset requests after which a target counts as faulty. Single resets come from flows that were idle for
--- a/src/transit_balancer_base.h
+++ b/src/transit_balancer_base.h
@@ -72,7 +72,7 @@
         TimePoint startedAt;
         TimePoint arrivedAfter; ///< The packet did not arrive before this time.
         std::size_t declines {}; ///< Agents whose targets certainly did not accept the packet.
-        std::size_t overloadDeclines {}; ///< Those of them that are overloaded.
+        bool isOverloaded {}; ///< One of them declined because it is overloaded.
     };
 
     /** Opening packet that no agent has answered yet. */
@@ -103,6 +103,8 @@
     void openFlow(
         TransitPacket packet, const RouteRecord& route, TimePoint arrivedAfter, TimePoint now, TransitEffects& effects);
     void sendOpen(ForwardMessage forward, OpenProgress progress, TimePoint now, TransitEffects& effects);
+    const TargetEntry* chooseNext(
+        const ForwardMessage& forward, const OpenProgress& progress, TimePoint now, TransitEffects& effects) const;
     void refuseIfDeclined(const ForwardMessage& forward, const OpenProgress& progress, std::string_view reason,
         TimePoint now, TransitEffects& effects);
     void refuseUnlessOpen(const TransitPacket& packet, const OpenProgress& progress, std::string_view reason,
--- a/src/transit_balancer_cmd.cpp
+++ b/src/transit_balancer_cmd.cpp
@@ -74,7 +74,7 @@
     } else if (auto* stamp = std::get_if<StampMessage>(&message.body)) {
         m_fleet.onStamp(from, message.through, *stamp, now, effects);
         if (stamp->role == ProcessRole::Agent)
-            m_placement.recordLoad(from.address, stamp->load);
+            m_placement.recordLoad(from.address, stamp->load, now);
     } else if (auto* delta = std::get_if<DeltaMessage>(&message.body)) {
         if (m_fleet.onDelta(from, *delta, now, effects))
             onViewChanged(now, effects);
--- a/src/transit_balancer_open.cpp
+++ b/src/transit_balancer_open.cpp
@@ -9,6 +9,15 @@
 
 namespace {
 
+    /** Counters of refusals by reason. */
+    constexpr std::pair<std::string_view, TransitCounter> refusalCounters[] = {
+        { "overloaded", TransitCounter::RefusedOverloaded },
+        { "attempts_used", TransitCounter::RefusedAttemptsUsed },
+        { "no_target", TransitCounter::RefusedNoTarget },
+        { "no_service", TransitCounter::RefusedNoService },
+        { "no_route", TransitCounter::RefusedNoRoute },
+    };
+
     std::vector<std::uint32_t> addressesOf(const std::vector<Endpoint>& agents)
     {
         std::vector<std::uint32_t> addresses;
@@ -54,18 +63,13 @@
 
 void TransitBalancer::sendOpen(ForwardMessage forward, OpenProgress progress, TimePoint now, TransitEffects& effects)
 {
-    if (progress.overloadDeclines >= maxOverloadDeclines) {
-        refuseIfDeclined(forward, progress, "overloaded", now, effects);
-        return;
-    }
     if (forward.tried.size() >= maxOpenAttempts) {
         refuseIfDeclined(forward, progress, "attempts_used", now, effects);
         return;
     }
-    const TargetEntry* target
-        = m_placement.choose(m_fleet.view(), forward.service, forward.packet.flow, addressesOf(forward.tried), now);
+    const TargetEntry* target = chooseNext(forward, progress, now, effects);
     if (!target) {
-        refuseIfDeclined(forward, progress, "no_target", now, effects);
+        refuseIfDeclined(forward, progress, progress.isOverloaded ? "overloaded" : "no_target", now, effects);
         return;
     }
     std::uint32_t address = target->record.address.address;
@@ -91,6 +95,24 @@
     m_openTimers.emplace_back(retryAt, flow);
 }
 
+const TargetEntry* TransitBalancer::chooseNext(
+    const ForwardMessage& forward, const OpenProgress& progress, TimePoint now, TransitEffects& effects) const
+{
+    const FlowTuple& flow = forward.packet.flow;
+    auto tried = addressesOf(forward.tried);
+    if (!progress.isOverloaded)
+        return m_placement.choose(m_fleet.view(), forward.service, flow, tried, now);
+    // The agent that declined had the lowest load of a few targets, so that others drawn at random are hardly better.
+    auto spare = m_placement.chooseSpare(m_fleet.view(), forward.service, flow, tried, now);
+    if (spare.target)
+        effects.push_back(WriteLog { "open_moved",
+            { { "flow", toString(flow.caller) }, { "to", toString(flow.service) },
+                { "target", spare.target->record.id }, { "tried", static_cast<std::int64_t>(tried.size()) },
+                { "load_percent", static_cast<std::int64_t>(100 * m_placement.utilisationOf(*spare.target)) },
+                { "report_age_ms", (now - spare.reportedAt).us / 1000 } } });
+    return spare.target;
+}
+
 void TransitBalancer::refuseIfDeclined(const ForwardMessage& forward, const OpenProgress& progress,
     std::string_view reason, TimePoint now, TransitEffects& effects)
 {
@@ -122,6 +144,10 @@
     if (packet.flags.isReset)
         return;
     effects.push_back(CountEvent { TransitCounter::OpensRefused });
+    for (const auto& [name, counter] : refusalCounters) {
+        if (name == reason)
+            effects.push_back(CountEvent { counter });
+    }
     effects.push_back(WriteLog { "flow_refused",
         { { "flow", toString(packet.flow.caller) }, { "to", toString(packet.flow.service) },
             { "reason", std::string(reason) }, { "tried", static_cast<std::int64_t>(tried) },
@@ -133,7 +159,7 @@
 
 void TransitBalancer::onHeld(Endpoint from, const HeldMessage& held, TimePoint now, TransitEffects& effects)
 {
-    m_placement.recordLoad(from.address, held.load);
+    m_placement.recordLoad(from.address, held.load, now);
     if (!held.flow.service)
         return; // Contains only a load report.
     auto pending = m_opens.find(held.flow);
@@ -151,7 +177,7 @@
 
 void TransitBalancer::onDeclined(Endpoint from, DeclinedMessage declined, TimePoint now, TransitEffects& effects)
 {
-    m_placement.recordLoad(from.address, declined.load);
+    m_placement.recordLoad(from.address, declined.load, now);
     ForwardMessage& forward = declined.forward;
     const FlowTuple& flow = forward.packet.flow;
     effects.push_back(CountEvent { TransitCounter::OpensDeclined });
@@ -163,6 +189,8 @@
         m_placement.suspect(from.address, now);
     if (declined.reason == DeclineReason::Returned || declined.reason == DeclineReason::Faulty)
         m_placement.recordReturned(from.address, now);
+    if (declined.reason == DeclineReason::Overloaded)
+        m_placement.recordOverloaded(from.address, declined.load);
     auto pending = m_opens.find(flow);
     if (pending == m_opens.end() || pending->second.agent != from)
         return; // Another agent was tried meanwhile, or accepted the flow.
@@ -170,7 +198,7 @@
     OpenProgress progress = pending->second.progress;
     m_opens.erase(pending);
     progress.declines += declined.reason != DeclineReason::Silent; // A target that hangs may accept the packet later.
-    progress.overloadDeclines += declined.reason == DeclineReason::Overloaded;
+    progress.isOverloaded = progress.isOverloaded || declined.reason == DeclineReason::Overloaded;
     sendOpen(std::move(again), progress, now, effects);
 }
 
--- a/src/transit_effect_type.h
+++ b/src/transit_effect_type.h
@@ -73,6 +73,11 @@
     OpensRepeated, ///< Retried with another agent because the first did not answer.
     OpensDeclined,
     OpensRefused, ///< Reset because no agent accepted them.
+    RefusedOverloaded, ///< Of the refused: an agent is overloaded, and no target is known to have spare capacity.
+    RefusedAttemptsUsed, ///< Of the refused: the maximum number of agents declined.
+    RefusedNoTarget, ///< Of the refused: no further target may take the flow.
+    RefusedNoService, ///< Of the refused: the route has no service.
+    RefusedNoRoute, ///< Of the refused: the address has no route.
     RefusalsWithheld, ///< Not accepted by any agent and not reset, as another transmission may have opened the flow.
     FlowsOpened,
     FlowsLocated,
@@ -82,6 +87,7 @@
     RequestsQueued, ///< Requests that waited for a slot of the target.
     RequestsEvicted, ///< Requests removed from a full queue; the caller gets no reset, and may retransmit.
     RequestsExpired, ///< Requests that waited until their timeout.
+    RequestsRescued, ///< Late requests that were released at their latest start time, before requests in time.
     PacketsReturned, ///< Returned by the target.
     NoRoute,
     Malformed,
--- a/src/transit_placement.cpp
+++ b/src/transit_placement.cpp
@@ -40,6 +40,30 @@
     return choice.best;
 }
 
+TransitPlacement::SpareTarget TransitPlacement::chooseSpare(const TransitView& view, const std::string& service,
+    const FlowTuple& flow, const std::vector<std::uint32_t>& tried, TimePoint now) const
+{
+    const auto& targets = view.targetsOf(service);
+    std::uint64_t first = mix64(hashOf(flow), tried.size());
+    SpareTarget best;
+    double lowest = 0;
+    for (std::size_t i = 0; i < targets.size() && i < maxCandidates; ++i) {
+        const TargetEntry& target = *targets[(first % targets.size() + i) % targets.size()];
+        std::uint32_t address = target.record.address.address;
+        auto found = m_estimates.find(address);
+        if (found == m_estimates.end() || !found->second.reportedAt || found->second.overloadedBusy)
+            continue;
+        if (!isEligible(view, target, tried) || isSuspected(address, now))
+            continue;
+        double load = loadOf(target, now);
+        if (best.target && load >= lowest)
+            continue;
+        best = { &target, *found->second.reportedAt };
+        lowest = load;
+    }
+    return best;
+}
+
 void TransitPlacement::consider(Choice& choice, const TargetEntry& target, TimePoint now) const
 {
     bool isInSameDomain = target.record.failureDomain == m_failureDomain;
@@ -56,9 +80,12 @@
 
 void TransitPlacement::recordSent(std::uint32_t address) { ++m_estimates[address].sentSinceReport; }
 
-void TransitPlacement::recordLoad(std::uint32_t address, const LoadReport& load)
+void TransitPlacement::recordLoad(std::uint32_t address, const LoadReport& load, TimePoint now)
 {
     Estimate& estimate = m_estimates[address];
+    estimate.reportedAt = now;
+    if (load.busy <= spareLoadShare * estimate.overloadedBusy)
+        estimate.overloadedBusy = 0;
     estimate.load = load;
     estimate.sentSinceReport = 0;
     estimate.suspectedUntil = {};
@@ -69,6 +96,11 @@
     m_estimates[address].suspectedUntil = now + suspicionTime;
 }
 
+void TransitPlacement::recordOverloaded(std::uint32_t address, const LoadReport& load)
+{
+    m_estimates[address].overloadedBusy = std::max<std::uint32_t>(load.busy, 1);
+}
+
 void TransitPlacement::recordReturned(std::uint32_t address, TimePoint now)
 {
     Estimate& estimate = m_estimates[address];
@@ -83,6 +115,7 @@
     Estimate& estimate = m_estimates[address];
     estimate.returnBackoffUntil = {};
     estimate.consecutiveReturns = 0;
+    estimate.overloadedBusy = 0;
 }
 
 double TransitPlacement::loadOf(const TargetEntry& target, TimePoint now) const
--- a/src/transit_placement_base.h
+++ b/src/transit_placement_base.h
@@ -33,22 +33,42 @@
     const TargetEntry* choose(const TransitView& view, const std::string& service, const FlowTuple& flow,
         const std::vector<std::uint32_t>& tried, TimePoint now) const;
 
+    /** A target with spare capacity. */
+    struct SpareTarget {
+        const TargetEntry* target {}; ///< Null when none is known.
+        TimePoint reportedAt; ///< Time of its last load report.
+    };
+
+    /**
+     * Chooses the target with the most spare capacity, for a flow that an overloaded agent declined. A target counts if
+     * it has sent a load report and is not known to be overloaded. At most `maxCandidates` targets are compared, from a
+     * position that depends on the flow.
+     */
+    SpareTarget chooseSpare(const TransitView& view, const std::string& service, const FlowTuple& flow,
+        const std::vector<std::uint32_t>& tried, TimePoint now) const;
+
     /** Counts an opening packet that was sent to a target. */
     void recordSent(std::uint32_t address);
 
     /** Stores a load report; it includes all packets that the target's agent received before sending it. */
-    void recordLoad(std::uint32_t address, const LoadReport& load);
+    void recordLoad(std::uint32_t address, const LoadReport& load, TimePoint now = {});
 
     /** Marks a target as suspected for a while, after its agent did not answer an opening packet. */
     void suspect(std::uint32_t address, TimePoint now);
 
+    /**
+     * Records that an agent declined a flow as overloaded. Its target has no spare capacity until it accepts a flow, or
+     * its load has dropped to `spareLoadShare` of the load that it had then.
+     */
+    void recordOverloaded(std::uint32_t address, const LoadReport& load);
+
     /**
      * Records that a target returned an opening packet. Such a target accepts nothing and therefore reports a low load,
      * so it is avoided for a while regardless of its load, with exponential backoff.
      */
     void recordReturned(std::uint32_t address, TimePoint now);
 
-    /** Resets the backoff of a target, after it accepted an opening packet. */
+    /** Resets the backoff and the overload of a target, after it accepted an opening packet. */
     void recordAccepted(std::uint32_t address);
 
     /**
@@ -66,7 +86,9 @@
 private:
     struct Estimate {
         LoadReport load;
+        std::optional<TimePoint> reportedAt; ///< None until the first load report.
         std::uint32_t sentSinceReport {}; ///< Opening packets sent since the last load report.
+        std::uint32_t overloadedBusy {}; ///< Load at which the agent declined as overloaded; zero when it has capacity.
         TimePoint suspectedUntil {};
         TimePoint returnBackoffUntil {}; ///< Avoided until then, since it returned opening packets.
         std::uint32_t consecutiveReturns {}; ///< Opening packets returned since one was accepted.
