--- a/bench/transit_policy_bench.cpp
+++ b/bench/transit_policy_bench.cpp
@@ -2,8 +2,13 @@
  * @file transit_policy_bench.cpp
  * Compares placement of flows and order of queued requests with baseline policies on simulated time. Three balancers
  * send requests with log-normal service times to seven targets, and load reports are sent at the intervals of the
- * product. The random numbers of all runs have the same seed.
+ * product. The random numbers of all runs have the same seed. A second table compares the orders of queued requests on
+ * bursts of two kinds, a third one the choice of an agent after a decline, and a fourth one gives the time that a
+ * release takes.
  */
+#include "contended_load.h"
+#include "declined_openings.h"
+#include "former_queue.h"
 #include "hindsight_bound.h"
 #include "table/transit_limits.h"
 #include "transit_placement_base.h"
@@ -11,9 +16,11 @@
 #include "transit_service_time_base.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cmath>
 #include <cstdio>
 #include <functional>
+#include <limits>
 #include <queue>
 #include <random>
 
@@ -54,10 +61,14 @@
     double boundShare {}; ///< Requests in time divided by the bound by hindsight.
 };
 
+/** Order of waiting requests. */
+enum class Order { Arrival, Former, Product };
+
 struct Target {
     std::uint32_t running {};
     std::uint32_t assigned {};
     TransitQueue queue;
+    FormerQueue formerQueue; ///< Used instead of queue for the former order.
     std::vector<WaitingRequest> fifoQueue; ///< Used instead of queue for the order of arrival.
     ServiceTimes times;
 };
@@ -70,7 +81,7 @@
 struct Simulation {
     const Load& load;
     PlacementPolicy policy;
-    bool isNewestFirst;
+    Order order;
     std::mt19937_64 random { 7 };
     TransitView view;
     std::vector<TransitPlacement> placements;
@@ -90,10 +101,10 @@
     std::size_t offered {};
     std::size_t inTime {};
 
-    Simulation(const Load& offeredLoad, PlacementPolicy placementPolicy, bool newestFirst)
+    Simulation(const Load& offeredLoad, PlacementPolicy placementPolicy, Order queueOrder)
         : load(offeredLoad)
         , policy(placementPolicy)
-        , isNewestFirst(newestFirst)
+        , order(queueOrder)
         , estimatedBusy(balancerCount, std::vector<std::uint32_t>(targetCount))
         , assignedRequests(targetCount)
     {
@@ -146,7 +157,8 @@
 
     std::uint32_t busyOf(const Target& target) const
     {
-        return target.running + static_cast<std::uint32_t>(target.queue.size() + target.fifoQueue.size());
+        return target.running
+            + static_cast<std::uint32_t>(target.queue.size() + target.formerQueue.size() + target.fifoQueue.size());
     }
 
     void report(std::uint32_t balancer, std::uint32_t index)
@@ -201,8 +213,10 @@
             .serviceTime = target.times.expected(routeAddress) };
         if (target.running < slots)
             start(index, request);
-        else if (isNewestFirst)
-            target.queue.push(request, queueCapacity, now);
+        else if (order == Order::Product)
+            target.queue.push(request, queueCapacity, now, target.times.mean() / slots);
+        else if (order == Order::Former)
+            target.formerQueue.push(request, queueCapacity, now);
         else
             target.fifoQueue.push_back(request);
     }
@@ -239,6 +253,7 @@
     {
         Target& target = targets[index];
         while (target.queue.popExpired(now)) { }
+        while (target.formerQueue.popExpired(now)) { }
         std::erase_if(
             target.fifoQueue, [&](const WaitingRequest& waiting) { return now >= waiting.startedAt + timeBudget; });
         if (!target.fifoQueue.empty()) {
@@ -247,6 +262,8 @@
             start(index, request);
         } else if (auto request = target.queue.pop(now, target.times.mean() / slots)) {
             start(index, *request);
+        } else if (auto former = target.formerQueue.pop(now, target.times.mean() / slots)) {
+            start(index, *former);
         }
     }
 
@@ -281,6 +298,92 @@
         outcome.imbalance, outcome.p99Ms, outcome.boundShare);
 }
 
+void print(const ContendedLoad& load, const char* variant, const ContendedOutcome& outcome)
+{
+    KindOutcome total = outcome.total();
+    std::printf("%-38s %-18s %8.4f %8.4f %8.4f %8.4f %8.4f %8.4f %8zu\n", load.name.c_str(), variant,
+        total.answeredShare(), total.inTimeShare(), outcome.worstAnsweredShare(), outcome.worstInTimeShare(),
+        static_cast<double>(total.answered) / outcome.answeredBound,
+        static_cast<double>(total.inTime) / outcome.inTimeBound, total.rescued);
+}
+
+/** Two kinds that contest the slots of their targets; "worst" is the worst-served kind. */
+void printContention()
+{
+    constexpr std::uint64_t seed = 7;
+    std::printf("\n%-38s %-18s %8s %8s %8s %8s %8s %8s %8s\n", "load", "order", "answered", "in time", "worst a.",
+        "worst t.", "a./bound", "t./bound", "rescued");
+    for (const ContendedLoad& load : contendedLoads()) {
+        print(load, "arrival", runContended<ArrivalQueue>(load, seed));
+        print(load, "former", runContended<FormerQueue>(load, seed));
+        print(load, "product", runContended<TransitQueue>(load, seed));
+    }
+}
+
+/** Which agent is asked after an overloaded one declined an opening packet. */
+void printDeclined()
+{
+    const DeclinedLoad loads[] = {
+        { .name = "1.3 times the capacity", .share = 1.3 },
+        { .name = "1.3 times, a quarter at half speed", .share = 1.3, .slowTargets = 0.25 },
+        { .name = "0.9, a tenth of the queues empty", .share = 0.9, .emptyTargets = 0.1 },
+        { .name = "1.1, a quarter of the queues empty", .share = 1.1, .emptyTargets = 0.25 },
+    };
+    std::printf("\n%-38s %-18s %9s %14s %9s\n", "openings at full queues", "after a decline", "accepted",
+        "wrongly refused", "asked");
+    for (const DeclinedLoad& load : loads) {
+        for (auto [name, way] : { std::pair("random (former)", AfterDecline::RandomDraw),
+                 std::pair("spare (product)", AfterDecline::MostSpare) }) {
+            DeclinedOutcome outcome = runDeclined(load, way);
+            std::printf("%-38s %-18s %9.4f %14.4f %9.3f\n", load.name, name, outcome.accepted,
+                outcome.refusedBesideRoom, outcome.asked);
+        }
+    }
+}
+
+template <class Queue> double releaseMicroseconds(std::size_t waiting)
+{
+    constexpr int releases = 20;
+    constexpr int batches = 50; // The fastest counts, since other processes use the processor too.
+    const TimePoint start { seconds(100).us };
+    Queue queue;
+    std::mt19937_64 random(7);
+    auto add = [&](std::uint32_t number) {
+        Duration age { static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(seconds(2).us)) };
+        WaitingRequest request { .flow = { { 0x64000000 + number, 40000 }, routeAddress },
+            .priority = static_cast<std::uint8_t>(random() % 3),
+            .startedAt = start - age,
+            .latencyObjective = milliseconds(300),
+            .timeout = seconds(3),
+            .serviceTime = milliseconds(47),
+            .isRescued = false };
+        queue.push(request, maxQueueCapacity + 1, start);
+    };
+    for (std::uint32_t i = 0; i < waiting; ++i)
+        add(i);
+    double best = std::numeric_limits<double>::infinity();
+    auto number = static_cast<std::uint32_t>(waiting);
+    for (int batch = 0; batch < batches; ++batch) {
+        auto from = std::chrono::steady_clock::now();
+        for (int i = 0; i < releases; ++i) {
+            queue.pop(start, microseconds(100));
+            add(number++);
+        }
+        std::chrono::duration<double, std::micro> took = std::chrono::steady_clock::now() - from;
+        best = std::min(best, took.count() / releases);
+    }
+    return best;
+}
+
+/** Requests of three priorities, which can all be answered within their timeouts. */
+void printReleaseTimes()
+{
+    std::printf("\n%-38s %12s %12s\n", "time of a release and an arrival, us", "former", "product");
+    for (std::size_t waiting : { std::size_t { 100 }, std::size_t { 500 }, maxQueueCapacity })
+        std::printf("%-38zu %12.2f %12.2f\n", waiting, releaseMicroseconds<FormerQueue>(waiting),
+            releaseMicroseconds<TransitQueue>(waiting));
+}
+
 }
 
 int main()
@@ -306,11 +409,15 @@
         "%-34s %-26s %8s %9s %10s %8s %9s\n", "load", "way", "in time", "answered", "imbalance", "p99 ms", "of bound");
     for (const Load& load : placementLoads) {
         for (const auto& [name, policy] : policies)
-            print(load.name, name, Simulation(load, policy, true).run());
+            print(load.name, name, Simulation(load, policy, Order::Product).run());
     }
     for (const Load& load : orderLoads) {
-        print(load.name, "order of arrival", Simulation(load, &Simulation::byLoad, false).run());
-        print(load.name, "newest first (product)", Simulation(load, &Simulation::byLoad, true).run());
+        print(load.name, "order of arrival", Simulation(load, &Simulation::byLoad, Order::Arrival).run());
+        print(load.name, "newest first (former)", Simulation(load, &Simulation::byLoad, Order::Former).run());
+        print(load.name, "with rescue (product)", Simulation(load, &Simulation::byLoad, Order::Product).run());
     }
+    printContention();
+    printDeclined();
+    printReleaseTimes();
     return 0;
 }
--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -215,6 +215,8 @@
     tests/fake_target.cpp
     tests/fleet_property_test.cpp
     tests/fleet_test.cpp
+    bench/contended_load.cpp
+    bench/former_queue.cpp
     tests/hindsight_bound_test.cpp
     bench/hindsight_bound.cpp
     tests/hostile_test.cpp
@@ -228,6 +230,7 @@
     tests/standin_test.cpp
     tests/trace_config_test.cpp
     tests/trace_test.cpp
+    tests/transit_contention_test.cpp
     tests/transit_flow_test.cpp
     tests/transit_inventory_test.cpp
     tests/transit_late_view_test.cpp
@@ -285,6 +288,9 @@
 )
 
 set(transit-policy-bench_SOURCES
+    bench/contended_load.cpp
+    bench/declined_openings.cpp
+    bench/former_queue.cpp
     bench/hindsight_bound.cpp
     bench/transit_policy_bench.cpp
 )
--- a/src/transit_agent_base.h
+++ b/src/transit_agent_base.h
@@ -162,6 +162,8 @@
     void evictRequest(const WaitingRequest& request, TransitEffects& effects);
     void releaseRequests(TimePoint now, TransitEffects& effects);
     void dropExpiredRequest(const WaitingRequest& request, TimePoint now, TransitEffects& effects);
+    void recordRescue(const WaitingRequest& request, const std::vector<ForwardMessage>& queuedPackets, TimePoint now,
+        TransitEffects& effects);
     void releaseRequest(const WaitingRequest& request, TimePoint now, TransitEffects& effects);
     void endFlowIfClosed(HeldFlow& flow, const TransitPacket& last);
     void recordRequestReset(const HeldFlow& flow, const TransitPacket& packet, TransitEffects& effects);
--- a/src/transit_agent_queue.cpp
+++ b/src/transit_agent_queue.cpp
@@ -117,7 +117,7 @@
             { "route_revision",
                 static_cast<std::int64_t>(m_fleet.view().routeRevisionAt(request.flow.service).value) } } });
     flow.queuedPackets.push_back(std::move(forward));
-    if (auto evicted = m_queue.push(request, queueCapacity(request.timeout), now))
+    if (auto evicted = m_queue.push(request, queueCapacity(request.timeout), now, meanStartInterval()))
         evictRequest(*evicted, effects);
     return true;
 }
@@ -148,7 +148,8 @@
             releaseUnknown(now, effects);
             continue;
         }
-        auto request = m_queue.pop(now, meanStartInterval());
+        Duration interval = meanStartInterval() * (m_unknownQueue.empty() ? 1 : 2); // Both queues take turns.
+        auto request = m_queue.pop(now, interval);
         releaseRequest(*request, now, effects);
     }
 }
@@ -168,6 +169,19 @@
             { "busy", static_cast<std::int64_t>(m_busy) }, { "queued", static_cast<std::int64_t>(m_queue.size()) } } });
 }
 
+void TransitAgent::recordRescue(const WaitingRequest& request, const std::vector<ForwardMessage>& queuedPackets,
+    TimePoint now, TransitEffects& effects)
+{
+    effects.push_back(CountEvent { TransitCounter::RequestsRescued });
+    effects.push_back(WriteLog { "request_rescued",
+        { { "request", queuedPackets.empty() ? std::string() : queuedPackets.front().packet.requestId },
+            { "flow", toString(request.flow.caller) }, { "to", toString(request.flow.service) },
+            { "target", m_targetId }, { "priority", static_cast<std::int64_t>(request.priority) },
+            { "waited_ms", (now - request.startedAt).us / 1000 }, { "budget_ms", request.timeout.us / 1000 },
+            { "service_ms", request.serviceTime.us / 1000 }, { "start_interval_us", meanStartInterval().us },
+            { "busy", static_cast<std::int64_t>(m_busy) }, { "queued", static_cast<std::int64_t>(m_queue.size()) } } });
+}
+
 void TransitAgent::releaseRequest(const WaitingRequest& request, TimePoint now, TransitEffects& effects)
 {
     auto found = m_flows.find(request.flow);
@@ -177,6 +191,8 @@
     auto queuedPackets = std::move(flow.queuedPackets);
     flow.queuedPackets.clear();
     effects.push_back(RecordTime { TransitDistribution::QueueTime, now - request.startedAt });
+    if (request.isRescued)
+        recordRescue(request, queuedPackets, now, effects);
     for (auto& forward : queuedPackets) {
         trackCallerPacket(flow, forward.packet, now, effects);
         deliverToTarget(forward, effects);
