--- a/tests/transit_contention_test.cpp
+++ b/tests/transit_contention_test.cpp
@@ -4,6 +4,7 @@
 #include "transit_fixture.h"
 
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
 
 using namespace hawthorncroft;
 using namespace hawthorncroft::tests;
@@ -199,6 +200,40 @@
     }
 }
 
+TEST_CASE("Every queued request leaves the queue once", "[transit]")
+{
+    CHECK(rc::check(
+        "which guards against a slot that is idle while a request waits, and against a request that is lost", [] {
+            TransitQueue queue;
+            std::set<FlowTuple> waiting;
+            TimePoint now = start;
+            auto leave = [&](const std::optional<WaitingRequest>& request) {
+                if (request)
+                    RC_ASSERT(waiting.erase(request->flow) == 1);
+                return request.has_value();
+            };
+            std::uint32_t number = 0;
+            for (int step = *rc::gen::inRange(1, 200); step > 0; --step) {
+                now = now + milliseconds(*rc::gen::inRange(0, 200));
+                if (*rc::gen::inRange(0, 5) < 3) {
+                    WaitingRequest request = requestAt(now - milliseconds(*rc::gen::inRange(0, 3500)), number++,
+                        *rc::gen::inRange<std::uint8_t>(0, 4));
+                    request.timeout = *rc::gen::element(timeout, timeout / 10, Duration {});
+                    request.serviceTime = *rc::gen::element(service, timeout, Duration {});
+                    waiting.insert(request.flow);
+                    leave(queue.push(request, 20, now, interval));
+                } else if (*rc::gen::inRange(0, 2)) {
+                    leave(queue.popExpired(now));
+                } else {
+                    bool hadRequests = !queue.empty();
+                    RC_ASSERT(
+                        leave(queue.pop(now, *rc::gen::element(interval, Duration {}, seconds(1)))) == hadRequests);
+                }
+                RC_ASSERT(queue.size() == waiting.size());
+            }
+        }));
+}
+
 TEST_CASE("Bursts of two kinds on simulated time", "[transit]")
 {
     auto loads = contendedLoads();
