--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -221,6 +221,8 @@
     tests/fake_target.cpp
     tests/fleet_property_test.cpp
     tests/fleet_test.cpp
+    bench/contended_load.cpp
+    bench/former_queue.cpp
     tests/hindsight_bound_test.cpp
     bench/hindsight_bound.cpp
     tests/hostile_test.cpp
@@ -236,6 +238,7 @@
     tests/trace_test.cpp
     tests/transit_egress_test.cpp
     tests/transit_entry_test.cpp
+    tests/transit_contention_test.cpp
     tests/transit_flow_test.cpp
     tests/transit_holder_test.cpp
     tests/transit_inventory_test.cpp
@@ -296,6 +299,9 @@
 )
 
 set(transit-policy-bench_SOURCES
+    bench/contended_load.cpp
+    bench/declined_openings.cpp
+    bench/former_queue.cpp
     bench/hindsight_bound.cpp
     bench/transit_policy_bench.cpp
 )
--- a/src/transit_effect_type.h
+++ b/src/transit_effect_type.h
@@ -73,6 +73,11 @@
     OpensRepeated, ///< Retried with another agent because the first did not answer.
     OpensDeclined,
     OpensRefused, ///< Reset because no agent accepted them.
+    RefusedOverloaded, ///< Of the refused: an agent is overloaded, and no target is known to have spare capacity.
+    RefusedAttemptsUsed, ///< Of the refused: the maximum number of agents declined.
+    RefusedNoTarget, ///< Of the refused: no further target may take the flow.
+    RefusedNoService, ///< Of the refused: the route has no service.
+    RefusedNoRoute, ///< Of the refused: the address has no route.
     RefusalsWithheld, ///< Not accepted by any agent and not reset, as another transmission may have opened the flow.
     FlowsOpened,
     FlowsLocated,
@@ -85,6 +90,7 @@
     RequestsAbandoned, ///< Retransmissions of expired requests, dropped since no answer would arrive in time.
     TransfersHeld, ///< Last packets of transfers that wait for earlier ones.
     TransfersReleased, ///< Such packets delivered at their deadline, before the earlier ones.
+    RequestsRescued, ///< Late requests that were released at their latest start time, before requests in time.
     PacketsReturned, ///< Returned by the target.
     NoRoute,
     Malformed,
