--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -156,6 +156,8 @@
 inline constexpr Duration entryUpdateInterval = milliseconds(50);
 /** Interval between stamps to the balancers of the own failure domain; half of the routers' probe interval. */
 inline constexpr Duration entryStampInterval = milliseconds(250);
+/** The same while all balancers of the domain have about the same capacity, so that none of them leaves rotation. */
+inline constexpr Duration evenEntryStampInterval = seconds(5);
 /** Balancers of the own failure domain that get each of these stamps; a larger failure domain uses
  * `entrySampleSize`. */
 inline constexpr std::size_t maxEntryPeers = 16;
--- a/src/transit_balancer_entry.cpp
+++ b/src/transit_balancer_entry.cpp
@@ -8,7 +8,7 @@
 {
     auto change = m_entry.update(m_fleet.entryBalancers(now), m_fleet.view().hasConfiguration(), now);
     m_nextEntryUpdateAt = m_entry.hasStarted() ? now + entryUpdateInterval : now;
-    m_fleet.setEntry(m_entry.report(now));
+    m_fleet.setEntry(m_entry.report(now), m_entry.isEven() ? evenEntryStampInterval : entryStampInterval);
     if (!change)
         return;
     constexpr double percent = 100;
@@ -41,7 +41,7 @@
 
 bool TransitBalancer::mayLeaveRotation(TimePoint now) const
 {
-    if (m_options.entryRotation)
+    if (m_options.entryRotation && !m_entry.isEven())
         return m_entry.mayStop(now);
     // If fewer than half of a failure domain's balancers are in rotation, the routers use all of them, including those
     // that have ended. While others are out of rotation, this one therefore stays in as long as the grace period leaves
--- a/src/transit_entry_base.h
+++ b/src/transit_entry_base.h
@@ -74,6 +74,12 @@
     /** @return Whether the balancer is in rotation. */
     bool isReady() const { return m_isReady; }
 
+    /**
+     * @return Whether all balancers of the failure domain have told their capacity, and none has less than half of
+     * another's. Then all of them are ready, as an even share of the load suits everyone.
+     */
+    bool isEven() const { return m_isEven; }
+
     /** @return Whether the first decision after the start has been taken. */
     bool hasStarted() const { return m_hasStarted; }
 
@@ -111,11 +117,13 @@
     void observe(const EntryBalancers& others, bool hasView, TimePoint now);
     void updateReadyTimes(const EntryBalancers& others, TimePoint now);
     void estimateLoad(TimePoint now);
+    std::optional<EntryReason> decide(const EntryBalancers& others, TimePoint now);
     std::optional<EntryReason> decideStart(const EntryBalancers& others, TimePoint now);
     std::optional<EntryReason> decideLeave(TimePoint now) const;
     std::optional<EntryReason> decideReturn(TimePoint now);
 
     // Queries, in transit_entry_query.cpp.
+    bool areAllEven(const EntryBalancers& others, TimePoint now) const;
     std::size_t half() const { return (m_known + 1) / 2; }
     std::size_t wantedCount(
         const std::vector<const Candidate*>& order, const EntryLoad& load, const Limits& limits) const;
@@ -150,6 +158,7 @@
     std::optional<TimePoint> m_fitsSince; ///< Out of rotation: since when the load would fit.
     std::optional<TimePoint> m_shortSince; ///< Out of rotation: since when fewer than half are ready.
     bool m_hasStarted {};
+    bool m_isEven {};
     bool m_isReady {};
     bool m_isFirstWait {}; ///< Out of rotation since the start of the process.
 };
--- a/src/transit_entry_cmd.cpp
+++ b/src/transit_entry_cmd.cpp
@@ -52,13 +52,10 @@
         m_hasStarted = true;
         m_isReady = true;
     }
+    m_isEven = areAllEven(others, now);
     if (m_stoppedAt || !m_options.isEnabled)
         return std::nullopt;
-    std::optional<EntryReason> reason;
-    if (!m_hasStarted)
-        reason = decideStart(others, now);
-    else
-        reason = m_isReady ? decideLeave(now) : decideReturn(now);
+    auto reason = decide(others, now);
     if (!reason)
         return std::nullopt;
     EntryChange change = changeFor(*reason);
@@ -72,6 +69,20 @@
     return change;
 }
 
+std::optional<EntryReason> EntryRotation::decide(const EntryBalancers& others, TimePoint now)
+{
+    if (!m_isEven) {
+        if (!m_hasStarted)
+            return decideStart(others, now);
+        return m_isReady ? decideLeave(now) : decideReturn(now);
+    }
+    if (!m_hasStarted) {
+        m_hasStarted = true;
+        m_isReady = true;
+    }
+    return m_isReady ? std::nullopt : std::optional(EntryReason::Fits);
+}
+
 void EntryRotation::stop(TimePoint now)
 {
     if (!m_stoppedAt)
--- a/src/transit_entry_query.cpp
+++ b/src/transit_entry_query.cpp
@@ -150,6 +150,19 @@
 
 bool EntryRotation::isNeeded() const { return readyPeers() + waitingBefore() < half(); }
 
+bool EntryRotation::areAllEven(const EntryBalancers& others, TimePoint now) const
+{
+    double lowest = capacityOf(report(now));
+    double highest = lowest;
+    for (const EntryPeer& peer : others.peers) {
+        if (!peer.report)
+            return false;
+        lowest = std::min(lowest, capacityOf(*peer.report));
+        highest = std::max(highest, capacityOf(*peer.report));
+    }
+    return others.isComplete && lowest * entrySlowFactor >= highest;
+}
+
 bool EntryRotation::isSlow() const
 {
     auto all = candidates(false);
--- a/src/transit_fleet.cpp
+++ b/src/transit_fleet.cpp
@@ -238,7 +238,7 @@
 
 void TransitFleet::sendEntryStamps(TimePoint now, TransitEffects& effects)
 {
-    m_nextEntryStampAt = now + entryStampInterval;
+    m_nextEntryStampAt = now + m_entryStampInterval;
     StampMessage stamp = makeStamp(now, false);
     stamp.balancers.clear(); // The usual stamps name them.
     stamp.entry = m_entry;
--- a/src/transit_fleet_base.h
+++ b/src/transit_fleet_base.h
@@ -113,7 +113,13 @@
     void setReady(bool isReady, TimePoint now, TransitEffects& effects);
 
     /** Sets the capacity and load of this balancer that its stamps carry. */
-    void setEntry(const EntryReport& report) { m_entry = report; }
+    void setEntry(const EntryReport& report, Duration interval)
+    {
+        m_entry = report;
+        if (interval < m_entryStampInterval)
+            m_nextEntryStampAt = {};
+        m_entryStampInterval = interval;
+    }
 
     /** Sends a stamp to the balancers of the same failure domain, or to a fixed part of them in a large one. */
     void sendEntryStamps(TimePoint now, TransitEffects& effects);
@@ -177,6 +183,7 @@
     std::size_t m_sameDomainMembers {}; ///< Members in the same failure domain, as of the last gossip round.
     LoadReport m_load;
     bool m_isReady {};
+    Duration m_entryStampInterval; ///< Interval between stamps with `m_entry`.
     std::optional<EntryReport> m_entry;
     TimePoint m_nextEntryStampAt;
     std::uint64_t m_random;
--- a/tests/transit_entry_test.cpp
+++ b/tests/transit_entry_test.cpp
@@ -550,7 +550,7 @@
             if (i != self)
                 fleet.onStamp({ i, fleetPort }, Revision(), stampOf(i), now, effects);
         }
-        fleet.setEntry({ 1250000, 90, 2, 3, false });
+        fleet.setEntry({ 1250000, 90, 2, 3, false }, entryStampInterval);
         effects.clear();
         fleet.sendEntryStamps(now, effects);
         std::set<Endpoint> receivers;
