--- a/src/transit_agent_base.h
+++ b/src/transit_agent_base.h
@@ -27,6 +27,7 @@
     TransitAdmissionOptions admission;
     std::uint16_t fleetPort {}; ///< Port at which all processes of the system receive messages.
     bool isFirstStart {}; ///< The whole system starts for the first time, so the target holds no flows yet.
+    ReleaseOrder releaseOrder { ReleaseOrder::InTimeFirst };
 };
 
 /** Core of an agent for transparent flows. */
--- a/src/transit_agent_cmd.cpp
+++ b/src/transit_agent_cmd.cpp
@@ -17,6 +17,8 @@
     , m_options(std::move(options))
     , m_admission(m_options.admission)
     , m_streams(m_options.fleet.incarnation)
+    , m_queue(m_options.releaseOrder)
+    , m_unknownQueue(m_options.releaseOrder)
     , m_knowsAllFlows(m_options.isFirstStart)
 {
 }
--- a/src/transit_queue.cpp
+++ b/src/transit_queue.cpp
@@ -58,7 +58,7 @@
     std::int64_t ahead = 0; // Requests that are answered before this one, if all start by their latest start times.
     for (std::size_t i = 0; i < m_entries.size(); ++i) {
         const Entry& entry = m_entries[i];
-        bool canBeAnswered = now + meanStartInterval * ahead < entry.latestStart;
+        bool canBeAnswered = m_order == ReleaseOrder::InTimeFirst || now + meanStartInterval * ahead < entry.latestStart;
         ahead += canBeAnswered;
         if (entry.request.priority != lowest)
             continue;
@@ -104,6 +104,8 @@
 
 TransitQueue::Candidates TransitQueue::releaseCandidates(TimePoint now, Duration meanStartInterval)
 {
+    if (m_order == ReleaseOrder::InTimeFirst)
+        return {};
     m_startInterval += (static_cast<double>(meanStartInterval.us) - m_startInterval) / startIntervalShare;
     double arrivalsPerInterval = 0;
     for (PriorityClass& group : m_classes) {
--- a/src/transit_queue_base.h
+++ b/src/transit_queue_base.h
@@ -29,9 +29,20 @@
     bool isRescued {}; ///< Set by TransitQueue::pop: late, and released before requests in time that wait.
 };
 
+/** Which requests are released first while not all of them can be answered in time. */
+enum class ReleaseOrder : std::uint8_t {
+    InTimeFirst, ///< A late request waits for those in time, even if it then misses its timeout.
+    WithinTimeouts, ///< A late request is released before it misses its timeout, if the backlog can be answered.
+};
+
 /** Queue of requests, at most one for each flow. Pure. */
 class TransitQueue {
 public:
+    explicit TransitQueue(ReleaseOrder order = ReleaseOrder::WithinTimeouts)
+        : m_order(order)
+    {
+    }
+
     /**
      * Adds a request. When the queue is full, one request of the lowest priority is evicted: one that cannot be
      * answered before its timeout, otherwise a late one, otherwise one in time; among equals the one that has the least
@@ -117,6 +128,7 @@
     std::size_t evictionIndex(TimePoint now, Duration meanStartInterval) const;
     WaitingRequest take(std::size_t index);
 
+    ReleaseOrder m_order;
     std::vector<Entry> m_entries; ///< In the order of their latest start times; at most some hundred.
     std::vector<PriorityClass> m_classes; ///< From the highest priority; a service has a few.
     double m_startInterval {}; ///< Smoothed time between two starts, in microseconds.
