--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,7 @@
 	$(BUILD)/decisions-bench
 	$(BUILD)/replica-bench
 	$(BUILD)/transit-policy-bench
+	$(BUILD)/transit-capacity-bench
 
 bench-core: build
 	$(BUILD)/core-bench
--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -119,6 +119,8 @@
     src/transit_balancer_cmd.cpp
     src/transit_balancer_locate.cpp
     src/transit_balancer_open.cpp
+    src/transit_capacity_cmd.cpp
+    src/transit_capacity_query.cpp
     src/transit_codec_func.cpp
     src/transit_fleet.cpp
     src/transit_health.cpp
@@ -228,6 +230,8 @@
     tests/standin_test.cpp
     tests/trace_config_test.cpp
     tests/trace_test.cpp
+    bench/transit_capacity_sim.cpp
+    tests/transit_capacity_test.cpp
     tests/transit_flow_test.cpp
     tests/transit_inventory_test.cpp
     tests/transit_late_view_test.cpp
@@ -249,6 +253,7 @@
     loopback-bench
     replica-bench
     transit-bench
+    transit-capacity-bench
     transit-policy-bench
 )
 
@@ -284,6 +289,12 @@
     bench/transit_bench.cpp
 )
 
+set(transit-capacity-bench_SOURCES
+    bench/hindsight_bound.cpp
+    bench/transit_capacity_bench.cpp
+    bench/transit_capacity_sim.cpp
+)
+
 set(transit-policy-bench_SOURCES
     bench/hindsight_bound.cpp
     bench/transit_policy_bench.cpp
--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -127,6 +127,12 @@
 /** Load added to targets of other failure domains when targets are compared. */
 inline constexpr double remoteWeight = 0.25;
 inline constexpr double coldWeight = 0.5; ///< Load added to cold targets when targets are compared.
+/** Ratio of service times up to which targets count as alike. The error of a known service time is an eighth. */
+inline constexpr double speedDeadZone = 1.25;
+/** Ratio to which the difference of service times is bounded. Errors that a target answers quickly attract no more. */
+inline constexpr double maxSpeedRatio = 4;
+/** Targets of a service whose service times are compared, which bounds the time of one choice. */
+inline constexpr std::size_t maxComparedSpeeds = 64;
 /** Utilisation of a service's target from which flows may go to another service of their route. */
 inline constexpr double saturatedUtilisation = 1.5;
 inline constexpr double spareUtilisation = 0.8; ///< Utilisation below which a target takes flows of another service.
@@ -220,6 +226,49 @@
 /** Service time that is assumed before the target has answered. The users' specifications list service times of 5 to 39
  * ms. */
 inline constexpr Duration initialServiceTime = milliseconds(30);
+/** Share of a route's mean service time of the last minute below which a target does not count as faster. A target that
+ * answers errors quickly would attract more of them. */
+inline constexpr double lowestSpeedShare = 0.5;
+inline constexpr Duration longTermSpeed = seconds(60); ///< Memory of that mean.
+/** Samples from which the service time is known. With a spread of half of the mean its error is an eighth. */
+inline constexpr std::uint32_t minSpeedSamples = 16;
+inline constexpr Duration speedLifetime = seconds(10); ///< Age at which a service time is unknown again.
+/** Samples at low concurrency from which the baselines count as measured; their error is taken into account. */
+inline constexpr std::uint32_t minBaselineSamples = 12;
+/** Samples of a trial of a lower limit. The baselines may follow from them; with a spread of half of the mean their
+ * error is a twelfth. */
+inline constexpr std::uint32_t minTrialSamples = 36;
+/** Inverse of the share of the slots up to which concurrency is low. */
+inline constexpr std::uint32_t lowConcurrencyShare = 3;
+/** Samples at the limit from which they are evaluated. With a spread of half of the mean the error is a twelfth. */
+inline constexpr std::uint32_t minCapacityBatch = 36;
+inline constexpr std::uint32_t maxCapacityBatch = 192; ///< With the same spread the error is 4 %.
+/** Samples at the limit, and time without a change, after which a lower limit is tried because no baseline was measured:
+ * the target was busy since it was first seen. A burst at the start is no reason for a trial. */
+inline constexpr std::uint32_t unmeasuredTrialSamples = 96;
+inline constexpr Duration unmeasuredTrialDelay = seconds(10);
+inline constexpr std::uint32_t capacityBatchStep = 12; ///< Samples between two evaluations.
+/** Time after which an incomplete batch is dropped, since its samples no longer describe the same target. */
+inline constexpr Duration capacityBatchLifetime = seconds(5);
+/** Throughput at a limit, as a share of the one without slowdown, from which the limit is not lowered. Smaller
+ * differences cannot be told from the spread of the service times. */
+inline constexpr double capacityDeadZone = 0.85;
+/** Time after which a trial that did not end is given up, because the target was seldom busy. */
+inline constexpr Duration maxTrialTime = seconds(10);
+/** Interval after a trial of a lower limit that gave less throughput, which doubles up to the longest one. A trial
+ * takes half of a second at half of the throughput, so that the longest one bounds its cost to 2 %. */
+inline constexpr Duration minTrialInterval = seconds(1);
+inline constexpr Duration maxTrialInterval = seconds(16);
+/** Interval between two probes of a higher limit, which doubles up to the longest one while none gains throughput. A
+ * limit of one returns to eight within some seconds. */
+inline constexpr Duration minProbeInterval = milliseconds(500);
+inline constexpr Duration maxProbeInterval = seconds(8);
+/** Time without a change after which one request more is tried although the baselines show no gain. They may be wrong;
+ * the interval doubles while no probe gains, so that the cost stays below 1 %. */
+inline constexpr Duration minBlindProbeInterval = seconds(8);
+inline constexpr Duration maxBlindProbeInterval = seconds(32);
+/** Age up to which a baseline is trusted more than a single trial. */
+inline constexpr Duration baselineFreshness = seconds(3);
 inline constexpr std::size_t maxServiceTimes = 256; ///< Routes for which a service time is kept; a service has a few.
 /** Part of the latency objective reserved for the network between caller and agent in both directions: 3 ms each way
  * and two hops. */
--- a/src/transit_agent_base.h
+++ b/src/transit_agent_base.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "transit_admission_base.h"
+#include "transit_capacity_base.h"
 #include "transit_core_base.h"
 #include "transit_health_base.h"
 #include "transit_inventory_base.h"
@@ -23,6 +24,7 @@
 struct TransitAgentOptions {
     FleetOptions fleet;
     TransitAdmissionOptions admission;
+    CapacityOptions capacity;
     std::uint16_t fleetPort {}; ///< Port at which all processes of the system receive messages.
     bool isFirstStart {}; ///< The whole system starts for the first time, so the target holds no flows yet.
 };
@@ -56,6 +58,8 @@
     /** @return Load of the target as observed by the agent. */
     LoadReport load() const;
 
+    std::vector<TransitMetrics::Gauge> gauges(TimePoint now) const override;
+
     /** @return Whether the flow is known and has not ended. */
     bool holds(const FlowTuple& flow) const;
 
@@ -75,6 +79,7 @@
         std::optional<std::uint32_t> acknowledged;
         TimePoint usedAt;
         std::optional<TimePoint> requestAt; ///< Start of the request in progress; none when there is none.
+        std::uint32_t inProgressAtStart {}; ///< Requests at the target when that request started, including it.
         std::string requestId;
         TimePoint startedAt; ///< Estimated time at which the caller sent its first opening packet.
         bool isFirstRequest {}; ///< No request was seen since this agent opened the flow; the first one counts from
@@ -151,6 +156,7 @@
 
     // Requests that wait for a slot; in transit_agent_queue.cpp.
     void deliverOrQueue(HeldFlow& flow, ForwardMessage forward, TimePoint now, TransitEffects& effects);
+    std::uint32_t requestLimit() const;
     bool hasFreeSlot(TimePoint now) const;
     Duration meanStartInterval() const;
     std::size_t queueCapacity(Duration timeout) const;
@@ -164,14 +170,16 @@
     void dropExpiredRequest(const WaitingRequest& request, TimePoint now, TransitEffects& effects);
     void releaseRequest(const WaitingRequest& request, TimePoint now, TransitEffects& effects);
     void endFlowIfClosed(HeldFlow& flow, const TransitPacket& last);
-    void recordRequestReset(const HeldFlow& flow, const TransitPacket& packet, TransitEffects& effects);
+    void recordCapacitySample(
+        const HeldFlow& flow, Endpoint route, bool isSuccess, TimePoint now, TransitEffects& effects);
+    void recordRequestReset(const HeldFlow& flow, const TransitPacket& packet, TimePoint now, TransitEffects& effects);
     void endRequest(HeldFlow& flow);
     void endFlow(HeldFlow& flow);
     void forgetFlow(const FlowTuple& flow);
 
     // In transit_agent_cmd.cpp.
     void onViewChanged(TimePoint now, TransitEffects& effects) override;
-    void onTargetIncarnationChanged(const TargetEntry& own, TransitEffects& effects);
+    void onTargetIncarnationChanged(const TargetEntry& own, TimePoint now, TransitEffects& effects);
     std::int64_t coldLimit() const;
     void expireOpens(TimePoint now, TransitEffects& effects);
     void expireFirstRequests(TimePoint now);
@@ -215,6 +223,8 @@
         m_unknownPackets; ///< Data of flows that only the target knows, while it has no free slot.
     bool m_isUnknownNext {}; ///< Whether the next free slot goes to m_unknownQueue.
     ServiceTimes m_serviceTimes;
+    TargetCapacity m_capacity;
+    std::uint32_t m_reportedServiceTimeUs {}; ///< Service time in load reports; updated with each tick.
     TargetHealth m_health;
     TimePoint m_lastAnswerAt; ///< Last answer of the target, or last request that reached it while it was idle.
     std::uint32_t m_busy {}; ///< Flows with a request in progress at the target.
--- a/src/transit_agent_cmd.cpp
+++ b/src/transit_agent_cmd.cpp
@@ -3,11 +3,24 @@
 #include "table/transit_limits.h"
 
 #include <algorithm>
+#include <bit>
+#include <limits>
 
 namespace hawthorncroft {
 
 namespace {
 
+    constexpr int reportedBits = 5; ///< Significant bits of a service time in load reports; an error of 3 %.
+
+    /** @return The value rounded to some significant bits, so that small changes cause no load reports. */
+    std::uint32_t rounded(std::uint32_t value)
+    {
+        int shift = std::max(static_cast<int>(std::bit_width(value)) - reportedBits, 0);
+        std::uint64_t half = (std::uint64_t { 1 } << shift) / 2;
+        std::uint64_t result = (value + half) >> shift << shift;
+        return static_cast<std::uint32_t>(std::min<std::uint64_t>(result, std::numeric_limits<std::uint32_t>::max()));
+    }
+
     constexpr std::size_t maxBalancerTags = 1U << 20; ///< Balancers that the tags of packets can distinguish.
 
 }
@@ -17,6 +30,7 @@
     , m_options(std::move(options))
     , m_admission(m_options.admission)
     , m_streams(m_options.fleet.incarnation)
+    , m_capacity(m_options.capacity)
     , m_knowsAllFlows(m_options.isFirstStart)
 {
 }
@@ -29,6 +43,7 @@
             probe(now, effects); // The target may start after the agent.
     }
     tickProbe(now, effects);
+    m_reportedServiceTimeUs = rounded(m_capacity.serviceTimeUs(now));
     m_fleet.onTick(now, load(), effects);
     expireOpens(now, effects);
     expireFirstRequests(now);
@@ -103,13 +118,21 @@
 LoadReport TransitAgent::load() const
 {
     const TargetEntry* own = m_admission.ownEntry(m_fleet.view());
+    std::uint32_t slots = own ? own->record.slots : 0;
     return {
         .busy = m_busy + m_awaitingFirstRequest + static_cast<std::uint32_t>(m_queue.size()),
-        .slots = own ? own->record.slots : 0,
+        .slots = slots,
         .flows = static_cast<std::uint32_t>(m_flows.size()) - m_ended,
+        .limit = m_options.capacity.isEnabled ? m_capacity.limit(slots) : 0,
+        .serviceTimeUs = m_reportedServiceTimeUs,
     };
 }
 
+std::vector<TransitMetrics::Gauge> TransitAgent::gauges(TimePoint now) const
+{
+    return { { "target_limit", requestLimit() }, { "target_service_time_us", m_capacity.serviceTimeUs(now) } };
+}
+
 bool TransitAgent::holds(const FlowTuple& flow) const
 {
     auto found = m_flows.find(flow);
@@ -122,7 +145,7 @@
     m_fleet.addAgents(m_options.fleetPort, now);
     const TargetEntry* own = m_admission.ownEntry(m_fleet.view());
     if (own && (own->record.id != m_targetId || own->record.startedAt != m_targetStartedAt))
-        onTargetIncarnationChanged(*own, effects);
+        onTargetIncarnationChanged(*own, now, effects);
     m_streams.assign(m_locators, m_fleet.self().address);
     sendSnapshots(now, effects);
     if (!m_fleet.view().hasConfiguration())
@@ -133,7 +156,7 @@
         onOpen(std::move(forward), now, effects);
 }
 
-void TransitAgent::onTargetIncarnationChanged(const TargetEntry& own, TransitEffects& effects)
+void TransitAgent::onTargetIncarnationChanged(const TargetEntry& own, TimePoint now, TransitEffects& effects)
 {
     effects.push_back(WriteLog { "target_lifetime",
         { { "target", own.record.id }, { "started_at", static_cast<std::int64_t>(own.record.startedAt) },
@@ -141,6 +164,7 @@
             { "cold_limit_per_s", coldLimit() }, { "flows_before", static_cast<std::int64_t>(m_flows.size()) },
             { "knows_all_flows", static_cast<std::int64_t>(m_knowsAllFlows) } } });
     m_health = {};
+    m_capacity.reset(now);
     // A registration tells neither when the incarnation started nor whether it still runs: it may be delayed by any
     // time while the store is unreachable. Only probes and packets of the target do.
     m_targetId = own.record.id;
--- a/src/transit_agent_probe.cpp
+++ b/src/transit_agent_probe.cpp
@@ -47,6 +47,7 @@
             { "busy", static_cast<std::int64_t>(m_busy) },
             { "unanswered_ms", m_unansweredSince ? (now - *m_unansweredSince).us / 1000 : -1 } } });
     endAllFlows(effects);
+    m_capacity.reset(now);
     // The target holds no flows now and gets new ones only through this agent.
     m_knowsAllFlows = true;
     m_unansweredSince.reset();
--- a/src/transit_agent_queue.cpp
+++ b/src/transit_agent_queue.cpp
@@ -27,11 +27,13 @@
     deliverToTarget(forward, effects);
 }
 
+std::uint32_t TransitAgent::requestLimit() const { return m_capacity.limit(load().slots); }
+
 bool TransitAgent::hasFreeSlot(TimePoint now) const
 {
-    std::uint32_t slots = load().slots;
+    std::uint32_t limit = requestLimit();
     // A packet whose flow only the target knows may be a request.
-    if (!slots || m_busy + m_askedRequests < slots + slotOversubscription)
+    if (!limit || m_busy + m_askedRequests < limit + slotOversubscription)
         return true;
     // Requests whose answer was not observed must not block the queue forever.
     return now >= m_lastAnswerAt + slotAnswerTimeout;
@@ -39,14 +41,14 @@
 
 Duration TransitAgent::meanStartInterval() const
 {
-    return m_serviceTimes.mean() / std::max<std::uint32_t>(load().slots, 1);
+    return m_serviceTimes.mean() / std::max<std::uint32_t>(requestLimit(), 1);
 }
 
 std::size_t TransitAgent::queueCapacity(Duration timeout) const
 {
     Duration interval = meanStartInterval();
     if (!interval.us)
-        interval = initialServiceTime / std::max<std::uint32_t>(load().slots, 1);
+        interval = initialServiceTime / std::max<std::uint32_t>(requestLimit(), 1);
     auto startedWithinTimeout = static_cast<std::size_t>(timeout.us / std::max<std::int64_t>(interval.us, 1));
     return std::clamp(startedWithinTimeout, minQueueCapacity, maxQueueCapacity);
 }
--- a/src/transit_agent_target.cpp
+++ b/src/transit_agent_target.cpp
@@ -130,16 +130,52 @@
                 { "took_us", (now - *flow.requestAt).us }, { "busy", static_cast<std::int64_t>(m_busy) } } });
         m_health.recordAnswer();
         m_serviceTimes.addSample(packet.flow.service, now - *flow.requestAt);
+        recordCapacitySample(flow, packet.flow.service, true, now, effects);
         endRequest(flow);
     }
     if (packet.flags.isReset && flow.requestAt)
-        recordRequestReset(flow, packet, effects);
+        recordRequestReset(flow, packet, now, effects);
     flow.hasTargetEnded |= packet.flags.isFinal;
     endFlowIfClosed(flow, packet);
 }
 
-void TransitAgent::recordRequestReset(const HeldFlow& flow, const TransitPacket& packet, TransitEffects& effects)
+void TransitAgent::recordCapacitySample(
+    const HeldFlow& flow, Endpoint route, bool isSuccess, TimePoint now, TransitEffects& effects)
 {
+    const TargetEntry* own = m_admission.ownEntry(m_fleet.view());
+    bool isCold = own && own->record.coldLeft.us > 0 && m_admission.isCold(m_fleet.view(), now);
+    if (isCold) {
+        m_capacity.reset(now);
+        return;
+    }
+    LoadReport report = load();
+    CapacitySample sample { .route = route,
+        .serviceTime = now - *flow.requestAt,
+        .inProgress = flow.inProgressAtStart,
+        .inProgressAtEnd = m_busy + m_askedRequests,
+        .isSuccess = isSuccess,
+        .slots = report.slots };
+    if (const RouteRecord* record = m_fleet.view().routeAt(route))
+        sample.latencyObjective = record->latencyObjective;
+    auto change = m_capacity.addSample(sample, now);
+    if (!change)
+        return;
+    constexpr double percent = 100;
+    effects.push_back(WriteLog { "capacity_changed",
+        { { "target", m_targetId }, { "reason", std::string(change->reason) },
+            { "limit_before", static_cast<std::int64_t>(change->before) },
+            { "limit", static_cast<std::int64_t>(change->after) }, { "slots", static_cast<std::int64_t>(report.slots) },
+            { "throughput_before_percent", static_cast<std::int64_t>(percent * change->throughputBefore) },
+            { "throughput_percent", static_cast<std::int64_t>(percent * change->throughput) },
+            { "service_time_us", static_cast<std::int64_t>(m_capacity.serviceTimeUs(now)) },
+            { "age_ms", change->age.us / 1000 }, { "busy", static_cast<std::int64_t>(m_busy) },
+            { "queued", static_cast<std::int64_t>(m_queue.size()) } } });
+}
+
+void TransitAgent::recordRequestReset(
+    const HeldFlow& flow, const TransitPacket& packet, TimePoint now, TransitEffects& effects)
+{
+    recordCapacitySample(flow, packet.flow.service, false, now, effects);
     bool wasFaulty = m_health.isFaulty();
     m_health.recordReset();
     effects.push_back(WriteLog { "request_reset",
@@ -166,6 +202,7 @@
         if (!m_busy)
             m_lastAnswerAt = now;
         ++m_busy;
+        flow.inProgressAtStart = m_busy + m_askedRequests;
     }
     if (!packet.requestId.empty() && packet.requestId != flow.requestId) {
         flow.requestId = packet.requestId;
--- a/src/transit_balancer_open.cpp
+++ b/src/transit_balancer_open.cpp
@@ -77,7 +77,7 @@
             { "target", target->record.id }, { "agent", toString(agent) },
             { "attempt", static_cast<std::int64_t>(forward.tried.size()) },
             { "copy", static_cast<std::int64_t>(forward.packet.acknowledged) },
-            { "load_percent", static_cast<std::int64_t>(100 * m_placement.loadOf(*target, now)) },
+            { "load_percent", static_cast<std::int64_t>(100 * m_placement.loadOf(m_fleet.view(), *target, now)) },
             { "revision", static_cast<std::int64_t>(target->revision.value) },
             { "view_age_ms", m_fleet.viewAgeMs(now) } } });
     m_placement.recordSent(address);
--- a/src/transit_codec_func.cpp
+++ b/src/transit_codec_func.cpp
@@ -56,11 +56,15 @@
     void putLoad(wire::MessageT& out, const LoadReport& load)
     {
         out.load = std::make_unique<wire::Load>(load.busy, load.slots, load.flows);
+        out.limit = load.limit;
+        out.service_time_us = load.serviceTimeUs;
     }
 
     LoadReport loadOf(const wire::MessageT& in)
     {
-        return in.load ? LoadReport { in.load->busy(), in.load->slots(), in.load->flows() } : LoadReport {};
+        if (!in.load)
+            return {};
+        return { in.load->busy(), in.load->slots(), in.load->flows(), in.limit, in.service_time_us };
     }
 
     void putNodes(wire::MessageT& out, const std::vector<Endpoint>& endpoints)
--- a/src/transit_core_base.h
+++ b/src/transit_core_base.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "transit_fleet_base.h"
+#include "transit_metrics_base.h"
 
 namespace hawthorncroft {
 
@@ -40,6 +41,9 @@
     /** @return Whether the graceful shutdown is complete. */
     virtual bool isFinished(TimePoint now) const = 0;
 
+    /** @return Values of the core for the metrics page. */
+    virtual std::vector<TransitMetrics::Gauge> gauges(TimePoint /*now*/) const { return {}; }
+
     /** Handles one page of a full read of the store; see TransitFleet::onStorePage. */
     void onStorePage(std::vector<StoreChange> changes, Revision asOf, const std::string& nextAfter, TimePoint now,
         TransitEffects& effects)
--- a/src/transit_placement.cpp
+++ b/src/transit_placement.cpp
@@ -6,6 +6,16 @@
 
 namespace hawthorncroft {
 
+namespace {
+
+    /** @return Slots of a target divided by its learned limit; one when the limit is unknown or not below the slots. */
+    double slotsPerLimit(const LoadReport& load, std::uint32_t slots)
+    {
+        return load.limit && load.limit < slots ? static_cast<double>(slots) / load.limit : 1;
+    }
+
+}
+
 TransitPlacement::TransitPlacement(std::string failureDomain)
     : m_failureDomain(std::move(failureDomain))
 {
@@ -17,7 +27,7 @@
     const auto& targets = view.targetsOf(service);
     if (targets.empty())
         return nullptr;
-    Choice choice;
+    Choice choice { .speeds = speedsOf(targets) };
     std::uint64_t random = hashOf(flow);
     for (std::size_t draw = 0; draw < maxDraws && !choice.isComplete(); ++draw) {
         random = mix64(random);
@@ -47,7 +57,7 @@
     if (&target == choice.best || compared >= (isInSameDomain ? sameDomainCandidates : otherDomainCandidates))
         return;
     ++compared;
-    double load = loadOf(target, now);
+    double load = loadOf(target, choice.speeds, now);
     if (choice.best && load >= choice.load)
         return;
     choice.best = &target;
@@ -85,9 +95,21 @@
     estimate.consecutiveReturns = 0;
 }
 
-double TransitPlacement::loadOf(const TargetEntry& target, TimePoint now) const
+double TransitPlacement::loadOf(const TransitView& view, const TargetEntry& target, TimePoint now) const
 {
-    double load = utilisationOf(target);
+    return loadOf(target, speedsOf(view.targetsOf(target.record.service)), now);
+}
+
+double TransitPlacement::loadOf(const TargetEntry& target, const Speeds& speeds, TimePoint now) const
+{
+    double load = 0;
+    auto found = m_estimates.find(target.record.address.address);
+    if (found != m_estimates.end()) {
+        const Estimate& estimate = found->second;
+        std::uint32_t slots = std::max<std::uint32_t>(target.record.slots, 1);
+        load = static_cast<double>(estimate.load.busy + estimate.sentSinceReport) / slots * speeds.slotsPerLimit
+            * relativeTime(estimate, slots, speeds);
+    }
     if (target.record.failureDomain != m_failureDomain)
         load += remoteWeight;
     if (now < target.receivedAt + target.record.coldLeft)
@@ -95,14 +117,44 @@
     return load;
 }
 
+TransitPlacement::Speeds TransitPlacement::speedsOf(const std::vector<const TargetEntry*>& targets) const
+{
+    Speeds sum { .timePerSlotUs = 0, .slotsPerLimit = 0 };
+    double known = 0;
+    // In a large service, targets at equal distances stand for all.
+    std::size_t step = (targets.size() + maxComparedSpeeds - 1) / maxComparedSpeeds;
+    for (std::size_t i = 0; i < targets.size(); i += step) {
+        auto found = m_estimates.find(targets[i]->record.address.address);
+        if (found == m_estimates.end() || !found->second.load.serviceTimeUs)
+            continue;
+        double share = slotsPerLimit(found->second.load, targets[i]->record.slots);
+        sum.timePerSlotUs += found->second.load.serviceTimeUs * share;
+        sum.slotsPerLimit += share;
+        ++known;
+    }
+    if (known <= 0)
+        return {};
+    return { .timePerSlotUs = sum.timePerSlotUs / known, .slotsPerLimit = sum.slotsPerLimit / known };
+}
+
+double TransitPlacement::relativeTime(const Estimate& estimate, std::uint32_t slots, const Speeds& speeds)
+{
+    if (!estimate.load.serviceTimeUs || speeds.timePerSlotUs <= 0)
+        return 1;
+    double relative = estimate.load.serviceTimeUs * slotsPerLimit(estimate.load, slots) / speeds.timePerSlotUs;
+    bool isAlike = relative >= 1 / speedDeadZone && relative <= speedDeadZone;
+    return isAlike ? 1 : std::clamp(relative, 1 / maxSpeedRatio, maxSpeedRatio);
+}
+
 double TransitPlacement::utilisationOf(const TargetEntry& target) const
 {
     auto found = m_estimates.find(target.record.address.address);
     if (found == m_estimates.end())
         return 0;
     const Estimate& estimate = found->second;
-    return static_cast<double>(estimate.load.busy + estimate.sentSinceReport)
-        / std::max<std::uint32_t>(target.record.slots, 1);
+    std::uint32_t slots = std::max<std::uint32_t>(target.record.slots, 1);
+    return static_cast<double>(estimate.load.busy + estimate.sentSinceReport) / slots
+        * slotsPerLimit(estimate.load, slots);
 }
 
 bool TransitPlacement::isSuspected(std::uint32_t address, TimePoint now) const
--- a/src/transit_placement_base.h
+++ b/src/transit_placement_base.h
@@ -52,12 +52,12 @@
     void recordAccepted(std::uint32_t address);
 
     /**
-     * @return Estimated load of a target as a fraction of its slots, plus penalties for other failure domains and cold
-     * targets.
+     * @return Estimated load of a target: the expected time to an answer, relative to the time that the mean target of
+     * its service takes for as many requests as its limit, plus penalties for other failure domains and cold targets.
      */
-    double loadOf(const TargetEntry& target, TimePoint now) const;
+    double loadOf(const TransitView& view, const TargetEntry& target, TimePoint now) const;
 
-    /** @return Requests at a target and expected soon, as a fraction of its slots; above one while requests wait. */
+    /** @return Requests at a target and expected soon, as a fraction of its limit; above one while requests wait. */
     double utilisationOf(const TargetEntry& target) const;
 
     /** @return Whether a target is used only if there is no other one. */
@@ -72,10 +72,17 @@
         std::uint32_t consecutiveReturns {}; ///< Opening packets returned since one was accepted.
     };
 
+    /** Means over the known targets of a service. */
+    struct Speeds {
+        double timePerSlotUs {}; ///< Service time divided by the share of the slots that the limit is; zero if unknown.
+        double slotsPerLimit { 1 };
+    };
+
     /** Candidates compared so far for one flow. */
     struct Choice {
         const TargetEntry* best {};
         double load {}; ///< Load of the best candidate.
+        Speeds speeds; ///< Of the service's targets.
         std::size_t sameDomainCount {}; ///< Compared targets in the balancer's failure domain.
         std::size_t otherDomainCount {}; ///< Compared targets in other failure domains.
 
@@ -86,6 +93,9 @@
     };
 
     void consider(Choice& choice, const TargetEntry& target, TimePoint now) const;
+    double loadOf(const TargetEntry& target, const Speeds& speeds, TimePoint now) const;
+    Speeds speedsOf(const std::vector<const TargetEntry*>& targets) const;
+    static double relativeTime(const Estimate& estimate, std::uint32_t slots, const Speeds& speeds);
     bool isEligible(const TransitView& view, const TargetEntry& target, const std::vector<std::uint32_t>& tried) const;
 
     std::string m_failureDomain;
--- a/src/transit_shell.cpp
+++ b/src/transit_shell.cpp
@@ -243,15 +243,17 @@
         return { 404, "no such page\n" };
     const TransitFleet& fleet = m_core.fleet();
     auto age = fleet.viewAge(monotonicNow());
-    return { 200,
-        m_metrics.text({
-            { "view_revision", static_cast<std::int64_t>(fleet.view().through().value) },
-            { "view_age_us", age ? age->us : -1 },
-            { "members", static_cast<std::int64_t>(fleet.members().size()) },
-            { "targets", static_cast<std::int64_t>(fleet.view().targets().size()) },
-            { "datagrams_not_taken", static_cast<std::int64_t>(m_packetSocket.dropped() + m_fleetSocket.dropped()) },
-            { "log_lines_left_out", static_cast<std::int64_t>(m_log.dropped()) },
-        }) };
+    std::vector<TransitMetrics::Gauge> gauges {
+        { "view_revision", static_cast<std::int64_t>(fleet.view().through().value) },
+        { "view_age_us", age ? age->us : -1 },
+        { "members", static_cast<std::int64_t>(fleet.members().size()) },
+        { "targets", static_cast<std::int64_t>(fleet.view().targets().size()) },
+        { "datagrams_not_taken", static_cast<std::int64_t>(m_packetSocket.dropped() + m_fleetSocket.dropped()) },
+        { "log_lines_left_out", static_cast<std::int64_t>(m_log.dropped()) },
+    };
+    for (const auto& gauge : m_core.gauges(monotonicNow()))
+        gauges.push_back(gauge);
+    return { 200, m_metrics.text(gauges) };
 }
 
 void TransitShell::waitForSignal()
--- a/src/transit_type.h
+++ b/src/transit_type.h
@@ -76,6 +76,8 @@
     std::uint32_t busy {}; ///< Requests in progress, and first requests expected on newly opened flows.
     std::uint32_t slots {}; ///< Maximum number of requests that the target processes concurrently.
     std::uint32_t flows {}; ///< Open flows of the target.
+    std::uint32_t limit {}; ///< Requests in progress up to which the target gains throughput; zero when unknown.
+    std::uint32_t serviceTimeUs {}; ///< Mean service time of the target in microseconds; zero when unknown.
 
     bool operator==(const LoadReport&) const = default;
 };
