--- a/bench/transit_capacity_bench.cpp
+++ b/bench/transit_capacity_bench.cpp
@@ -1,6 +1,7 @@
 /**
  * @file transit_capacity_bench.cpp
- * Compares learned capacity with placement and queue by registered slots, on the loads of transit_capacity_sim.h.
+ * Compares learned capacity with placement and queue by registered slots, on the loads of transit_capacity_sim.h. Each
+ * figure is the mean of several seeds.
  */
 #include "transit_capacity_sim.h"
 
@@ -10,10 +11,24 @@
 
 namespace {
 
-void print(const char* load, const char* way, const CapacityOutcome& outcome)
+constexpr std::uint32_t seeds = 4;
+
+void run(CapacityLoad load, const char* way, CapacityPolicy policy)
 {
-    std::printf("%-34s %-20s %8.3f %9.3f %9.3f %7.2f %8u %7.3f\n", load, way, outcome.inTime, outcome.answered,
-        outcome.boundShare, outcome.meanLimit, outcome.limitChanges, outcome.failed);
+    CapacityOutcome sum;
+    for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
+        load.seed = seed;
+        CapacityOutcome outcome = runCapacityLoad(load, policy);
+        sum.inTime += outcome.inTime;
+        sum.answered += outcome.answered;
+        sum.boundShare += outcome.boundShare;
+        sum.meanLimit += outcome.meanLimit;
+        sum.failed += outcome.failed;
+        sum.limitChanges += outcome.limitChanges;
+    }
+    std::printf("%-34s %-20s %8.3f %9.3f %9.3f %7.2f %8u %7.3f\n", load.name, way, sum.inTime / seeds,
+        sum.answered / seeds, sum.boundShare / seeds, sum.meanLimit / seeds, sum.limitChanges / seeds,
+        sum.failed / seeds);
 }
 
 }
@@ -23,12 +38,11 @@
     std::printf("%-34s %-20s %8s %9s %9s %7s %8s %7s\n", "load", "way", "in time", "answered", "of bound", "limit",
         "changes", "failed");
     for (const CapacityLoad& load : capacityLoads()) {
-        print(load.name, "slots", runCapacityLoad(load, {}));
-        print(load.name, "learned (product)", runCapacityLoad(load, { .isLearning = true }));
+        run(load, "slots", {});
+        run(load, "learned (product)", { .isLearning = true });
         double knee = load.targets.front().knee;
         if (knee > 0)
-            print(load.name, "right slots",
-                runCapacityLoad(load, { .registeredSlots = static_cast<std::uint32_t>(knee) }));
+            run(load, "right slots", { .registeredSlots = static_cast<std::uint32_t>(knee) });
     }
     return 0;
 }
--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -242,12 +242,12 @@
 inline constexpr std::uint32_t lowConcurrencyShare = 3;
 /** Samples at the limit from which they are evaluated. With a spread of half of the mean the error is a twelfth. */
 inline constexpr std::uint32_t minCapacityBatch = 36;
+inline constexpr std::uint32_t capacityBatchStep = 12; ///< Samples between two evaluations.
 inline constexpr std::uint32_t maxCapacityBatch = 192; ///< With the same spread the error is 4 %.
-/** Samples at the limit, and time without a change, after which a lower limit is tried because no baseline was measured:
- * the target was busy since it was first seen. A burst at the start is no reason for a trial. */
+/** Samples at the limit, and time without a change, after which a lower limit is tried because no baseline was
+ * measured: the target was busy since it was first seen. A burst at the start is no reason for a trial. */
 inline constexpr std::uint32_t unmeasuredTrialSamples = 96;
 inline constexpr Duration unmeasuredTrialDelay = seconds(10);
-inline constexpr std::uint32_t capacityBatchStep = 12; ///< Samples between two evaluations.
 /** Time after which an incomplete batch is dropped, since its samples no longer describe the same target. */
 inline constexpr Duration capacityBatchLifetime = seconds(5);
 /** Throughput at a limit, as a share of the one without slowdown, from which the limit is not lowered. Smaller
@@ -256,7 +256,7 @@
 /** Time after which a trial that did not end is given up, because the target was seldom busy. */
 inline constexpr Duration maxTrialTime = seconds(10);
 /** Interval after a trial of a lower limit that gave less throughput, which doubles up to the longest one. A trial
- * takes half of a second at half of the throughput, so that the longest one bounds its cost to 2 %. */
+ * takes about a second at two thirds of the throughput, so that the longest one bounds its cost to 2 %. */
 inline constexpr Duration minTrialInterval = seconds(1);
 inline constexpr Duration maxTrialInterval = seconds(16);
 /** Interval between two probes of a higher limit, which doubles up to the longest one while none gains throughput. A
