--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -121,6 +121,8 @@
     src/transit_balancer_entry.cpp
     src/transit_balancer_locate.cpp
     src/transit_balancer_open.cpp
+    src/transit_capacity_cmd.cpp
+    src/transit_capacity_query.cpp
     src/transit_codec_func.cpp
     src/transit_egress_cmd.cpp
     src/transit_entry_cmd.cpp
@@ -239,6 +241,8 @@
     tests/transit_egress_test.cpp
     tests/transit_entry_test.cpp
     tests/transit_contention_test.cpp
+    bench/transit_capacity_sim.cpp
+    tests/transit_capacity_test.cpp
     tests/transit_flow_test.cpp
     tests/transit_holder_test.cpp
     tests/transit_inventory_test.cpp
@@ -263,6 +267,7 @@
     loopback-bench
     replica-bench
     transit-bench
+    transit-capacity-bench
     transit-policy-bench
 )
 
@@ -298,6 +303,12 @@
     bench/transit_bench.cpp
 )
 
+set(transit-capacity-bench_SOURCES
+    bench/hindsight_bound.cpp
+    bench/transit_capacity_bench.cpp
+    bench/transit_capacity_sim.cpp
+)
+
 set(transit-policy-bench_SOURCES
     bench/contended_load.cpp
     bench/declined_openings.cpp
--- a/src/transit_agent_transfer.cpp
+++ b/src/transit_agent_transfer.cpp
@@ -24,6 +24,7 @@
     if (!m_busy)
         m_lastAnswerAt = now;
     ++m_busy;
+    flow.inProgressAtStart = m_busy + m_askedRequests;
 }
 
 void TransitAgent::startTransfer(HeldFlow& flow, const TransitPacket& packet, TimePoint now)
@@ -137,15 +138,12 @@
     return packet.requestId.empty() && flow.transfer.isInProgress() ? flow.requestId : packet.requestId;
 }
 
-std::vector<TransitMetrics::Gauge> TransitAgent::gauges(TimePoint /*now*/) const
+std::int64_t TransitAgent::transferBytes() const
 {
     std::uint64_t bytes = 0;
     for (const auto& [flow, held] : m_flows)
         bytes += held.isTransferring ? held.transfer.deliveredBytes() : 0;
-    return {
-        { "transfers", static_cast<std::int64_t>(m_transfers) },
-        { "transfer_bytes", static_cast<std::int64_t>(bytes) },
-    };
+    return static_cast<std::int64_t>(bytes);
 }
 
 } // namespace hawthorncroft
--- a/src/transit_queue.cpp
+++ b/src/transit_queue.cpp
@@ -58,7 +58,8 @@
     std::int64_t ahead = 0; // Requests that are answered before this one, if all start by their latest start times.
     for (std::size_t i = 0; i < m_entries.size(); ++i) {
         const Entry& entry = m_entries[i];
-        bool canBeAnswered = m_order == ReleaseOrder::InTimeFirst || now + meanStartInterval * ahead < entry.latestStart;
+        bool canBeAnswered
+            = m_order == ReleaseOrder::InTimeFirst || now + meanStartInterval * ahead < entry.latestStart;
         ahead += canBeAnswered;
         if (entry.request.priority != lowest)
             continue;
--- a/src/transit_queue_base.h
+++ b/src/transit_queue_base.h
@@ -38,7 +38,8 @@
 /** Queue of requests, at most one for each flow. Pure. */
 class TransitQueue {
 public:
-    explicit TransitQueue(ReleaseOrder order = ReleaseOrder::WithinTimeouts)
+    TransitQueue() = default;
+    explicit TransitQueue(ReleaseOrder order)
         : m_order(order)
     {
     }
@@ -128,7 +129,7 @@
     std::size_t evictionIndex(TimePoint now, Duration meanStartInterval) const;
     WaitingRequest take(std::size_t index);
 
-    ReleaseOrder m_order;
+    ReleaseOrder m_order { ReleaseOrder::WithinTimeouts };
     std::vector<Entry> m_entries; ///< In the order of their latest start times; at most some hundred.
     std::vector<PriorityClass> m_classes; ///< From the highest priority; a service has a few.
     double m_startInterval {}; ///< Smoothed time between two starts, in microseconds.
--- a/tests/transit_contention_test.cpp
+++ b/tests/transit_contention_test.cpp
@@ -293,7 +293,7 @@
 {
     // A burst of second retransmissions, which are 600 ms old, with 1.2 s of work and 1.4 s left; new requests take the
     // whole capacity: four slots of 40 ms serve 100 a second.
-    Fleet fleet(1);
+    Fleet fleet(1, 125000000, ReleaseOrder::WithinTimeouts);
     fleet.target(fleet.agents[0].address).serviceTime = milliseconds(40);
     constexpr std::uint32_t burst = 90;
     for (std::uint32_t i = 0; i < burst; ++i)
--- a/tests/transit_fixture.h
+++ b/tests/transit_fixture.h
@@ -13,9 +13,11 @@
     std::vector<Endpoint> balancers;
     std::vector<Endpoint> agents;
 
-    explicit Fleet(std::uint32_t targets = 3, std::int64_t linkBytesPerSecond = 125000000)
+    explicit Fleet(std::uint32_t targets = 3, std::int64_t linkBytesPerSecond = 125000000,
+        ReleaseOrder order = ReleaseOrder::InTimeFirst)
     {
         setLink(linkBytesPerSecond);
+        setReleaseOrder(order);
         for (std::uint32_t i = 1; i <= 3; ++i)
             balancers.push_back(addBalancer(i));
         for (std::uint32_t i = 11; i < 11 + targets; ++i)
--- a/tests/transit_sim.cpp
+++ b/tests/transit_sim.cpp
@@ -118,6 +118,7 @@
         .admission = { .service = settings.service, .target = { process.address, targetPort } },
         .fleetPort = fleetPort,
         .isFirstStart = settings.isFirstStart,
+        .releaseOrder = m_releaseOrder,
     });
 }
 
--- a/tests/transit_sim.h
+++ b/tests/transit_sim.h
@@ -125,6 +125,9 @@
     void removeTarget(const std::string& id);
     void evacuate(const std::string& domain, bool isOut);
 
+    /** Sets the release order of agents that are started from now on. */
+    void setReleaseOrder(ReleaseOrder order) { m_releaseOrder = order; }
+
     /** Sets the configured link bandwidth of balancers that are started from now on. */
     void setLink(std::int64_t bytesPerSecond) { m_linkBytesPerSecond = bytesPerSecond; }
 
@@ -253,6 +256,7 @@
     std::vector<Watch> m_watches;
     Revision m_revision { 10 };
     bool m_isStoreDown {};
+    ReleaseOrder m_releaseOrder { ReleaseOrder::InTimeFirst };
     std::int64_t m_linkBytesPerSecond { 125000000 };
     std::size_t m_messages {};
     std::size_t m_locateMessages {};
