--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -232,6 +232,7 @@
     tests/main_test.cpp
     tests/metrics_test.cpp
     tests/placement_test.cpp
+    tests/platform_settings_test.cpp
     tests/platform_test.cpp
     tests/replica_test.cpp
     tests/settings_test.cpp
--- a/src/transit_agent_base.h
+++ b/src/transit_agent_base.h
@@ -61,7 +61,7 @@
     /** @return Load of the target as observed by the agent. */
     LoadReport load() const;
 
-    std::vector<TransitMetrics::Gauge> gauges(TimePoint now) const override;
+    std::vector<TransitGauge> gauges(TimePoint now) const override;
 
     /** @return Whether the flow is known and has not ended. */
     bool holds(const FlowTuple& flow) const;
--- a/src/transit_agent_cmd.cpp
+++ b/src/transit_agent_cmd.cpp
@@ -132,7 +132,7 @@
     };
 }
 
-std::vector<TransitMetrics::Gauge> TransitAgent::gauges(TimePoint now) const
+std::vector<TransitGauge> TransitAgent::gauges(TimePoint now) const
 {
     return {
         { "transfers", static_cast<std::int64_t>(m_transfers) },
--- a/src/transit_balancer_base.h
+++ b/src/transit_balancer_base.h
@@ -54,7 +54,7 @@
     /** @return Whether the graceful shutdown is complete. */
     bool isFinished(TimePoint now) const override;
 
-    std::vector<TransitMetrics::Gauge> gauges(TimePoint now) const override;
+    std::vector<TransitGauge> gauges(TimePoint now) const override;
 
     const TransitPlacement& placement() const { return m_placement; }
 
--- a/src/transit_balancer_entry.cpp
+++ b/src/transit_balancer_entry.cpp
@@ -62,7 +62,7 @@
             { "others_ready", static_cast<std::int64_t>(others.ready) } } });
 }
 
-std::vector<TransitMetrics::Gauge> TransitBalancer::gauges(TimePoint /*now*/) const
+std::vector<TransitGauge> TransitBalancer::gauges(TimePoint /*now*/) const
 {
     return {
         { "entry_ready", isReady() },
--- a/src/transit_core_base.h
+++ b/src/transit_core_base.h
@@ -6,7 +6,7 @@
 
 #include "transit_egress_type.h"
 #include "transit_fleet_base.h"
-#include "transit_metrics_base.h"
+#include "transit_gauge_type.h"
 
 namespace hawthorncroft {
 
@@ -46,7 +46,7 @@
     virtual bool isFinished(TimePoint now) const = 0;
 
     /** @return Values for the metrics page beside those that all processes have. */
-    virtual std::vector<TransitMetrics::Gauge> gauges(TimePoint /*now*/) const { return {}; }
+    virtual std::vector<TransitGauge> gauges(TimePoint /*now*/) const { return {}; }
 
     /** Handles one page of a full read of the store; see TransitFleet::onStorePage. */
     void onStorePage(std::vector<StoreChange> changes, Revision asOf, const std::string& nextAfter, TimePoint now,
--- a/src/transit_metrics.cpp
+++ b/src/transit_metrics.cpp
@@ -33,7 +33,7 @@
     m_sums[index] += static_cast<std::uint64_t>(std::max<std::int64_t>(time.us, 0));
 }
 
-std::string TransitMetrics::text(const std::vector<Gauge>& gauges) const
+std::string TransitMetrics::text(const std::vector<TransitGauge>& gauges) const
 {
     std::string text;
     for (std::size_t i = 0; i < m_counters.size(); ++i)
--- a/src/transit_metrics_base.h
+++ b/src/transit_metrics_base.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "transit_effect_type.h"
+#include "transit_gauge_type.h"
 
 #include <array>
 #include <boost/histogram.hpp>
@@ -40,14 +41,8 @@
         sent.bytes += bytes;
     }
 
-    /** A value sampled when the metrics are printed. */
-    struct Gauge {
-        std::string_view name;
-        std::int64_t value {};
-    };
-
     /** @return One line for each counter, gauge, and histogram bucket, sum and count. */
-    std::string text(const std::vector<Gauge>& gauges) const;
+    std::string text(const std::vector<TransitGauge>& gauges) const;
 
 private:
     using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
--- a/src/transit_shell.cpp
+++ b/src/transit_shell.cpp
@@ -318,7 +318,7 @@
     TimePoint now = monotonicNow();
     auto age = fleet.viewAge(now);
     EgressState egress = m_egress.state(now);
-    std::vector<TransitMetrics::Gauge> gauges {
+    std::vector<TransitGauge> gauges {
         { "view_revision", static_cast<std::int64_t>(fleet.view().through().value) },
         { "view_age_us", age ? age->us : -1 },
         { "members", static_cast<std::int64_t>(fleet.members().size()) },
