--- a/tests/platform_settings_test.cpp
+++ b/tests/platform_settings_test.cpp
@@ -70,7 +70,8 @@
         CHECK(faults[1] == "entryRotation: \"on\"; allowed: true or false");
         CHECK(faults[2] == "flowHash: \"Mod\"; allowed: \"steady\" or \"mod\"");
     }
-    SECTION("the release order of an agent has a default and two words, which guards against a rule that nobody asked for")
+    SECTION(
+        "the release order of an agent has a default and two words, which guards against a rule that nobody asked for")
     {
         CHECK(parsePlatformSettings(ProcessRole::Agent, good, faults).releaseOrder == ReleaseOrder::InTimeFirst);
         std::string text = good;
