Agent: one rule for the expiry of a queued request, one constant for the IP and UDP headers

The agent computed the latest start of a retransmitted request by its own copy of the queue's rule, and the overhead of a datagram stood twice. Both had to be changed together to stay equal.

--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -203,8 +203,8 @@
 inline constexpr Duration entryPacketTime = microseconds(12);
 /** Mean size of a packet for the forwarding rate of a processor, in bytes. */
 inline constexpr double entryPacketBytes = 600;
-/** Bytes of the IP and UDP headers of a datagram. */
-inline constexpr std::size_t datagramHeaderBytes = 28;
+/** Headers of a datagram on the wire: IP (20 bytes) and UDP (8 bytes). */
+inline constexpr std::int64_t datagramHeaderBytes = 28;
 /** Bytes that a forwarded packet needs beyond its own: the message around it, the fragment header, IP and UDP. */
 inline constexpr std::size_t forwardOverheadBytes = 120;
 
@@ -368,8 +368,6 @@
 
 // Queue in front of a balancer's link.
 
-/** Overhead of a datagram on the wire: the headers of IP (20 bytes) and UDP (8 bytes). */
-inline constexpr std::int64_t datagramOverheadBytes = 28;
 /** Bytes that leave without waiting after the link was idle; 13 ms at 10 Mbit/s, so that a tick fills such a link. */
 inline constexpr std::int64_t egressBurstBytes = 16384;
 /** Bytes that a flow sends in one turn, at least one datagram of `fragmentSize`. */
--- a/src/transit_agent_base.h
+++ b/src/transit_agent_base.h
@@ -191,7 +191,6 @@
     WaitingRequest waitingRequest(const FlowTuple& flow, TimePoint startedAt) const;
     static TimePoint estimateRequestStart(const HeldFlow& flow, const TransitPacket& packet, TimePoint now);
     static void insertPacket(std::vector<ForwardMessage>& packets, ForwardMessage forward);
-    static bool canBeAnswered(const WaitingRequest& request, TimePoint now);
     void abandonRequest(HeldFlow& flow, const WaitingRequest& request, TimePoint now, TransitEffects& effects);
     bool queueRequest(HeldFlow& flow, ForwardMessage& forward, TimePoint now, TransitEffects& effects);
     void evictRequest(const WaitingRequest& request, TransitEffects& effects);
--- a/src/transit_agent_queue.cpp
+++ b/src/transit_agent_queue.cpp
@@ -116,13 +116,6 @@
     packets.insert(position, std::move(forward));
 }
 
-bool TransitAgent::canBeAnswered(const WaitingRequest& request, TimePoint now)
-{
-    // The queue drops a request by the same rule, so what passes here is not dropped at once.
-    Duration service = std::min(request.serviceTime, request.timeout / 2);
-    return !request.timeout.us || now + service + callerNetworkDelay < request.startedAt + request.timeout;
-}
-
 void TransitAgent::abandonRequest(HeldFlow& flow, const WaitingRequest& request, TimePoint now, TransitEffects& effects)
 {
     effects.push_back(CountEvent { TransitCounter::RequestsAbandoned });
@@ -141,7 +134,7 @@
         return false;
     WaitingRequest request = waitingRequest(forward.packet.flow, estimateRequestStart(flow, forward.packet, now));
     bool isRetransmission = flow.queuedStartedAt && flow.queuedSequence == forward.packet.sequence;
-    if (isRetransmission && flow.hasExpired && !canBeAnswered(request, now)) {
+    if (isRetransmission && flow.hasExpired && now >= TransitQueue::latestStartOf(request)) {
         abandonRequest(flow, request, now, effects);
         return true;
     }
--- a/src/transit_balancer_cmd.cpp
+++ b/src/transit_balancer_cmd.cpp
@@ -57,7 +57,7 @@
 void TransitBalancer::onPacket(TransitPacket packet, TimePoint now, TransitEffects& effects)
 {
     effects.push_back(CountEvent { TransitCounter::PacketsFromCallers });
-    m_entry.meter().recordReceived(packet.bytes.size() + datagramHeaderBytes, now);
+    m_entry.meter().recordReceived(packet.bytes.size() + static_cast<std::size_t>(datagramHeaderBytes), now);
     if (m_fleet.view().hasConfiguration()) {
         std::size_t firstEffect = effects.size();
         handlePacket(std::move(packet), m_caughtUpAt, now, effects);
--- a/src/transit_egress_cmd.cpp
+++ b/src/transit_egress_cmd.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-    std::int64_t wireBytesOf(std::size_t bytes) { return static_cast<std::int64_t>(bytes) + datagramOverheadBytes; }
+    std::int64_t wireBytesOf(std::size_t bytes) { return static_cast<std::int64_t>(bytes) + datagramHeaderBytes; }
 
 }
 
--- a/src/transit_queue.cpp
+++ b/src/transit_queue.cpp
@@ -8,17 +8,27 @@
 
 namespace hawthorncroft {
 
+TimePoint TransitQueue::latestStartOf(const WaitingRequest& request)
+{
+    if (request.timeout.us <= 0)
+        return { std::numeric_limits<std::int64_t>::max() };
+    return request.startedAt + request.timeout - toleranceOf(request) - callerNetworkDelay;
+}
+
+Duration TransitQueue::toleranceOf(const WaitingRequest& request)
+{
+    return std::min(request.serviceTime, request.timeout / 2);
+}
+
 TransitQueue::Entry::Entry(const WaitingRequest& waiting)
-    : latestStart { std::numeric_limits<std::int64_t>::max() }
-    , tolerance(std::min(waiting.serviceTime, waiting.timeout / 2))
+    : latestStart(latestStartOf(waiting))
+    , tolerance(toleranceOf(waiting))
     , rescueMargin(std::max(waiting.timeout / rescueMarginShare, tolerance))
     , request(waiting)
 {
     // Capped, so that requests that take longer than half of the objective are started as soon as possible.
     Duration service = std::min(waiting.serviceTime, waiting.latencyObjective / 2);
     inTimeUntil = waiting.startedAt + waiting.latencyObjective - service - callerNetworkDelay;
-    if (waiting.timeout.us > 0)
-        latestStart = waiting.startedAt + waiting.timeout - tolerance - callerNetworkDelay;
 }
 
 /** Order of release, except that under overload the newest requests in time of one priority go first. */
--- a/src/transit_queue_base.h
+++ b/src/transit_queue_base.h
@@ -66,6 +66,12 @@
     /** Removes a request whose timeout has passed. @return The request; none when there is no such request. */
     std::optional<WaitingRequest> popExpired(TimePoint now);
 
+    /**
+     * @return Time from which on the request expires, since its answer would come after its caller has given up; the
+     * last possible time when the timeout is unknown.
+     */
+    static TimePoint latestStartOf(const WaitingRequest& request);
+
     /** @return Requests of this or a higher priority that can still be answered in time. */
     std::size_t inTimeCount(std::uint8_t priority, TimePoint now) const;
 
@@ -97,7 +103,7 @@
         bool isInTime(TimePoint now) const { return now < inTimeUntil; }
         bool isExpired(TimePoint now) const { return now >= latestStart; }
 
-        TimePoint latestStart; ///< From this time on the answer comes after the caller has given up.
+        TimePoint latestStart; ///< By latestStartOf().
         TimePoint inTimeUntil; ///< From this time on the answer misses the latency objective.
         Duration tolerance; ///< Error of the estimates: a service time.
         Duration rescueMargin; ///< Time before latestStart from which a late request is released before others.
@@ -115,6 +121,7 @@
         double arrivalRate(TimePoint now) const;
     };
 
+    static Duration toleranceOf(const WaitingRequest& request);
     static bool isScheduledBefore(const Entry& a, const Entry& b, TimePoint now);
     void recordArrival(std::uint8_t priority, TimePoint now);
     Candidates releaseCandidates(TimePoint now, Duration meanStartInterval);
--- a/tests/transit_egress_test.cpp
+++ b/tests/transit_egress_test.cpp
@@ -59,7 +59,7 @@
     {
         sent.emplace_back(order, flow);
         bytesOf[flow] += static_cast<std::int64_t>(bytes);
-        wireBytes += static_cast<std::int64_t>(bytes) + datagramOverheadBytes;
+        wireBytes += static_cast<std::int64_t>(bytes) + datagramHeaderBytes;
     }
 
     /** @return Drops for a reason since the start. */
@@ -109,9 +109,9 @@
 {
     Link link(tenMbit);
     link.run(seconds(3), [&] {
-        link.send(full, 1, 1000 - datagramOverheadBytes);
+        link.send(full, 1, 1000 - datagramHeaderBytes);
         for (int i = 0; i < 10; ++i)
-            link.send(full, 2, 1000 - datagramOverheadBytes);
+            link.send(full, 2, 1000 - datagramHeaderBytes);
     });
     CHECK(link.bytesOf[1] > link.bytesOf[2] * 95 / 100);
     CHECK(link.bytesOf[1] < link.bytesOf[2] * 105 / 100);
@@ -124,9 +124,9 @@
                 mixed.send(full, 1, 100);
             mixed.send(full, 2, fullBytes);
         });
-        std::int64_t firstWire = mixed.bytesOf[1] + mixed.bytesOf[1] / 100 * datagramOverheadBytes;
+        std::int64_t firstWire = mixed.bytesOf[1] + mixed.bytesOf[1] / 100 * datagramHeaderBytes;
         std::int64_t secondWire
-            = mixed.bytesOf[2] + mixed.bytesOf[2] / static_cast<std::int64_t>(fullBytes) * datagramOverheadBytes;
+            = mixed.bytesOf[2] + mixed.bytesOf[2] / static_cast<std::int64_t>(fullBytes) * datagramHeaderBytes;
         CHECK(firstWire > secondWire * 95 / 100);
         CHECK(firstWire < secondWire * 105 / 100);
     }
