Learned capacity: no trial at a target that took its limit well within the last 10 s

When a whole service slows down, every target showed the evidence of a knee at once, and each made one or two trials at half of its limit while the load was beyond the capacity. A target that had full throughput at its limit a moment ago has not got a knee there. The load from the first request on, which costs one trial for each target, is added to the bench.

--- a/bench/transit_capacity_sim.cpp
+++ b/bench/transit_capacity_sim.cpp
@@ -419,6 +419,11 @@
     return {
         { .name = "alike, 0.9", .targets = targetsOf({ plain }, 8), .kinds = { page }, .share = 0.9 },
         { .name = "alike, 1.2", .targets = targetsOf({ plain }, 8), .kinds = { page }, .share = 1.2 },
+        { .name = "alike, 1.2, at once",
+            .targets = targetsOf({ plain }, 8),
+            .kinds = { page },
+            .share = 1.2,
+            .startsInFull = true },
         { .name = "speeds 1 to 4, 0.8",
             .targets = targetsOf({ plain, { .slowness = 2 }, { .slowness = 3 }, { .slowness = 4 } }, 3),
             .kinds = { page },
--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -323,6 +323,9 @@
 /** Throughput at a limit, as a share of the one without slowdown, from which the limit is not lowered. Smaller
  * differences cannot be told from the spread of the service times. */
 inline constexpr double capacityDeadZone = 0.85;
+/** Time after full throughput at a limit for which no lower one is tried. When a whole service slows down, each of its
+ * targets would lose up to half of its throughput in a trial; slowdowns of some seconds end before it. */
+inline constexpr Duration fullLimitLifetime = seconds(10);
 /** Time after which a trial that did not end is given up, because the target was seldom busy. */
 inline constexpr Duration maxTrialTime = seconds(10);
 /** Interval after a trial of a lower limit that gave less throughput, which doubles up to the longest one. A trial
--- a/src/transit_capacity_base.h
+++ b/src/transit_capacity_base.h
@@ -109,6 +109,8 @@
     Backoff m_raisingBackoff;
     Backoff m_blindBackoff;
     TimePoint m_lowAt; ///< Last sample at low concurrency.
+    std::uint32_t m_fullLimit {}; ///< Limit at which the target last had the throughput of that many requests.
+    TimePoint m_fullAt; ///< When that was measured.
     TimePoint m_changedAt; ///< Last change of the limit; requests that started before do not measure it.
     TimePoint m_resetAt;
     std::uint32_t m_baselineSamples {}; ///< Samples at low concurrency that the baselines are from, up to their window.
--- a/tests/transit_capacity_test.cpp
+++ b/tests/transit_capacity_test.cpp
@@ -148,6 +148,26 @@
         subject.serve(seconds(3));
         CHECK(subject.capacity.limit(8) == 8);
     }
+    SECTION("under full load")
+    {
+        subject.serve(seconds(2), 1);
+        subject.serve(seconds(4));
+
+        SECTION("slow for less than 10 s: nothing is tried, which guards against trials that take throughput from a "
+                "service that has too little")
+        {
+            subject.slowness = 2;
+            subject.serve(seconds(9));
+            CHECK(subject.changes == 0);
+        }
+        SECTION("a knee that appears is found within 12 s")
+        {
+            subject.knee = 4;
+            subject.serve(fullLimitLifetime + seconds(2));
+            CHECK(subject.capacity.limit(8) >= 4);
+            CHECK(subject.capacity.limit(8) <= 5);
+        }
+    }
     SECTION("the limit is lowered while requests miss their objective and a lower limit helps")
     {
         subject.objective = milliseconds(70);
@@ -520,9 +540,14 @@
         CHECK(bench::runCapacityLoad(loadNamed("replaced by a faster one, 0.9"), { .isLearning = true }).boundShare
             >= 0.97);
     }
-    SECTION("the trials of a whole service that slows down cost less than 5 %")
+    SECTION("a whole service that slows down for 6 s loses less than 1 %, which guards against a trial at each of its "
+            "targets while the load is beyond the capacity")
+    {
+        CHECK(gain("all slow for 6 s, 0.7") >= -0.01);
+    }
+    SECTION("a full load from the start on targets that are alike costs one trial each")
     {
-        CHECK(gain("all slow for 6 s, 0.7") >= -0.05);
+        CHECK(gain("alike, 1.2, at once") >= -0.05);
     }
     SECTION("a target that resets or answers errors attracts at most 1.5 % more of the requests")
     {
