Placement: loads by components, and a record of each choice

An explanation of a placement has to use the code that places flows, but this code returned one number for a load, and chose a target and logged in one function.

TransitPlacement::choose records the compared targets in an optional trace. The load is a struct of its components, whose sum is compared. TransitBalancer::chooseNext is constant and returns the target or the reason for none; openStandingOf tells what is known of a flow.

--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -135,6 +135,7 @@
     src/transit_log.cpp
     src/transit_metrics.cpp
     src/transit_placement.cpp
+    src/transit_placement_query.cpp
     src/transit_queue.cpp
     src/transit_service_time.cpp
     src/transit_shell.cpp
--- a/src/table/transit_names.h
+++ b/src/table/transit_names.h
@@ -6,6 +6,7 @@
 
 #include "../transit_effect_type.h"
 #include "../transit_egress_type.h"
+#include "../transit_placement_type.h"
 
 namespace hawthorncroft {
 
@@ -102,6 +103,23 @@
     "no_reports",
 };
 
+inline constexpr NameTable<TargetState> targetStateNames = {
+    "draining",
+    "evacuated",
+    "returned",
+    "suspected",
+    "overloaded",
+    "cold",
+    "eligible",
+};
+
+inline constexpr NameTable<PlacementBasis> placementBasisNames = {
+    "none",
+    "lowest_load",
+    "only_usable",
+    "last_resort",
+};
+
 inline constexpr NameTable<TransitDistribution> transitDistributionNames = {
     "open_us",
     "locate_us",
--- a/src/transit_balancer_base.h
+++ b/src/transit_balancer_base.h
@@ -98,6 +98,20 @@
         OpenProgress progress;
     };
 
+    /** What is known of a flow when its opening packet arrives. */
+    struct OpenStanding {
+        std::optional<Endpoint> holder; ///< Agent whose target holds the flow; gets the packet.
+        std::vector<Endpoint> tried; ///< Agents that an unanswered earlier transmission was sent to.
+    };
+
+    /** Target for an opening packet. */
+    struct NextTarget {
+        const TargetEntry* target {}; ///< Null if there is none.
+        std::string_view refusal; ///< Reason for which there is none.
+        std::optional<TimePoint>
+            spareReportedAt; ///< Set if it was chosen for the spare capacity that it reported then.
+    };
+
     /** Search for the holder of a flow: queries its locators first, then the agents that these do not rule out. */
     struct Locate {
         std::vector<TransitPacket> packets;
@@ -118,8 +132,11 @@
     void openFlow(
         TransitPacket packet, const RouteRecord& route, TimePoint arrivedAfter, TimePoint now, TransitEffects& effects);
     void sendOpen(ForwardMessage forward, OpenProgress progress, TimePoint now, TransitEffects& effects);
-    const TargetEntry* chooseNext(
-        const ForwardMessage& forward, const OpenProgress& progress, TimePoint now, TransitEffects& effects) const;
+    /** @return What this balancer knows of a flow whose opening packet arrives. */
+    OpenStanding openStandingOf(const FlowTuple& flow) const;
+    /** Chooses the target for an opening packet. @param trace See TransitPlacement::choose. */
+    NextTarget chooseNext(const std::string& service, const FlowTuple& flow, const std::vector<Endpoint>& triedAgents,
+        bool isOverloaded, TimePoint now, PlacementTrace* trace = nullptr) const;
     void refuseIfDeclined(const ForwardMessage& forward, const OpenProgress& progress, std::string_view reason,
         TimePoint now, TransitEffects& effects);
     void refuseUnlessOpen(const TransitPacket& packet, const OpenProgress& progress, std::string_view reason,
--- a/src/transit_balancer_open.cpp
+++ b/src/transit_balancer_open.cpp
@@ -33,47 +33,57 @@
     TransitPacket packet, const RouteRecord& route, TimePoint arrivedAfter, TimePoint now, TransitEffects& effects)
 {
     OpenProgress progress { .startedAt = now, .arrivedAfter = arrivedAfter };
-    const std::string* service = serviceFor(route, packet.flow, now);
+    FlowTuple flow = packet.flow;
+    const std::string* service = serviceFor(route, flow, now);
+    OpenStanding standing = openStandingOf(flow);
     if (!service) {
         refuseUnlessOpen(packet, progress, "no_service", 0, now, effects);
         return;
     }
-    FlowTuple flow = packet.flow;
     ForwardMessage forward {
         .replyTo = m_fleet.self(),
         .service = *service,
         .routeRevision = m_fleet.view().routeRevisionAt(flow.service),
     };
     forward.packet = std::move(packet);
-    auto cached = m_flows.find(flow);
-    if (cached != m_flows.end()) {
+    if (standing.holder) {
         // The target has already accepted the flow and answers the retransmission as it answered the first packet.
-        cached->second.usedAt = now;
+        CachedFlow& cached = m_flows.at(flow);
+        cached.usedAt = now;
         // It may also open a new flow from the same port, so the holder has to be chosen again.
-        cached->second.basis = HolderBasis::Answered;
-        effects.push_back(SendMessage { cached->second.holder.agent, std::move(forward) });
+        cached.basis = HolderBasis::Answered;
+        effects.push_back(SendMessage { *standing.holder, std::move(forward) });
         return;
     }
-    auto pending = m_opens.find(flow);
-    if (pending != m_opens.end()) {
-        // The retransmission of an unanswered packet goes to an agent that has not been tried.
-        forward.tried = pending->second.forward.tried;
-        m_opens.erase(pending);
-    }
+    m_opens.erase(flow);
+    forward.tried = std::move(standing.tried);
     sendOpen(std::move(forward), progress, now, effects);
 }
 
+TransitBalancer::OpenStanding TransitBalancer::openStandingOf(const FlowTuple& flow) const
+{
+    OpenStanding standing { .holder = holderOf(flow), .tried = {} };
+    // The retransmission of an unanswered packet goes to an agent that has not been tried.
+    if (auto pending = m_opens.find(flow); !standing.holder && pending != m_opens.end())
+        standing.tried = pending->second.forward.tried;
+    return standing;
+}
+
 void TransitBalancer::sendOpen(ForwardMessage forward, OpenProgress progress, TimePoint now, TransitEffects& effects)
 {
-    if (forward.tried.size() >= maxOpenAttempts) {
-        refuseIfDeclined(forward, progress, "attempts_used", now, effects);
-        return;
-    }
-    const TargetEntry* target = chooseNext(forward, progress, now, effects);
+    const FlowTuple& tuple = forward.packet.flow;
+    NextTarget next = chooseNext(forward.service, tuple, forward.tried, progress.isOverloaded, now);
+    const TargetEntry* target = next.target;
     if (!target) {
-        refuseIfDeclined(forward, progress, progress.isOverloaded ? "overloaded" : "no_target", now, effects);
+        refuseIfDeclined(forward, progress, next.refusal, now, effects);
         return;
     }
+    if (next.spareReportedAt)
+        effects.push_back(WriteLog { "open_moved",
+            { { "flow", toString(tuple.caller) }, { "to", toString(tuple.service) }, { "target", target->record.id },
+                { "tried", static_cast<std::int64_t>(forward.tried.size()) },
+                { "load_percent", static_cast<std::int64_t>(100 * m_placement.utilisationOf(*target)) },
+                { "report_age_ms", (now - *next.spareReportedAt).us / 1000 } } });
     std::uint32_t address = target->record.address.address;
     Endpoint agent = agentOf(address);
     effects.push_back(
@@ -97,22 +107,21 @@
     m_openTimers.emplace_back(retryAt, flow);
 }
 
-const TargetEntry* TransitBalancer::chooseNext(
-    const ForwardMessage& forward, const OpenProgress& progress, TimePoint now, TransitEffects& effects) const
+TransitBalancer::NextTarget TransitBalancer::chooseNext(const std::string& service, const FlowTuple& flow,
+    const std::vector<Endpoint>& triedAgents, bool isOverloaded, TimePoint now, PlacementTrace* trace) const
 {
-    const FlowTuple& flow = forward.packet.flow;
-    auto tried = addressesOf(forward.tried);
-    if (!progress.isOverloaded)
-        return m_placement.choose(m_fleet.view(), forward.service, flow, tried, now);
+    if (triedAgents.size() >= maxOpenAttempts)
+        return { .refusal = "attempts_used" };
+    auto tried = addressesOf(triedAgents);
+    if (!isOverloaded) {
+        const TargetEntry* target = m_placement.choose(m_fleet.view(), service, flow, tried, now, trace);
+        return { .target = target, .refusal = target ? "" : "no_target" };
+    }
     // The agent that declined had the lowest load of a few targets, so that others drawn at random are hardly better.
-    auto spare = m_placement.chooseSpare(m_fleet.view(), forward.service, flow, tried, now);
-    if (spare.target)
-        effects.push_back(WriteLog { "open_moved",
-            { { "flow", toString(flow.caller) }, { "to", toString(flow.service) },
-                { "target", spare.target->record.id }, { "tried", static_cast<std::int64_t>(tried.size()) },
-                { "load_percent", static_cast<std::int64_t>(100 * m_placement.utilisationOf(*spare.target)) },
-                { "report_age_ms", (now - spare.reportedAt).us / 1000 } } });
-    return spare.target;
+    auto spare = m_placement.chooseSpare(m_fleet.view(), service, flow, tried, now);
+    if (!spare.target)
+        return { .refusal = "overloaded" };
+    return { .target = spare.target, .spareReportedAt = spare.reportedAt };
 }
 
 void TransitBalancer::refuseIfDeclined(const ForwardMessage& forward, const OpenProgress& progress,
--- a/src/transit_placement.cpp
+++ b/src/transit_placement.cpp
@@ -22,30 +22,30 @@
 }
 
 const TargetEntry* TransitPlacement::choose(const TransitView& view, const std::string& service, const FlowTuple& flow,
-    const std::vector<std::uint32_t>& tried, TimePoint now) const
+    const std::vector<std::uint32_t>& tried, TimePoint now, PlacementTrace* trace) const
 {
     const auto& targets = view.targetsOf(service);
     if (targets.empty())
         return nullptr;
-    Choice choice { .speeds = speedsOf(targets) };
+    Choice choice { .speeds = speedsOf(targets), .trace = trace };
     std::uint64_t random = hashOf(flow);
     for (std::size_t draw = 0; draw < maxDraws && !choice.isComplete(); ++draw) {
         random = mix64(random);
         const TargetEntry& target = *targets[random % targets.size()];
         if (isEligible(view, target, tried) && !isSuspected(target.record.address.address, now))
-            consider(choice, target, now);
+            consider(choice, target, PlacementBasis::LowestLoad, now);
     }
     // The draws found no target: few are left, or all are suspected. A scan finds one that is not suspected, and
     // otherwise a suspected one.
     for (std::size_t i = 0; i < targets.size() && i < maxCandidates && !choice.best; ++i) {
         const TargetEntry& target = *targets[(random + i) % targets.size()];
         if (isEligible(view, target, tried) && !isSuspected(target.record.address.address, now))
-            consider(choice, target, now);
+            consider(choice, target, PlacementBasis::OnlyUsable, now);
     }
     for (std::size_t i = 0; i < targets.size() && !choice.best; ++i) {
         const TargetEntry& target = *targets[(random + i) % targets.size()];
         if (isEligible(view, target, tried))
-            consider(choice, target, now);
+            consider(choice, target, PlacementBasis::LastResort, now);
     }
     return choice.best;
 }
@@ -66,7 +66,7 @@
             continue;
         if (!isEligible(view, target, tried) || isSuspected(address, now))
             continue;
-        double load = loadOf(target, speeds, now);
+        double load = loadTermsOf(target, speeds, now).sum();
         if (best.target && load >= lowest)
             continue;
         best = { &target, *found->second.reportedAt };
@@ -75,14 +75,18 @@
     return best;
 }
 
-void TransitPlacement::consider(Choice& choice, const TargetEntry& target, TimePoint now) const
+void TransitPlacement::consider(Choice& choice, const TargetEntry& target, PlacementBasis basis, TimePoint now) const
 {
     bool isInSameDomain = target.record.failureDomain == m_failureDomain;
     std::size_t& compared = isInSameDomain ? choice.sameDomainCount : choice.otherDomainCount;
     if (&target == choice.best || compared >= (isInSameDomain ? sameDomainCandidates : otherDomainCandidates))
         return;
     ++compared;
-    double load = loadOf(target, choice.speeds, now);
+    if (choice.trace) {
+        choice.trace->compared.push_back(&target);
+        choice.trace->basis = basis;
+    }
+    double load = loadTermsOf(target, choice.speeds, now).sum();
     if (choice.best && load >= choice.load)
         return;
     choice.best = &target;
@@ -131,23 +135,23 @@
 
 double TransitPlacement::loadOf(const TransitView& view, const TargetEntry& target, TimePoint now) const
 {
-    return loadOf(target, speedsOf(view.targetsOf(target.record.service)), now);
+    return loadTermsOf(target, speedsOf(view.targetsOf(target.record.service)), now).sum();
 }
 
-double TransitPlacement::loadOf(const TargetEntry& target, const Speeds& speeds, TimePoint now) const
+LoadTerms TransitPlacement::loadTermsOf(const TargetEntry& target, const Speeds& speeds, TimePoint now) const
 {
-    double load = 0;
+    LoadTerms load;
     auto found = m_estimates.find(target.record.address.address);
     if (found != m_estimates.end()) {
         const Estimate& estimate = found->second;
         std::uint32_t slots = std::max<std::uint32_t>(target.record.slots, 1);
-        load = static_cast<double>(estimate.load.busy + estimate.sentSinceReport) / slots * speeds.slotsPerLimit
-            * relativeTime(estimate, slots, speeds);
+        load.utilisation = static_cast<double>(estimate.load.busy + estimate.sentSinceReport) / slots
+            * speeds.slotsPerLimit * relativeTime(estimate, slots, speeds);
     }
     if (target.record.failureDomain != m_failureDomain)
-        load += remoteWeight;
-    if (now < target.receivedAt + target.record.coldLeft)
-        load += coldWeight;
+        load.otherDomain = remoteWeight;
+    if (isCold(target, now))
+        load.cold = coldWeight;
     return load;
 }
 
@@ -199,6 +203,11 @@
     return now < found->second.suspectedUntil || now < found->second.returnBackoffUntil;
 }
 
+bool TransitPlacement::isCold(const TargetEntry& target, TimePoint now)
+{
+    return now < target.receivedAt + target.record.coldLeft;
+}
+
 bool TransitPlacement::isEligible(
     const TransitView& view, const TargetEntry& target, const std::vector<std::uint32_t>& tried) const
 {
--- a/src/transit_placement_base.h
+++ b/src/transit_placement_base.h
@@ -7,9 +7,8 @@
 #pragma once
 
 #include "table/transit_limits.h"
-#include "transit_view_base.h"
+#include "transit_placement_type.h"
 
-#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -28,10 +27,11 @@
      * @param flow The flow; its hash seeds the random draws of candidates.
      * @param tried Addresses of targets that did not accept the flow.
      * @param now Current time.
+     * @param[out] trace Records how the target was chosen; may be null.
      * @return The target, or null when no eligible one is left.
      */
     const TargetEntry* choose(const TransitView& view, const std::string& service, const FlowTuple& flow,
-        const std::vector<std::uint32_t>& tried, TimePoint now) const;
+        const std::vector<std::uint32_t>& tried, TimePoint now, PlacementTrace* trace = nullptr) const;
 
     /** A target with spare capacity. */
     struct SpareTarget {
@@ -77,6 +77,10 @@
      */
     double loadOf(const TransitView& view, const TargetEntry& target, TimePoint now) const;
 
+    /** @return What is known of the targets of one service, in the given order; for explanations. */
+    std::vector<TargetAssessment> assess(const TransitView& view, const std::string& service,
+        const std::vector<const TargetEntry*>& targets, TimePoint now) const;
+
     /** @return Requests at a target and expected soon, as a fraction of its limit; above one while requests wait. */
     double utilisationOf(const TargetEntry& target) const;
 
@@ -107,6 +111,7 @@
         Speeds speeds; ///< Of the service's targets.
         std::size_t sameDomainCount {}; ///< Compared targets in the balancer's failure domain.
         std::size_t otherDomainCount {}; ///< Compared targets in other failure domains.
+        PlacementTrace* trace {};
 
         bool isComplete() const
         {
@@ -114,10 +119,12 @@
         }
     };
 
-    void consider(Choice& choice, const TargetEntry& target, TimePoint now) const;
-    double loadOf(const TargetEntry& target, const Speeds& speeds, TimePoint now) const;
+    void consider(Choice& choice, const TargetEntry& target, PlacementBasis basis, TimePoint now) const;
+    LoadTerms loadTermsOf(const TargetEntry& target, const Speeds& speeds, TimePoint now) const;
+    TargetState stateOf(const TransitView& view, const TargetEntry& target, TimePoint now) const;
     Speeds speedsOf(const std::vector<const TargetEntry*>& targets) const;
     static double relativeTime(const Estimate& estimate, std::uint32_t slots, const Speeds& speeds);
+    static bool isCold(const TargetEntry& target, TimePoint now);
     bool isEligible(const TransitView& view, const TargetEntry& target, const std::vector<std::uint32_t>& tried) const;
 
     std::string m_failureDomain;
