Balancer: page that explains where a flow would be placed

An operator could see from logs where a flow went, but not where the next one would go and why.

GET /place?to=ADDRESS:PORT&from=ADDRESS:PORT (or service=NAME) of a balancer's status address answers with JSON: route, service, view, target or holder or refusal with the reason, and up to 64 candidates with their states and loads by components. The decision is made by the functions that place an opening packet, called on constant state. Agents answer 404. The parameters of queries move from report_* to query_*, which both libraries use.

--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -78,6 +78,7 @@
     src/metrics_base.cpp
     src/metrics_thread.cpp
     src/process_report.cpp
+    src/query_func.cpp
     src/report_func.cpp
     src/service_report.cpp
     src/settings_func.cpp
@@ -108,6 +109,7 @@
     src/clock_func.cpp
     src/core_func.cpp
     src/placement_func.cpp
+    src/query_func.cpp
     src/transit_admission.cpp
     src/transit_agent_cmd.cpp
     src/transit_agent_locator.cpp
@@ -121,6 +123,7 @@
     src/transit_balancer_entry.cpp
     src/transit_balancer_locate.cpp
     src/transit_balancer_open.cpp
+    src/transit_balancer_place.cpp
     src/transit_capacity_cmd.cpp
     src/transit_capacity_query.cpp
     src/transit_codec_func.cpp
@@ -134,6 +137,7 @@
     src/transit_locator.cpp
     src/transit_log.cpp
     src/transit_metrics.cpp
+    src/transit_place_func.cpp
     src/transit_placement.cpp
     src/transit_placement_query.cpp
     src/transit_queue.cpp
@@ -251,6 +255,7 @@
     tests/transit_late_view_test.cpp
     tests/transit_load_test.cpp
     tests/transit_overload_test.cpp
+    tests/transit_place_test.cpp
     tests/transit_lost_test.cpp
     tests/transit_reports_test.cpp
     tests/transit_rotation_test.cpp
--- a/src/report_type.h
+++ b/src/report_type.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "config_type.h"
+#include "query_func.h"
 
 #include <optional>
 #include <string_view>
@@ -111,19 +112,4 @@
 std::string parseReport(std::string_view text, NamesReport& report);
 std::string parseReport(std::string_view text, ExplainReport& report);
 
-/**
- * Percent-encodes a value for a query string.
- * @param value Any text.
- * @return The text with all bytes except letters, digits, '-', '.', '_' and '~' as %XX.
- */
-std::string encodeQueryValue(std::string_view value);
-
-/**
- * Looks up a parameter in a query string.
- * @param query Query string without the question mark, such as "name=a%20b&flow=7".
- * @param name Name of the parameter.
- * @return The decoded value; none if the parameter is absent or its encoding is invalid.
- */
-std::optional<std::string> queryValue(std::string_view query, std::string_view name);
-
 } // namespace hawthorncroft
--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -145,6 +145,10 @@
 inline constexpr std::size_t maxDraws = 16; ///< Random draws for the candidates of one flow.
 /** Targets that are tried in turn when no drawn one can take the flow. */
 inline constexpr std::size_t maxCandidates = 64;
+/** Candidates, and shares of a route, in the explanation of a placement. Packets wait while it is built. */
+inline constexpr std::size_t maxExplainedItems = 64;
+/** Query string of the explanation in bytes. The longest service name of 200 bytes takes 600 when all are encoded. */
+inline constexpr std::size_t maxPlaceQueryBytes = 1024;
 /** Time for which a balancer still forwards packets after it left rotation. Routers stop using it after two failed
  * probes, half a second apart. */
 inline constexpr Duration drainTime = milliseconds(3000);
--- a/src/transit_agent_base.h
+++ b/src/transit_agent_base.h
@@ -63,6 +63,13 @@
 
     std::vector<TransitGauge> gauges(TimePoint now) const override;
 
+    HttpReply page(std::string_view path, std::string_view query, TimePoint now) const override
+    {
+        if (path == placePath)
+            return { 404, "an agent places no flows: query a balancer\n" };
+        return TransitCore::page(path, query, now);
+    }
+
     /** @return Whether the flow is known and has not ended. */
     bool holds(const FlowTuple& flow) const;
 
--- a/src/transit_balancer_base.h
+++ b/src/transit_balancer_base.h
@@ -9,6 +9,7 @@
 #include "transit_core_base.h"
 #include "transit_entry_base.h"
 #include "transit_locator_base.h"
+#include "transit_place_type.h"
 #include "transit_placement_base.h"
 
 #include <deque>
@@ -56,6 +57,9 @@
 
     std::vector<TransitGauge> gauges(TimePoint now) const override;
 
+    /** Answers `placePath` with the explanation of one placement. */
+    HttpReply page(std::string_view path, std::string_view query, TimePoint now) const override;
+
     const TransitPlacement& placement() const { return m_placement; }
 
     /** @return Cached holder of the flow. */
@@ -154,6 +158,13 @@
     const std::string* serviceFor(const RouteRecord& route, const FlowTuple& flow, TimePoint now) const;
     double utilisationFor(const std::string& service, const FlowTuple& flow, TimePoint now) const;
 
+    // Explanation of a placement, in transit_balancer_place.cpp.
+    PlaceReport explainPlace(const PlaceQuery& query, TimePoint now) const;
+    void explainTarget(PlaceReport& report, const std::string& service, const FlowTuple& flow, TimePoint now) const;
+    void explainCandidates(PlaceReport& report, const std::string& service, const PlacementTrace& trace,
+        const OpenStanding& standing, TimePoint now) const;
+    std::vector<const TargetEntry*> targetsAt(const std::vector<Endpoint>& agents, const std::string& service) const;
+
     // Packets of flows, in transit_balancer_locate.cpp.
     void forwardData(TransitPacket packet, TimePoint now, TransitEffects& effects);
     static bool chooseHolder(CachedFlow& cached, const TransitPacket& packet);
--- a/src/transit_core_base.h
+++ b/src/transit_core_base.h
@@ -7,6 +7,7 @@
 #include "transit_egress_type.h"
 #include "transit_fleet_base.h"
 #include "transit_gauge_type.h"
+#include "transit_page_type.h"
 
 namespace hawthorncroft {
 
@@ -48,6 +49,16 @@
     /** @return Values for the metrics page beside those that all processes have. */
     virtual std::vector<TransitGauge> gauges(TimePoint /*now*/) const { return {}; }
 
+    /**
+     * Answers a request for a page other than those that all processes have.
+     * @param path Path without the query string.
+     * @param query Query string without the question mark, of any content and length.
+     */
+    virtual HttpReply page(std::string_view /*path*/, std::string_view /*query*/, TimePoint /*now*/) const
+    {
+        return { 404, std::string(noSuchPage) };
+    }
+
     /** Handles one page of a full read of the store; see TransitFleet::onStorePage. */
     void onStorePage(std::vector<StoreChange> changes, Revision asOf, const std::string& nextAfter, TimePoint now,
         TransitEffects& effects)
--- a/src/transit_http.cpp
+++ b/src/transit_http.cpp
@@ -46,7 +46,7 @@
             m_stream.expires_after(idleTimeout);
             m_response = { static_cast<http::status>(reply.status), m_request.version() };
             m_response.keep_alive(m_request.keep_alive());
-            m_response.set(http::field::content_type, "text/plain");
+            m_response.set(http::field::content_type, { reply.contentType.data(), reply.contentType.size() });
             m_response.body() = std::move(reply.body);
             m_response.prepare_payload();
             http::async_write(
--- a/src/transit_shell.cpp
+++ b/src/transit_shell.cpp
@@ -3,6 +3,7 @@
 #include "clock_func.h"
 #include "table/transit_limits.h"
 
+#include <algorithm>
 #include <csignal>
 #include <limits>
 #include <unistd.h>
@@ -37,7 +38,7 @@
     if (!error.empty())
         return toString(m_options.fleet) + ": " + error;
     error = m_statusServer.open(m_context, m_options.status,
-        [this](const std::string& path, const TransitHttpServer::ReplyCallback& reply) { reply(answer(path)); });
+        [this](const std::string& target, const TransitHttpServer::ReplyCallback& reply) { reply(answer(target)); });
     if (!error.empty())
         return toString(m_options.status) + ": " + error;
     m_packetSocket.start([this](Endpoint, std::span<const std::uint8_t> bytes) { onPacket(bytes); });
@@ -308,12 +309,19 @@
 
 void TransitShell::applyEffect(RecordTime& effect) { m_metrics.record(effect.distribution, effect.time); }
 
-HttpReply TransitShell::answer(const std::string& path)
+HttpReply TransitShell::answer(std::string_view target)
 {
-    if (path == m_options.readyPath)
+    if (target == m_options.readyPath)
         return m_core.isReady() ? HttpReply { 200, "ready\n" } : HttpReply { 503, "not ready\n" };
-    if (path != m_options.metricsPath)
-        return { 404, "no such page\n" };
+    if (target == m_options.metricsPath)
+        return metricsPage();
+    std::string_view path = target.substr(0, target.find('?'));
+    target.remove_prefix(std::min(path.size() + 1, target.size()));
+    return m_core.page(path, target, monotonicNow());
+}
+
+HttpReply TransitShell::metricsPage()
+{
     const TransitFleet& fleet = m_core.fleet();
     TimePoint now = monotonicNow();
     auto age = fleet.viewAge(now);
--- a/src/transit_shell.h
+++ b/src/transit_shell.h
@@ -28,7 +28,7 @@
     std::string vm;
     Endpoint packets; ///< Receives packets of callers (balancer) or of the target (agent).
     Endpoint fleet; ///< Receives messages of other processes.
-    Endpoint status; ///< Serves readiness and metrics over HTTP.
+    Endpoint status; ///< Serves readiness, metrics and the pages of the core over HTTP.
     Endpoint target; ///< Agent only: receives the packets for the target.
     std::int64_t linkBytesPerSecond {}; ///< Balancer only: rate of the VM's link. Zero: datagrams are not held back.
     std::uint16_t callerPort {}; ///< Port to which packets for callers are sent.
@@ -77,7 +77,8 @@
     void applyEffect(WriteLog& effect);
     void applyEffect(CountEvent& effect);
     void applyEffect(RecordTime& effect);
-    HttpReply answer(const std::string& path);
+    HttpReply answer(std::string_view target);
+    HttpReply metricsPage();
     void waitForSignal();
     void onProbed(boost::system::error_code error);
 
