Tests: unanswered replies end with the status server

The test of a balancer that does not answer in time kept replies beyond the life of the sockets that they refer to, which AddressSanitizer reported in the destructor of the session. With AddressSanitizer the tests of [place] and [ctl] pass (11 cases).

--- a/tests/transit_place_test.cpp
+++ b/tests/transit_place_test.cpp
@@ -202,6 +202,9 @@
     TransitHttpServer m_server;
     Endpoint m_endpoint { 0x7f000001, 0 };
     std::thread m_thread;
+
+public:
+    std::vector<TransitHttpServer::ReplyCallback> unanswered; ///< Refer to sockets of the context.
 };
 
 }
@@ -395,9 +398,8 @@
     }
     SECTION("a balancer that does not answer, in time or at all, gives one line and status 1")
     {
-        std::vector<TransitHttpServer::ReplyCallback> unanswered;
         StatusAddress silent([&](const std::string&, const TransitHttpServer::ReplyCallback& reply) {
-            unanswered.push_back(reply); // Keeps the connection open.
+            silent.unanswered.push_back(reply); // Keeps the connection open.
         });
         Run late({ "--at", silent.text(), "--to", to, "--timeout", "0.2" });
         CHECK(late.status == ctlWarnings);
