--- a/src/transit_balancer_base.h
+++ b/src/transit_balancer_base.h
@@ -9,6 +9,7 @@
 #include "transit_core_base.h"
 #include "transit_entry_base.h"
 #include "transit_locator_base.h"
+#include "transit_place_type.h"
 #include "transit_placement_base.h"
 
 #include <deque>
@@ -56,6 +57,9 @@
 
     std::vector<TransitGauge> gauges(TimePoint now) const override;
 
+    /** Answers `placePath` with the explanation of one placement. */
+    HttpReply page(std::string_view path, std::string_view query, TimePoint now) const override;
+
     const TransitPlacement& placement() const { return m_placement; }
 
     /** @return Cached holder of the flow. */
@@ -98,6 +102,20 @@
         OpenProgress progress;
     };
 
+    /** What is known of a flow when its opening packet arrives. */
+    struct OpenStanding {
+        std::optional<Endpoint> holder; ///< Agent whose target holds the flow; gets the packet.
+        std::vector<Endpoint> tried; ///< Agents that an unanswered earlier transmission was sent to.
+    };
+
+    /** Target for an opening packet. */
+    struct NextTarget {
+        const TargetEntry* target {}; ///< Null if there is none.
+        std::string_view refusal; ///< Reason for which there is none.
+        std::optional<TimePoint>
+            spareReportedAt; ///< Set if it was chosen for the spare capacity that it reported then.
+    };
+
     /** Search for the holder of a flow: queries its locators first, then the agents that these do not rule out. */
     struct Locate {
         std::vector<TransitPacket> packets;
@@ -118,8 +136,11 @@
     void openFlow(
         TransitPacket packet, const RouteRecord& route, TimePoint arrivedAfter, TimePoint now, TransitEffects& effects);
     void sendOpen(ForwardMessage forward, OpenProgress progress, TimePoint now, TransitEffects& effects);
-    const TargetEntry* chooseNext(
-        const ForwardMessage& forward, const OpenProgress& progress, TimePoint now, TransitEffects& effects) const;
+    /** @return What this balancer knows of a flow whose opening packet arrives. */
+    OpenStanding openStandingOf(const FlowTuple& flow) const;
+    /** Chooses the target for an opening packet. @param trace See TransitPlacement::choose. */
+    NextTarget chooseNext(const std::string& service, const FlowTuple& flow, const std::vector<Endpoint>& triedAgents,
+        bool isOverloaded, TimePoint now, PlacementTrace* trace = nullptr) const;
     void refuseIfDeclined(const ForwardMessage& forward, const OpenProgress& progress, std::string_view reason,
         TimePoint now, TransitEffects& effects);
     void refuseUnlessOpen(const TransitPacket& packet, const OpenProgress& progress, std::string_view reason,
@@ -137,6 +158,13 @@
     const std::string* serviceFor(const RouteRecord& route, const FlowTuple& flow, TimePoint now) const;
     double utilisationFor(const std::string& service, const FlowTuple& flow, TimePoint now) const;
 
+    // Explanation of a placement, in transit_balancer_place.cpp.
+    PlaceReport explainPlace(const PlaceQuery& query, TimePoint now) const;
+    void explainTarget(PlaceReport& report, const std::string& service, const FlowTuple& flow, TimePoint now) const;
+    void explainCandidates(PlaceReport& report, const std::string& service, const PlacementTrace& trace,
+        const OpenStanding& standing, TimePoint now) const;
+    std::vector<const TargetEntry*> targetsAt(const std::vector<Endpoint>& agents, const std::string& service) const;
+
     // Packets of flows, in transit_balancer_locate.cpp.
     void forwardData(TransitPacket packet, TimePoint now, TransitEffects& effects);
     static bool chooseHolder(CachedFlow& cached, const TransitPacket& packet);
