Paths: detect messages lost between two failure domains

While packets pass between two failure domains in one direction only, nothing says so to the processes: a domain that does not answer looks like one whose machines are down or slow.

TransitPaths keeps, for each ordered pair of domains, when a message was last received and when that was reported. Times are merged by their maximum, so that one machine that receives less than the others of its domain does not decide. A path is broken after 800 ms of silence and five times its usual silence, while both domains exchange messages with others. The second bound covers domains with a single process, where one lost stamp is a second of silence.

--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -134,6 +134,8 @@
     src/transit_locator.cpp
     src/transit_log.cpp
     src/transit_metrics.cpp
+    src/transit_path_cmd.cpp
+    src/transit_path_query.cpp
     src/transit_placement.cpp
     src/transit_queue.cpp
     src/transit_service_time.cpp
@@ -250,6 +252,7 @@
     tests/transit_late_view_test.cpp
     tests/transit_load_test.cpp
     tests/transit_overload_test.cpp
+    tests/transit_path_test.cpp
     tests/transit_lost_test.cpp
     tests/transit_reports_test.cpp
     tests/transit_rotation_test.cpp
--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -378,6 +378,40 @@
 /** Data bytes of a packet up to which it is small: most requests, and all acknowledgements. */
 inline constexpr std::uint16_t smallPacketBytes = 300;
 
+// Paths between failure domains (docs/design/broken-paths.md).
+
+/** Interval between two evaluations of the paths; short against the callers' first retransmission after 200 ms. */
+inline constexpr Duration pathUpdateInterval = milliseconds(50);
+/** Time without messages after which a path is broken; a caller whose request was lost retransmits it after 600 and
+ * 1,400 ms, and the second of these goes through a relay. */
+inline constexpr Duration pathSilence = milliseconds(800);
+/** Time by which the sender's and the receiver's domain must have had other messages later than those of a broken path;
+ * larger than the delay between two reports on a pair. */
+inline constexpr Duration pathActivityLead = milliseconds(400);
+/** Age of a report up to which it counts for a decision; a stamp to the third domain and one from there. */
+inline constexpr Duration pathReportMaxAge = milliseconds(600);
+inline constexpr Duration pathReportLifetime = seconds(3); ///< Age from which the state of a path is unknown again.
+/** Time for which messages arrive again before a path counts as healed, and longest gap in that time. */
+inline constexpr Duration pathHealTime = milliseconds(500);
+/** Delay of a tick from which the process was paused: half of `pathSilence`. */
+inline constexpr Duration pathPause = milliseconds(400);
+/** Assumed delay of a report on its way, from its sender's tick to its receiver. */
+inline constexpr Duration pathReportDelay = milliseconds(5);
+/** Difference up to which the times in two reports are the same. Delays of messages vary, by the queue of a busy
+ * process or link. */
+inline constexpr Duration pathReportTolerance = milliseconds(50);
+/** A path is broken only after this many times its usual silence. With one process in the sender's domain, a single
+ * lost stamp is silence of four times the mean. */
+inline constexpr std::int64_t usualSilenceFactor = 5;
+inline constexpr std::int64_t usualGapFactor = 3; ///< The same for the gaps in the messages of a path that heals.
+/** Inverse weight of a sample in the usual silence, taken at each evaluation: a mean over 6 s. */
+inline constexpr std::int64_t usualSilenceWeight = 128;
+/** Usual silence above which the state of a path is unknown; its messages are too rare to tell in `pathSilence`. */
+inline constexpr Duration maxUsualSilence = pathSilence / 2;
+inline constexpr std::size_t maxPathReports = 16; ///< Reports in one stamp; 256 bytes.
+inline constexpr std::size_t maxPaths = 1024; ///< Pairs of domains that are tracked; 32 domains.
+inline constexpr Duration maxPathAge = seconds(3600); ///< Longest time in a report, so that it fits into 32 bits.
+
 // Shell.
 inline constexpr Duration tickInterval = milliseconds(10); ///< Resolution of the cores' timers.
 /** Length of a pause of the process after which the packets that wait in its sockets are discarded. Callers retransmit
--- /dev/null
+++ b/src/transit_path_cmd.cpp
@@ -0,0 +1,157 @@
+#include "transit_path_base.h"
+
+#include "table/transit_limits.h"
+
+#include <algorithm>
+
+namespace hawthorncroft {
+
+TransitPaths::TransitPaths(DomainId own)
+    : m_own(own)
+{
+}
+
+void TransitPaths::recordReceived(DomainId from, TimePoint now)
+{
+    // A process that received nothing at all was cut off itself, and cannot tell that a single path was silent.
+    if (!m_receivedAt || now >= *m_receivedAt + pathSilence)
+        m_resumedAt = now;
+    m_receivedAt = now;
+    if (!from || !m_own)
+        return;
+    if (Path* path = findOrAdd({ from, m_own }, now)) {
+        path->heardAt = now;
+        path->reportedAt = now;
+        path->arrivedAt = now;
+    }
+}
+
+void TransitPaths::onReports(const std::vector<PathReport>& reports, TimePoint now)
+{
+    for (std::size_t i = 0; i < std::min(reports.size(), maxPathReports); ++i) {
+        const PathReport& report = reports[i];
+        // Rounded up for the way here, so that a report does not seem newer each time it is forwarded.
+        TimePoint reportedAt = now - milliseconds(report.reportAgeMs) - pathReportDelay;
+        TimePoint heardAt = reportedAt - milliseconds(report.heardAgeMs);
+        bool isUsable = report.from && report.to && report.from != report.to && reportedAt > now - pathReportLifetime;
+        Path* path = isUsable ? findOrAdd({ report.from, report.to }, heardAt) : nullptr;
+        if (!path)
+            continue;
+        // The delay of a message varies. Small differences are not newer messages, or the times would grow with each
+        // forwarding.
+        if (heardAt > path->heardAt + pathReportTolerance)
+            path->heardAt = heardAt;
+        if (reportedAt <= path->reportedAt + pathReportTolerance && path->reportedAt != TimePoint {})
+            continue;
+        path->reportedAt = reportedAt;
+        path->arrivedAt = now;
+    }
+}
+
+std::vector<PathChange> TransitPaths::update(TimePoint now)
+{
+    std::vector<PathChange> changes;
+    if (m_lastTickAt && now >= *m_lastTickAt + tickInterval + pathPause)
+        m_resumedAt = now;
+    m_lastTickAt = now;
+    if (now < m_nextUpdateAt)
+        return changes;
+    m_nextUpdateAt = now + pathUpdateInterval;
+    reportOwn(now);
+    updateActivities();
+    expire(now, changes);
+    for (auto& [key, path] : m_paths) {
+        if (!isUsable(path, now))
+            continue;
+        if (path.isBroken ? !hasHealed(path) : !isSilent(key, path)) {
+            if (!path.isBroken)
+                path.usualSilence = path.usualSilence
+                    + (std::min(path.silence(), pathSilence) - path.usualSilence) / usualSilenceWeight;
+            continue;
+        }
+        path.isBroken = !path.isBroken;
+        path.healingSince.reset();
+        path.isBroken ? ++m_brokenCount : --m_brokenCount;
+        changes.push_back(changeOf(key, path, now));
+    }
+    return changes;
+}
+
+TransitPaths::Path* TransitPaths::findOrAdd(Key key, TimePoint heardAt)
+{
+    auto found = m_paths.find(key);
+    if (found != m_paths.end())
+        return &found->second;
+    if (m_paths.size() >= maxPaths)
+        return nullptr;
+    Path path { .heardAt = heardAt, .usualSilence = pathSilence / usualSilenceFactor };
+    return &m_paths.emplace(key, path).first->second;
+}
+
+void TransitPaths::reportOwn(TimePoint now)
+{
+    for (auto& [key, path] : m_paths) {
+        if (key.to != m_own)
+            continue;
+        // After a pause, what arrived during it may be lost. A path counts once it was heard, or silent for long
+        // enough.
+        bool isKnown = !m_resumedAt || path.heardAt >= *m_resumedAt || now >= *m_resumedAt + pathSilence;
+        if (!isKnown)
+            continue;
+        path.reportedAt = now;
+        path.arrivedAt = now;
+    }
+}
+
+void TransitPaths::updateActivities()
+{
+    std::map<DomainId, Activity> newest;
+    for (const auto& [key, path] : m_paths) {
+        TimePoint& sentAt = newest[key.from].sentAt;
+        sentAt = std::max(sentAt, path.heardAt);
+        if (key.from == key.to)
+            continue;
+        TimePoint& receivedAt = newest[key.to].receivedAt;
+        receivedAt = std::max(receivedAt, path.heardAt);
+    }
+    for (auto& [domain, current] : newest) {
+        const Activity before = m_activities[domain];
+        current.sendingSince = current.sentAt >= before.sentAt + pathSilence ? current.sentAt : before.sendingSince;
+        current.receivingSince
+            = current.receivedAt >= before.receivedAt + pathSilence ? current.receivedAt : before.receivingSince;
+    }
+    m_activities = std::move(newest);
+}
+
+void TransitPaths::expire(TimePoint now, std::vector<PathChange>& changes)
+{
+    for (auto entry = m_paths.begin(); entry != m_paths.end();) {
+        const auto& [key, path] = *entry;
+        // A domain that nobody receives messages from has been removed, or is down as a whole.
+        bool isGone = now >= m_activities.at(key.from).sentAt + memberRetention;
+        if (!isGone && now < path.reportedAt + pathReportLifetime) {
+            ++entry;
+            continue;
+        }
+        if (path.isBroken) {
+            --m_brokenCount;
+            PathChange change = changeOf(key, path, now);
+            change.isBroken = false;
+            changes.push_back(change);
+        }
+        entry = m_paths.erase(entry);
+    }
+}
+
+bool TransitPaths::hasHealed(Path& path)
+{
+    if (path.silence() >= std::max(pathHealTime, path.usualSilence * usualGapFactor)) {
+        path.healingSince.reset();
+        return false;
+    }
+    if (!path.healingSince)
+        path.healingSince = path.heardAt;
+    return path.heardAt >= *path.healingSince + pathHealTime;
+}
+
+} // namespace hawthorncroft
