Paths: reports in stamps, receiver and sender of relayed messages

The table Message gets three fields at its end: path reports, and the receiver and the sender of a message that another process relays. Processes of earlier versions ignore them.

--- a/src/transit_codec_func.cpp
+++ b/src/transit_codec_func.cpp
@@ -274,6 +274,14 @@
             .isStopping = in.entry->is_stopping };
     }
 
+    std::vector<PathReport> pathsOf(const wire::MessageT& in)
+    {
+        std::vector<PathReport> reports;
+        for (const auto& path : std::span(in.paths).first(std::min(in.paths.size(), maxPathReports)))
+            reports.push_back({ path.from(), path.to(), path.heard_age_ms(), path.report_age_ms() });
+        return reports;
+    }
+
     void putBody(wire::MessageT& out, const StampMessage& body, TimePoint)
     {
         out.role = static_cast<std::uint8_t>(body.role);
@@ -287,6 +295,8 @@
         out.flags |= body.isReady ? flagReady : 0;
         if (body.entry)
             out.entry = std::make_unique<wire::EntryT>(wireEntryOf(*body.entry));
+        for (const auto& path : body.paths)
+            out.paths.push_back({ path.from, path.to, path.heardAgeMs, path.reportAgeMs });
     }
 
     void putBody(wire::MessageT& out, const DeltaMessage& body, TimePoint now)
@@ -425,7 +435,7 @@
                 return std::nullopt;
             return StampMessage { static_cast<ProcessRole>(in.role), in.incarnation, { in.age_us },
                 (in.flags & flagWantsReply) != 0, (in.flags & flagWantsFullDelta) != 0, loadOf(in), endpointsOf(in),
-                in.failure_domain, (in.flags & flagReady) != 0, entryOf(in) };
+                in.failure_domain, (in.flags & flagReady) != 0, entryOf(in), pathsOf(in) };
         case Kind::Delta: {
             DeltaMessage message { { in.age_us },
                 { Revision(in.since), Revision(in.through), (in.flags & flagKeys) != 0, in.keys, {} } };
@@ -479,6 +489,10 @@
     wire::MessageT out;
     out.kind = static_cast<std::uint8_t>(message.body.index());
     out.through = message.through.value;
+    if (message.relayTo) {
+        out.relay_to = std::make_unique<wire::Node>(nodeOf(message.relayTo));
+        out.origin = std::make_unique<wire::Node>(nodeOf(message.origin));
+    }
     std::visit([&](const auto& body) { putBody(out, body, now); }, message.body);
     flatbuffers::FlatBufferBuilder builder(256);
     builder.Finish(wire::Message::Pack(builder, &out));
@@ -495,7 +509,7 @@
     auto body = bodyOf(in, format, now);
     if (!body)
         return std::nullopt;
-    return Message { Revision(in.through), std::move(*body) };
+    return Message { Revision(in.through), std::move(*body), endpointOf(in.relay_to), endpointOf(in.origin) };
 }
 
 std::vector<std::vector<std::uint8_t>> FragmentJoiner::split(const std::vector<std::uint8_t>& message)
--- a/src/transit_fleet.cpp
+++ b/src/transit_fleet.cpp
@@ -386,6 +386,7 @@
         .failureDomain = m_options.failureDomain,
         .isReady = m_isReady,
         .entry = {},
+        .paths = {},
     };
     std::vector<Endpoint> balancers;
     for (const auto& [endpoint, member] : m_members) {
--- a/src/transit_message_type.h
+++ b/src/transit_message_type.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "transit_entry_type.h"
+#include "transit_path_type.h"
 #include "transit_view_type.h"
 
 #include <variant>
@@ -119,6 +120,7 @@
     std::string failureDomain; ///< Of the sender's VM.
     bool isReady {}; ///< Balancers only: the sender is ready to receive packets from routers.
     std::optional<EntryReport> entry; ///< In stamps to balancers of the own failure domain, from balancers.
+    std::vector<PathReport> paths; ///< At most `maxPathReports`; empty in stamps of earlier versions.
 };
 
 /** Part of the view that the receiver lacks. */
@@ -140,6 +142,8 @@
 struct Message {
     Revision through; ///< The sender's view contains all changes up to this revision.
     MessageBody body;
+    Endpoint relayTo {}; ///< Receiver of a message that goes through a relay; none otherwise.
+    Endpoint origin {}; ///< Sender of that message.
 };
 
 } // namespace hawthorncroft
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -238,6 +238,11 @@
         CHECK(std::get<StampMessage>(roundTrip(stamp)).entry == stamp.entry);
         // Guards against a balancer of an earlier version that counts as one without capacity.
         CHECK_FALSE(std::get<StampMessage>(roundTrip(StampMessage { .role = ProcessRole::Balancer })).entry);
+        stamp.paths = { { 1, 4294967295, 3, 4 }, { 5, 6, 7, 8 } };
+        CHECK(std::get<StampMessage>(roundTrip(stamp)).paths == stamp.paths);
+        // Guards against a message that keeps its receiver busy with reports.
+        stamp.paths.resize(1000);
+        CHECK(std::get<StampMessage>(roundTrip(stamp)).paths.size() == maxPathReports);
         CHECK(std::get<LeavingMessage>(roundTrip(LeavingMessage { ProcessRole::Agent })).role == ProcessRole::Agent);
     }
     SECTION("a delta, whose cold time is reduced by the time since the sender received the record")
@@ -278,6 +283,19 @@
         CHECK(decoded->processorMillis == report.processorMillis);
         CHECK(decoded->carriedBytesPerSecond == 0);
     }
+    SECTION("receiver and sender of a relayed message, and none of one that is sent directly")
+    {
+        Message message { Revision(7), ForwardMessage { .replyTo = { 1, 2 }, .packet = packet }, { 3, 4 }, { 5, 6 } };
+        auto decoded = decodeMessage(encodeMessage(message, now), format, now);
+        REQUIRE(decoded);
+        CHECK(decoded->relayTo == Endpoint { 3, 4 });
+        CHECK(decoded->origin == Endpoint { 5, 6 });
+        message.relayTo = {};
+        decoded = decodeMessage(encodeMessage(message, now), format, now);
+        REQUIRE(decoded);
+        CHECK_FALSE(decoded->relayTo);
+        CHECK_FALSE(decoded->origin);
+    }
     SECTION("malformed messages are rejected")
     {
         REQUIRE(rc::check("arbitrary bytes do not crash the decoder",
