Paths: messages to a domain behind a broken path go through a relay

Messages between processes of two failure domains were lost for as long as the path between them was broken, although a third domain reaches both. TransitFleet now measures the paths and sends messages to such a domain through an agent of a third one, within an eighth of the link. Each receiver has two relays that alternate every 200 ms. A relay forwards only what its origin sent to it directly. New flows avoid targets behind a broken path in either direction.

- A stamp says whether its sender forwards and receives relayed messages: a receiver of an earlier version would take a message of a relay as the relay's own.
- Members behind a path that is broken towards this process do not expire, since they cannot be heard.
- Each process keeps its own phase of the stamps.
After a change of the view all of them sent their stamps at the same times, so that what they told each other of the paths was up to 500 ms old.

--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -124,10 +124,12 @@
     src/transit_capacity_cmd.cpp
     src/transit_capacity_query.cpp
     src/transit_codec_func.cpp
+    src/transit_core_cmd.cpp
     src/transit_egress_cmd.cpp
     src/transit_entry_cmd.cpp
     src/transit_entry_query.cpp
     src/transit_fleet.cpp
+    src/transit_fleet_path.cpp
     src/transit_health.cpp
     src/transit_http.cpp
     src/transit_inventory.cpp
@@ -254,6 +256,7 @@
     tests/transit_overload_test.cpp
     tests/transit_path_test.cpp
     tests/transit_lost_test.cpp
+    tests/transit_relay_test.cpp
     tests/transit_reports_test.cpp
     tests/transit_rotation_test.cpp
     tests/transit_sim.cpp
--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -127,6 +127,8 @@
 inline constexpr Duration flowIdleLimit = seconds(60); ///< Idle time after which cached and held flows are removed.
 /** Load added to targets of other failure domains when targets are compared. */
 inline constexpr double remoteWeight = 0.25;
+/** Load added to targets behind a broken path: that of a target whose slots are all in use. */
+inline constexpr double brokenPathWeight = 1.0;
 inline constexpr double coldWeight = 0.5; ///< Load added to cold targets when targets are compared.
 /** Ratio of service times up to which targets count as alike. The error of a known service time is an eighth. */
 inline constexpr double speedDeadZone = 1.25;
@@ -400,16 +402,38 @@
 /** Difference up to which the times in two reports are the same. Delays of messages vary, by the queue of a busy
  * process or link. */
 inline constexpr Duration pathReportTolerance = milliseconds(50);
-/** A path is broken only after this many times its usual silence. With one process in the sender's domain, a single
- * lost stamp is silence of four times the mean. */
-inline constexpr std::int64_t usualSilenceFactor = 5;
-inline constexpr std::int64_t usualGapFactor = 3; ///< The same for the gaps in the messages of a path that heals.
+/** A path is broken only after this many times its usual silence. If all processes send their stamps at the same times,
+ * silence varies between zero and twice the mean. */
+inline constexpr std::int64_t usualSilenceFactor = 3;
+/** The same for a path with few stamps. If a single process sends a single one in each round, the loss of one is a
+ * silence of four times the mean. */
+inline constexpr std::int64_t sparseSilenceFactor = 5;
+/** Successive updates at which a path has to look broken. All processes may send their stamps at about the same time,
+ * and the first of them to arrive can be one that heard less than the others. */
+inline constexpr std::uint32_t pathConfirmations = 2;
+/** Stamps in one round of all processes below which a path has few. With ten, it is unlikely that all of them are lost
+ * or went to other domains. */
+inline constexpr std::size_t minRoundStamps = 10;
 /** Inverse weight of a sample in the usual silence, taken at each evaluation: a mean over 6 s. */
 inline constexpr std::int64_t usualSilenceWeight = 128;
 /** Usual silence above which the state of a path is unknown; its messages are too rare to tell in `pathSilence`. */
-inline constexpr Duration maxUsualSilence = pathSilence / 2;
+inline constexpr Duration maxUsualSilence = milliseconds(300);
 inline constexpr std::size_t maxPathReports = 16; ///< Reports in one stamp; 256 bytes.
 inline constexpr std::size_t maxPaths = 1024; ///< Pairs of domains that are tracked; 32 domains.
+/** Members up to which each stamp carries `maxPathReports`. In larger fleets the stamps of every second round carry
+ * `largeFleetReports`: with the stamps about rotation, that is 10.1 of the 10.24 KB/s that a process may use. */
+inline constexpr std::size_t maxFullReports = 1000;
+inline constexpr std::size_t largeFleetReports = 3;
+/** Minimum interval between two rounds of stamps because a path broke. */
+inline constexpr Duration pathRoundInterval = milliseconds(100);
+/** Time after which the relay of a receiver changes; a retransmission, after 200 ms at the earliest, takes the other.
+ */
+inline constexpr Duration relayTurn = milliseconds(200);
+inline constexpr std::size_t maxRelayCandidates = 32; ///< Agents that are compared as relays of a receiver.
+/** Relayed messages may use one part in this many of the link's bandwidth, at the sender and at the relay. */
+inline constexpr std::int64_t relayLinkShare = 8;
+inline constexpr std::size_t flowBytes = 16; ///< Size of a flow in a message.
+inline constexpr std::size_t viewItemBytes = 200; ///< Approximate size of an item of the view in a message.
 inline constexpr Duration maxPathAge = seconds(3600); ///< Longest time in a report, so that it fits into 32 bits.
 
 // Shell.
--- a/src/table/transit_names.h
+++ b/src/table/transit_names.h
@@ -92,6 +92,9 @@
     "store_failures",
     "log_lines_dropped",
     "entry_changes",
+    "messages_relayed",
+    "relay_forwarded",
+    "relay_over_budget",
 };
 
 inline constexpr NameTable<EntryReason> entryReasonNames = {
--- a/src/transit_balancer_cmd.cpp
+++ b/src/transit_balancer_cmd.cpp
@@ -25,6 +25,7 @@
 {
     std::size_t firstEffect = effects.size();
     m_fleet.onTick(now, {}, effects);
+    m_placement.setBrokenDomains(m_fleet.domainsBehindBrokenPaths());
     releaseWaitingPackets(now, effects);
     // After a late tick, answers that are waiting in the sockets have to be read before timeouts are evaluated.
     bool isLate = m_lastTickAt && now >= *m_lastTickAt + lateTickThreshold;
--- a/src/transit_codec_func.cpp
+++ b/src/transit_codec_func.cpp
@@ -38,6 +38,7 @@
     constexpr std::uint8_t flagReady = 32; ///< Of a StampMessage.
     constexpr std::uint8_t flagHeartbeat = 32; ///< Of an InventoryUpdateMessage.
     constexpr std::uint8_t flagComplete = 64;
+    constexpr std::uint8_t flagTakesRelayed = 64; ///< Of a StampMessage.
     constexpr std::uint8_t flagFinal = 128;
     constexpr std::uint8_t flagRegistered = 1; ///< Of an InventoryUpdateMessage, which does not use flagLocating.
 
@@ -293,6 +294,7 @@
         putNodes(out, body.balancers);
         out.failure_domain = body.failureDomain;
         out.flags |= body.isReady ? flagReady : 0;
+        out.flags |= body.takesRelayed ? flagTakesRelayed : 0;
         if (body.entry)
             out.entry = std::make_unique<wire::EntryT>(wireEntryOf(*body.entry));
         for (const auto& path : body.paths)
@@ -435,7 +437,8 @@
                 return std::nullopt;
             return StampMessage { static_cast<ProcessRole>(in.role), in.incarnation, { in.age_us },
                 (in.flags & flagWantsReply) != 0, (in.flags & flagWantsFullDelta) != 0, loadOf(in), endpointsOf(in),
-                in.failure_domain, (in.flags & flagReady) != 0, entryOf(in), pathsOf(in) };
+                in.failure_domain, (in.flags & flagReady) != 0, entryOf(in), pathsOf(in),
+                (in.flags & flagTakesRelayed) != 0 };
         case Kind::Delta: {
             DeltaMessage message { { in.age_us },
                 { Revision(in.since), Revision(in.through), (in.flags & flagKeys) != 0, in.keys, {} } };
--- a/src/transit_core_base.h
+++ b/src/transit_core_base.h
@@ -27,7 +27,20 @@
     /** Handles a packet from a caller (balancer) or from the target (agent). */
     virtual void onPacket(TransitPacket packet, TimePoint now, TransitEffects& effects) = 0;
 
-    /** Handles a message from another process. */
+    /** Handles a message that arrived from another process: for this one, or to be relayed. */
+    void receive(Endpoint from, Message message, TimePoint now, TransitEffects& effects);
+
+    /** Message as it is sent. */
+    struct Outgoing {
+        Endpoint to; ///< Its receiver, or a relay.
+        Message message;
+        std::optional<TransitCounter> counter; ///< To be increased.
+    };
+
+    /** Chooses the way of a message. */
+    Outgoing outgoing(SendMessage&& effect, TimePoint now);
+
+    /** Handles a message whose sender is known, as TransitCore::receive does for messages to this process. */
     virtual void onMessage(Endpoint from, Message message, TimePoint now, TransitEffects& effects) = 0;
 
     /** Handles the result of a probe: whether the process of the target is running. A process that hangs is running. */
--- a/src/transit_effect_type.h
+++ b/src/transit_effect_type.h
@@ -20,6 +20,12 @@
     MessageBody body;
 };
 
+/** Send the message of another process to its receiver, unchanged. */
+struct RelayMessage {
+    Endpoint to;
+    Message message;
+};
+
 /** Send a caller's packet to the target of this agent. */
 struct DeliverToTarget {
     TransitPacket packet;
@@ -100,6 +106,9 @@
     StoreFailures,
     LogLinesDropped,
     EntryChanges, ///< A balancer left rotation or returned because of the load.
+    MessagesRelayed, ///< Sent through a relay, since the path to the receiver's failure domain is broken.
+    RelayForwarded, ///< Messages of other processes that this one forwarded as a relay.
+    RelayOverBudget, ///< Not sent through a relay, or dropped by it, since the bytes for it were used up.
     End,
 };
 
@@ -124,8 +133,8 @@
     Duration time;
 };
 
-using TransitEffect = std::variant<SendMessage, DeliverToTarget, DeliverToCaller, ResetCaller, ReadStore, WatchStore,
-    ProbeTarget, WriteLog, CountEvent, RecordTime>;
+using TransitEffect = std::variant<SendMessage, RelayMessage, DeliverToTarget, DeliverToCaller, ResetCaller, ReadStore,
+    WatchStore, ProbeTarget, WriteLog, CountEvent, RecordTime>;
 using TransitEffects = std::vector<TransitEffect>;
 
 /** Reason why a store call returned no data. */
--- a/src/transit_fleet.cpp
+++ b/src/transit_fleet.cpp
@@ -14,6 +14,7 @@
 
 TransitFleet::TransitFleet(FleetOptions options)
     : m_options(std::move(options))
+    , m_paths(domainIdOf(m_options.failureDomain))
     , m_random(m_options.incarnation)
 {
     for (Endpoint seed : m_options.seeds) {
@@ -25,11 +26,12 @@
 void TransitFleet::onTick(TimePoint now, const LoadReport& load, TransitEffects& effects)
 {
     m_load = load;
+    updatePaths(now, effects);
     if (m_firstReadAt == TimePoint {})
         m_firstReadAt = now + firstReadWait();
     if (now >= m_nextStampAt) {
         // A process without a view sends stamps ten times as often, to get one soon.
-        m_nextStampAt = now + (m_view.through() ? stampInterval : stampInterval / 10);
+        m_nextStampAt = m_view.through() ? nextRoundAt(now) : now + stampInterval / 10;
         sendStampRound(now, effects);
     }
     if (m_entry && now >= m_nextEntryStampAt)
@@ -73,8 +75,10 @@
     bool isNew = member.incarnation != stamp.incarnation;
     member.role = stamp.role;
     member.incarnation = stamp.incarnation;
-    member.failureDomain = stamp.failureDomain;
+    setDomain(member, stamp.failureDomain);
     member.isReady = stamp.isReady;
+    member.takesRelayed = stamp.takesRelayed;
+    m_paths.onReports(member.domain, stamp.paths, now);
     // The usual stamps carry no report. A new process may be of a version that has none.
     if (stamp.entry || isNew) {
         member.entry = stamp.entry;
@@ -226,7 +230,7 @@
         addMember(agent, ProcessRole::Agent, now);
         auto member = m_members.find(agent);
         if (member != m_members.end())
-            member->second.failureDomain = target.record.failureDomain;
+            setDomain(member->second, target.record.failureDomain);
     }
 }
 
@@ -312,13 +316,24 @@
         return;
     }
     m_lastChangeRoundAt = now;
-    m_nextStampAt = now + stampInterval;
+    m_nextStampAt = nextRoundAt(now);
     sendStampRound(now, effects);
 }
 
+TimePoint TransitFleet::nextRoundAt(TimePoint now) const
+{
+    // Each process keeps its own phase. A change of the view starts a round at all processes; if all of them continued
+    // from there, what they tell each other of the paths would be one interval old.
+    std::int64_t phase
+        = static_cast<std::int64_t>(m_options.incarnation % static_cast<std::uint64_t>(stampInterval.us));
+    TimePoint earliest = now + stampInterval / 2;
+    std::int64_t past = (earliest.us - phase) % stampInterval.us;
+    return earliest + microseconds(past ? stampInterval.us - past : 0);
+}
+
 bool TransitFleet::isAlive(const Member& member, TimePoint now) const
 {
-    return member.incarnation && now < member.lastHeardAt + lifetimeOf(member);
+    return member.incarnation && (now < member.lastHeardAt + lifetimeOf(member) || isBehindBrokenPath(member));
 }
 
 bool TransitFleet::isAlive(Endpoint endpoint, TimePoint now) const
@@ -387,6 +402,7 @@
         .isReady = m_isReady,
         .entry = {},
         .paths = {},
+        .takesRelayed = m_options.relayPaths,
     };
     std::vector<Endpoint> balancers;
     for (const auto& [endpoint, member] : m_members) {
@@ -419,10 +435,18 @@
 {
     std::vector<Endpoint> sameDomain;
     std::vector<Endpoint> otherDomains;
-    for (const auto& [endpoint, member] : m_members)
+    std::map<DomainId, std::size_t> processes { { domainIdOf(m_options.failureDomain), 1 } };
+    for (const auto& [endpoint, member] : m_members) {
         (isInSameDomain(member) ? sameDomain : otherDomains).push_back(endpoint);
+        ++processes[member.domain];
+    }
+    m_paths.setProcesses(std::move(processes));
     m_sameDomainMembers = sameDomain.size();
-    const StampMessage stamp = makeStamp(now, false);
+    StampMessage stamp = makeStamp(now, false);
+    // In a large fleet, the stamps and the reports have to fit the budget for messages between processes.
+    bool isLarge = m_members.size() > maxFullReports;
+    std::size_t reports = isLarge ? (++m_rounds % 2 ? 0 : largeFleetReports) : maxPathReports;
+    stamp.paths = m_paths.reports(reports, mix64(m_random, m_rounds), now);
     std::size_t stampLimit = fanout();
     std::size_t otherDomainCount
         = stampLimit == m_members.size() ? otherDomains.size() : std::min(remoteDomainFanout, otherDomains.size());
@@ -454,7 +478,7 @@
     for (auto entry = m_members.begin(); entry != m_members.end();) {
         Member& member = entry->second;
         bool isSeed = std::find(m_options.seeds.begin(), m_options.seeds.end(), entry->first) != m_options.seeds.end();
-        bool isSilent = now >= member.lastHeardAt + lifetimeOf(member);
+        bool isSilent = now >= member.lastHeardAt + lifetimeOf(member) && !isBehindBrokenPath(member);
         if (isSilent && member.incarnation) {
             effects.push_back(WriteLog { "member_lost",
                 { { "peer", toString(entry->first) }, { "role", std::string(nameOf(member.role)) },
--- a/src/transit_fleet_base.h
+++ b/src/transit_fleet_base.h
@@ -7,8 +7,10 @@
 #pragma once
 
 #include "transit_effect_type.h"
+#include "transit_path_base.h"
 #include "transit_view_base.h"
 
+#include <map>
 #include <optional>
 #include <unordered_map>
 
@@ -21,6 +23,8 @@
     std::uint64_t incarnation {}; ///< Random number drawn when the process starts.
     std::vector<Endpoint> seeds; ///< Initial members; the list may be out of date.
     std::string failureDomain; ///< Failure domain of the VM of this process.
+    std::int64_t linkBytesPerSecond { 125000000 }; ///< Bandwidth of the VM's network link.
+    bool relayPaths { true }; ///< Messages to domains behind broken paths go through relays; this process is one.
 };
 
 /** State of another process, as known to this one. */
@@ -28,7 +32,9 @@
     ProcessRole role {};
     std::uint64_t incarnation {}; ///< Zero while the process is not alive.
     TimePoint lastHeardAt {}; ///< When the last message was received, or when the member was added.
-    std::string failureDomain; ///< Empty while unknown.
+    std::string failureDomain; ///< Empty while unknown. Set by TransitFleet::setDomain.
+    DomainId domain {}; ///< Its hash.
+    bool takesRelayed {}; ///< Forwards and receives relayed messages, by its last stamp.
     bool isReady {}; ///< Balancers only: whether routers may send packets there, by its last stamp.
     std::optional<EntryReport> entry; ///< Balancers only: its last report.
     TimePoint entryAt; ///< When that report was received.
@@ -40,6 +46,13 @@
     std::size_t ready {};
 };
 
+/** Process that a message is sent to. */
+struct MessageRoute {
+    Endpoint to; ///< The receiver, or the relay.
+    bool isRelayed {};
+    bool isOverBudget {}; ///< Sent directly over a broken path, since the bytes for relays are used up.
+};
+
 /** Membership, the replicated view, and the choice of the processes that read the store. */
 class TransitFleet {
 public:
@@ -60,6 +73,24 @@
      */
     void recordContact(Endpoint from, Revision through, TimePoint now, TransitEffects& effects);
 
+    /** Records that a message of any kind was received directly from its sender, for the state of the paths. */
+    void recordReceived(Endpoint from, TimePoint now);
+
+    /** @return Where to send a message: through a relay while the path to the receiver's domain is broken. */
+    MessageRoute routeFor(Endpoint to, const MessageBody& body, TimePoint now);
+
+    /**
+     * Forwards a message to the receiver that it names.
+     * @param from Process that this one got it from. Refused if that is not its origin, so that there are no loops.
+     */
+    void relay(Endpoint from, Message message, TimePoint now, TransitEffects& effects);
+
+    /** @return State of the paths between failure domains. */
+    const TransitPaths& paths() const { return m_paths; }
+
+    /** @return Failure domains that messages do not reach directly, or whose messages do not arrive here. */
+    std::vector<std::string> domainsBehindBrokenPaths() const;
+
     /** Handles a stamp; parameters as for recordContact. @return Whether the incarnation of the sender is new. */
     bool onStamp(Endpoint from, Revision through, const StampMessage& stamp, TimePoint now, TransitEffects& effects);
 
@@ -148,6 +179,22 @@
     Endpoint self() const { return m_options.self; }
 
 private:
+    /** Agents through which messages to one failure domain go. */
+    struct Relays {
+        std::vector<Endpoint> agents; ///< Those heard last.
+        bool doAllReceive {}; ///< No member of the domain is known that does not take relayed messages.
+    };
+
+    // Paths between failure domains, in transit_fleet_path.cpp.
+    static constexpr std::size_t maxDomainNames = 64; ///< Failure domains with a name in logs.
+    void setDomain(Member& member, const std::string& name);
+    std::string nameOfDomain(DomainId domain) const;
+    void updatePaths(TimePoint now, TransitEffects& effects);
+    void findRelays(TimePoint now);
+    static Endpoint chooseRelay(const std::vector<Endpoint>& agents, Endpoint to, TimePoint now);
+    bool takeRelayBytes(std::int64_t bytes, TimePoint now);
+    bool isBehindBrokenPath(const Member& member) const;
+
     StampMessage makeStamp(TimePoint now, bool wantsReply) const;
     void sendStamp(Endpoint to, bool wantsReply, TimePoint now, TransitEffects& effects);
     void sendDelta(Endpoint to, Revision since, TimePoint now, TransitEffects& effects);
@@ -155,6 +202,7 @@
     void sendStamps(
         const StampMessage& stamp, const std::vector<Endpoint>& members, std::size_t count, TransitEffects& effects);
     void sendStampRound(TimePoint now, TransitEffects& effects);
+    TimePoint nextRoundAt(TimePoint now) const;
     std::vector<Endpoint> entryReceivers() const;
     Member* findOrAddMember(Endpoint endpoint);
     void expireMembers(TimePoint now, TransitEffects& effects);
@@ -181,6 +229,14 @@
     TransitView m_view;
     std::unordered_map<Endpoint, Member> m_members;
     std::size_t m_sameDomainMembers {}; ///< Members in the same failure domain, as of the last gossip round.
+    TransitPaths m_paths;
+    std::map<DomainId, std::string> m_domainNames; ///< Of the members.
+    std::map<DomainId, Relays> m_relays; ///< By failure domain behind a broken path.
+    TimePoint m_nextRelayUpdateAt;
+    TimePoint m_lastPathRoundAt;
+    std::int64_t m_relayBytes {}; ///< Remaining byte budget for relayed messages.
+    TimePoint m_relayRefilledAt;
+    std::uint64_t m_rounds {}; ///< Rounds of stamps since the start.
     LoadReport m_load;
     bool m_isReady {};
     Duration m_entryStampInterval; ///< Interval between stamps with `m_entry`.
--- a/src/transit_message_type.h
+++ b/src/transit_message_type.h
@@ -120,7 +120,8 @@
     std::string failureDomain; ///< Of the sender's VM.
     bool isReady {}; ///< Balancers only: the sender is ready to receive packets from routers.
     std::optional<EntryReport> entry; ///< In stamps to balancers of the own failure domain, from balancers.
-    std::vector<PathReport> paths; ///< At most `maxPathReports`; empty in stamps of earlier versions.
+    std::vector<PathReport> paths; ///< At most `maxPathReports`; in the stamps of a round only.
+    bool takesRelayed {}; ///< The sender forwards and receives relayed messages; processes of earlier versions do not.
 };
 
 /** Part of the view that the receiver lacks. */
--- a/src/transit_path_base.h
+++ b/src/transit_path_base.h
@@ -22,8 +22,11 @@
     /** Records that a process of a failure domain sent a message to this one directly, not through a relay. */
     void recordReceived(DomainId from, TimePoint now);
 
-    /** Merges the reports of a message. */
-    void onReports(const std::vector<PathReport>& reports, TimePoint now);
+    /** Sets the number of processes in each failure domain, from which the number of stamps on a path follows. */
+    void setProcesses(std::map<DomainId, std::size_t> processes);
+
+    /** Merges the reports of a message. @param sender Failure domain of its sender. */
+    void onReports(DomainId sender, const std::vector<PathReport>& reports, TimePoint now);
 
     /**
      * Evaluates the paths every `pathUpdateInterval`. Called at each tick, so that a pause of the process shows.
@@ -58,9 +61,10 @@
     /** What is known of messages from one failure domain to another. The times are merged from all reports. */
     struct Path {
         TimePoint heardAt; ///< When a process in `to` last received a message.
-        TimePoint reportedAt; ///< Time of the newest report. Paths to the own domain are reported at each update.
+        TimePoint reportedAt; ///< Time of the newest report; for paths to the own domain, of another process there.
         TimePoint arrivedAt; ///< When that report arrived.
         Duration usualSilence; ///< Mean of the silence while the path is not broken.
+        std::uint32_t silentUpdates {}; ///< Successive updates at which it looked broken.
         bool isBroken {};
         std::optional<TimePoint> healingSince; ///< Messages arrive again since then.
 
@@ -76,10 +80,13 @@
     };
 
     Path* findOrAdd(Key key, TimePoint heardAt);
+    void merge(DomainId sender, const PathReport& report, TimePoint now);
     void reportOwn(TimePoint now);
+    bool hasChanged(const Key& key, Path& path) const;
     void updateActivities();
     void expire(TimePoint now, std::vector<PathChange>& changes);
     bool isSilent(const Key& key, const Path& path) const;
+    bool isSparse(const Key& key) const;
     static bool hasHealed(Path& path);
     bool isUsable(const Path& path, TimePoint now) const;
     static PathChange changeOf(const Key& key, const Path& path, TimePoint now);
@@ -87,6 +94,8 @@
     DomainId m_own {};
     std::map<Key, Path> m_paths;
     std::map<DomainId, Activity> m_activities; ///< Of the domains in `m_paths`, as of the last update.
+    std::map<DomainId, std::size_t> m_processes; ///< Number of processes in each domain.
+    std::size_t m_processCount {}; ///< In all domains.
     std::size_t m_brokenCount {};
     std::optional<TimePoint> m_receivedAt; ///< When the last message of any process was received.
     std::optional<TimePoint> m_lastTickAt;
--- a/src/transit_path_cmd.cpp
+++ b/src/transit_path_cmd.cpp
@@ -26,26 +26,43 @@
     }
 }
 
-void TransitPaths::onReports(const std::vector<PathReport>& reports, TimePoint now)
+void TransitPaths::setProcesses(std::map<DomainId, std::size_t> processes)
 {
-    for (std::size_t i = 0; i < std::min(reports.size(), maxPathReports); ++i) {
-        const PathReport& report = reports[i];
-        // Rounded up for the way here, so that a report does not seem newer each time it is forwarded.
-        TimePoint reportedAt = now - milliseconds(report.reportAgeMs) - pathReportDelay;
-        TimePoint heardAt = reportedAt - milliseconds(report.heardAgeMs);
-        bool isUsable = report.from && report.to && report.from != report.to && reportedAt > now - pathReportLifetime;
-        Path* path = isUsable ? findOrAdd({ report.from, report.to }, heardAt) : nullptr;
-        if (!path)
-            continue;
-        // The delay of a message varies. Small differences are not newer messages, or the times would grow with each
-        // forwarding.
-        if (heardAt > path->heardAt + pathReportTolerance)
-            path->heardAt = heardAt;
-        if (reportedAt <= path->reportedAt + pathReportTolerance && path->reportedAt != TimePoint {})
-            continue;
-        path->reportedAt = reportedAt;
-        path->arrivedAt = now;
+    m_processes = std::move(processes);
+    m_processCount = 0;
+    for (const auto& [domain, count] : m_processes)
+        m_processCount += count;
+}
+
+void TransitPaths::onReports(DomainId sender, const std::vector<PathReport>& reports, TimePoint now)
+{
+    for (std::size_t i = 0; i < std::min(reports.size(), maxPathReports); ++i)
+        merge(sender, reports[i], now);
+}
+
+void TransitPaths::merge(DomainId sender, const PathReport& report, TimePoint now)
+{
+    // Rounded up for the way here, so that a report does not seem newer each time it is forwarded.
+    TimePoint reportedAt = now - milliseconds(report.reportAgeMs) - pathReportDelay;
+    TimePoint heardAt = reportedAt - milliseconds(report.heardAgeMs);
+    bool isUsable = report.from && report.to && report.from != report.to && reportedAt > now - pathReportLifetime;
+    Path* path = isUsable ? findOrAdd({ report.from, report.to }, heardAt) : nullptr;
+    if (!path)
+        return;
+    // The delay of a message varies. Small differences are not newer messages, or the times would grow with each
+    // forwarding.
+    if (heardAt > path->heardAt + pathReportTolerance)
+        path->heardAt = heardAt;
+    if (report.to == m_own) {
+        // Processes of the own domain send what they know at this time. One alone hears only part of the messages.
+        if (sender != m_own)
+            return;
+        reportedAt = now;
+    } else if (reportedAt <= path->reportedAt + pathReportTolerance && path->reportedAt != TimePoint {}) {
+        return;
     }
+    path->reportedAt = reportedAt;
+    path->arrivedAt = now;
 }
 
 std::vector<PathChange> TransitPaths::update(TimePoint now)
@@ -63,13 +80,10 @@
     for (auto& [key, path] : m_paths) {
         if (!isUsable(path, now))
             continue;
-        if (path.isBroken ? !hasHealed(path) : !isSilent(key, path)) {
-            if (!path.isBroken)
-                path.usualSilence = path.usualSilence
-                    + (std::min(path.silence(), pathSilence) - path.usualSilence) / usualSilenceWeight;
+        if (!hasChanged(key, path))
             continue;
-        }
         path.isBroken = !path.isBroken;
+        path.silentUpdates = 0;
         path.healingSince.reset();
         path.isBroken ? ++m_brokenCount : --m_brokenCount;
         changes.push_back(changeOf(key, path, now));
@@ -84,12 +98,16 @@
         return &found->second;
     if (m_paths.size() >= maxPaths)
         return nullptr;
-    Path path { .heardAt = heardAt, .usualSilence = pathSilence / usualSilenceFactor };
+    Path path { .heardAt = heardAt, .usualSilence = pathSilence / sparseSilenceFactor };
     return &m_paths.emplace(key, path).first->second;
 }
 
 void TransitPaths::reportOwn(TimePoint now)
 {
+    auto processes = m_processes.find(m_own);
+    bool isAlone = processes == m_processes.end() || processes->second <= 1;
+    if (!isAlone)
+        return; // The others of the domain report.
     for (auto& [key, path] : m_paths) {
         if (key.to != m_own)
             continue;
@@ -103,6 +121,18 @@
     }
 }
 
+bool TransitPaths::hasChanged(const Key& key, Path& path) const
+{
+    if (path.isBroken)
+        return hasHealed(path);
+    if (isSilent(key, path))
+        return ++path.silentUpdates >= pathConfirmations;
+    path.silentUpdates = 0;
+    path.usualSilence
+        = path.usualSilence + (std::min(path.silence(), pathSilence) - path.usualSilence) / usualSilenceWeight;
+    return false;
+}
+
 void TransitPaths::updateActivities()
 {
     std::map<DomainId, Activity> newest;
@@ -145,7 +175,7 @@
 
 bool TransitPaths::hasHealed(Path& path)
 {
-    if (path.silence() >= std::max(pathHealTime, path.usualSilence * usualGapFactor)) {
+    if (path.silence() >= std::max(pathHealTime, path.usualSilence * usualSilenceFactor)) {
         path.healingSince.reset();
         return false;
     }
--- a/src/transit_path_query.cpp
+++ b/src/transit_path_query.cpp
@@ -61,7 +61,20 @@
     if (sender.sentAt < activeAt || receiver.receivedAt < activeAt)
         return false;
     TimePoint since = std::max({ path.heardAt, sender.sendingSince, receiver.receivingSince });
-    return path.reportedAt - since >= std::max(pathSilence, path.usualSilence * usualSilenceFactor);
+    std::int64_t factor = isSparse(key) ? sparseSilenceFactor : usualSilenceFactor;
+    return path.reportedAt - since >= std::max(pathSilence, path.usualSilence * factor);
+}
+
+bool TransitPaths::isSparse(const Key& key) const
+{
+    auto from = m_processes.find(key.from);
+    auto to = m_processes.find(key.to);
+    if (from == m_processes.end() || to == m_processes.end())
+        return true;
+    std::size_t stamps = from->second * to->second;
+    if (m_processCount > maxFullFanout)
+        stamps = stamps * remoteDomainFanout / std::max<std::size_t>(m_processCount - from->second, 1);
+    return stamps < minRoundStamps;
 }
 
 bool TransitPaths::isUsable(const Path& path, TimePoint now) const
--- a/src/transit_placement.cpp
+++ b/src/transit_placement.cpp
@@ -78,7 +78,9 @@
 void TransitPlacement::consider(Choice& choice, const TargetEntry& target, TimePoint now) const
 {
     bool isInSameDomain = target.record.failureDomain == m_failureDomain;
-    std::size_t& compared = isInSameDomain ? choice.sameDomainCount : choice.otherDomainCount;
+    std::size_t& compared = isInSameDomain ? choice.sameDomainCount
+        : isBehindBrokenPath(target)       ? choice.brokenPathCount // Does not replace one that is in reach.
+                                           : choice.otherDomainCount;
     if (&target == choice.best || compared >= (isInSameDomain ? sameDomainCandidates : otherDomainCandidates))
         return;
     ++compared;
@@ -146,11 +148,19 @@
     }
     if (target.record.failureDomain != m_failureDomain)
         load += remoteWeight;
+    if (isBehindBrokenPath(target))
+        load += brokenPathWeight;
     if (now < target.receivedAt + target.record.coldLeft)
         load += coldWeight;
     return load;
 }
 
+bool TransitPlacement::isBehindBrokenPath(const TargetEntry& target) const
+{
+    return std::find(m_brokenDomains.begin(), m_brokenDomains.end(), target.record.failureDomain)
+        != m_brokenDomains.end();
+}
+
 TransitPlacement::Speeds TransitPlacement::speedsOf(const std::vector<const TargetEntry*>& targets) const
 {
     Speeds sum { .timePerSlotUs = 0, .slotsPerLimit = 0 };
--- a/src/transit_placement_base.h
+++ b/src/transit_placement_base.h
@@ -47,6 +47,9 @@
     SpareTarget chooseSpare(const TransitView& view, const std::string& service, const FlowTuple& flow,
         const std::vector<std::uint32_t>& tried, TimePoint now) const;
 
+    /** Sets the failure domains behind broken paths; their targets count as if all of their slots were in use. */
+    void setBrokenDomains(std::vector<std::string> domains) { m_brokenDomains = std::move(domains); }
+
     /** Counts an opening packet that was sent to a target. */
     void recordSent(std::uint32_t address);
 
@@ -73,7 +76,8 @@
 
     /**
      * @return Estimated load of a target: the expected time to an answer, relative to the time that the mean target of
-     * its service takes for as many requests as its limit, plus penalties for other failure domains and cold targets.
+     * its service takes for as many requests as its limit, plus penalties for other failure domains, broken paths and
+     * cold targets.
      */
     double loadOf(const TransitView& view, const TargetEntry& target, TimePoint now) const;
 
@@ -107,6 +111,7 @@
         Speeds speeds; ///< Of the service's targets.
         std::size_t sameDomainCount {}; ///< Compared targets in the balancer's failure domain.
         std::size_t otherDomainCount {}; ///< Compared targets in other failure domains.
+        std::size_t brokenPathCount {}; ///< Compared targets behind broken paths.
 
         bool isComplete() const
         {
@@ -120,7 +125,10 @@
     static double relativeTime(const Estimate& estimate, std::uint32_t slots, const Speeds& speeds);
     bool isEligible(const TransitView& view, const TargetEntry& target, const std::vector<std::uint32_t>& tried) const;
 
+    bool isBehindBrokenPath(const TargetEntry& target) const;
+
     std::string m_failureDomain;
+    std::vector<std::string> m_brokenDomains; ///< Behind broken paths; usually empty.
     std::unordered_map<std::uint32_t, Estimate> m_estimates; ///< By target address; one entry per target.
 };
 
--- a/src/transit_shell.cpp
+++ b/src/transit_shell.cpp
@@ -86,7 +86,7 @@
             { { "peer", toString(from) }, { "size", static_cast<std::int64_t>(reassembled->size()) } } });
         return;
     }
-    m_core.onMessage(from, std::move(*message), now, m_effects);
+    m_core.receive(from, std::move(*message), now, m_effects);
     applyEffects();
 }
 
@@ -221,7 +221,6 @@
 void TransitShell::applyEffect(SendMessage& effect)
 {
     m_metrics.add(TransitCounter::MessagesOut);
-    std::size_t kind = effect.body.index();
     EgressDatagram head { .socket = EgressSocket::Fleet, .to = effect.to };
     head.flowHash = std::hash<Endpoint> {}(effect.to);
     if (const FlowTuple* flow = forwardedFlowOf(effect.body); flow && m_options.linkBytesPerSecond) {
@@ -231,13 +230,29 @@
         head.flow = *flow;
     }
     TimePoint now = monotonicNow();
-    Message message { m_core.fleet().view().through(), std::move(effect.body) };
+    auto outgoing = m_core.outgoing(std::move(effect), now);
+    if (outgoing.counter)
+        m_metrics.add(*outgoing.counter);
+    head.to = outgoing.to;
+    sendMessage(head, outgoing.message, now);
+}
+
+void TransitShell::applyEffect(RelayMessage& effect)
+{
+    EgressDatagram head {
+        .flowHash = std::hash<Endpoint> {}(effect.to), .socket = EgressSocket::Fleet, .to = effect.to
+    };
+    sendMessage(head, effect.message, monotonicNow());
+}
+
+void TransitShell::sendMessage(const EgressDatagram& head, const Message& message, TimePoint now)
+{
     auto datagrams = m_joiner.split(encodeMessage(message, now));
     if (datagrams.empty())
-        log({ "message_too_long", { { "peer", toString(effect.to) } } });
-    bool isInSameDomain = m_core.fleet().isInSameDomain(effect.to);
+        log({ "message_too_long", { { "peer", toString(head.to) } } });
+    bool isInSameDomain = m_core.fleet().isInSameDomain(head.to);
     for (const auto& datagram : datagrams) {
-        m_metrics.countSent(kind, isInSameDomain, datagram.size());
+        m_metrics.countSent(message.body.index(), isInSameDomain, datagram.size());
         sendOrQueue(head, datagram, now);
     }
 }
@@ -323,6 +338,7 @@
         { "view_age_us", age ? age->us : -1 },
         { "members", static_cast<std::int64_t>(fleet.members().size()) },
         { "targets", static_cast<std::int64_t>(fleet.view().targets().size()) },
+        { "broken_paths", static_cast<std::int64_t>(fleet.paths().brokenCount()) },
         { "datagrams_not_taken", static_cast<std::int64_t>(m_packetSocket.dropped() + m_fleetSocket.dropped()) },
         { "egress_waiting_bytes", egress.waitingBytes },
         { "egress_dropped_total{reason=\"age\"}",
--- a/src/transit_shell.h
+++ b/src/transit_shell.h
@@ -67,7 +67,9 @@
     void armEgressTimer();
     void logEgressDrops(TimePoint now);
     UdpSocket& socketOf(EgressSocket socket);
+    void sendMessage(const EgressDatagram& head, const Message& message, TimePoint now);
     void applyEffect(SendMessage& effect);
+    void applyEffect(RelayMessage& effect);
     void applyEffect(DeliverToTarget& effect);
     void applyEffect(DeliverToCaller& effect);
     void applyEffect(ResetCaller& effect);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -238,6 +238,8 @@
         CHECK(std::get<StampMessage>(roundTrip(stamp)).entry == stamp.entry);
         // Guards against a balancer of an earlier version that counts as one without capacity.
         CHECK_FALSE(std::get<StampMessage>(roundTrip(StampMessage { .role = ProcessRole::Balancer })).entry);
+        stamp.takesRelayed = true;
+        CHECK(std::get<StampMessage>(roundTrip(stamp)).takesRelayed);
         stamp.paths = { { 1, 4294967295, 3, 4 }, { 5, 6, 7, 8 } };
         CHECK(std::get<StampMessage>(roundTrip(stamp)).paths == stamp.paths);
         // Guards against a message that keeps its receiver busy with reports.
--- a/tests/transit_sim.h
+++ b/tests/transit_sim.h
@@ -102,6 +102,10 @@
     /** Drops messages between this failure domain and the others. @param domain Empty to end the partition. */
     void partitionDomain(const std::string& domain) { m_partitionedDomain = domain; }
 
+    /** Drops messages of one failure domain to another; those in the other direction pass. */
+    void breakPath(const std::string& from, const std::string& to) { m_brokenPaths.emplace(from, to); }
+    void healPath(const std::string& from, const std::string& to) { m_brokenPaths.erase({ from, to }); }
+
     /**
      * Decides how long a message takes, or that it is lost (no value). Empty for the usual delay.
      */
@@ -131,6 +135,9 @@
     /** Sets the configured link bandwidth of balancers that are started from now on. */
     void setLink(std::int64_t bytesPerSecond) { m_linkBytesPerSecond = bytesPerSecond; }
 
+    /** Sets whether processes that are started from now on use relays and are relays. */
+    void setRelayPaths(bool areUsed) { m_relayPaths = areUsed; }
+
     /** Kills the process of a target without informing its agent. */
     void crashTarget(std::uint32_t address);
 
@@ -217,6 +224,7 @@
      */
     void deliver(Endpoint process, std::uint64_t incarnation, std::function<void(TransitCore&)> action);
     bool isPartitioned(Endpoint from, Endpoint to);
+    void transmit(Endpoint from, Endpoint to, Message message);
     void applyEffects(Endpoint process, TransitEffects& effects);
     void receiveAtTarget(std::uint32_t address, TransitPacket packet, std::uint32_t tag);
     void receiveTransferAtTarget(std::uint32_t address, const TransitPacket& packet);
@@ -248,6 +256,7 @@
     std::map<FlowTuple, FakeTransfer> m_transfers;
     std::set<std::uint32_t> m_disconnected;
     std::string m_partitionedDomain;
+    std::set<std::pair<std::string, std::string>> m_brokenPaths;
     MessageFate m_messageFate;
     std::set<Endpoint> m_paused;
     std::vector<Endpoint> m_seeds;
@@ -258,6 +267,7 @@
     bool m_isStoreDown {};
     ReleaseOrder m_releaseOrder { ReleaseOrder::InTimeFirst };
     std::int64_t m_linkBytesPerSecond { 125000000 };
+    bool m_relayPaths { true };
     std::size_t m_messages {};
     std::size_t m_locateMessages {};
     std::size_t m_crossDomainStamps {};
