--- a/src/transit_balancer_cmd.cpp
+++ b/src/transit_balancer_cmd.cpp
@@ -6,8 +6,19 @@
 
 namespace hawthorncroft {
 
+namespace {
+
+    FleetOptions fleetOptionsOf(const TransitBalancerOptions& options)
+    {
+        FleetOptions fleet = options.fleet;
+        fleet.linkBytesPerSecond = options.linkBytesPerSecond;
+        return fleet;
+    }
+
+}
+
 TransitBalancer::TransitBalancer(TransitBalancerOptions options)
-    : TransitCore(options.fleet)
+    : TransitCore(fleetOptionsOf(options))
     , m_options(std::move(options))
     , m_placement(m_options.failureDomain)
     , m_entry({ .self = m_options.fleet.self,
--- a/src/transit_fleet_base.h
+++ b/src/transit_fleet_base.h
@@ -23,7 +23,7 @@
     std::uint64_t incarnation {}; ///< Random number drawn when the process starts.
     std::vector<Endpoint> seeds; ///< Initial members; the list may be out of date.
     std::string failureDomain; ///< Failure domain of the VM of this process.
-    std::int64_t linkBytesPerSecond { 125000000 }; ///< Bandwidth of the VM's network link.
+    std::int64_t linkBytesPerSecond { 125000000 }; ///< Bandwidth of the VM's link; those beside targets are wide.
     bool relayPaths { true }; ///< Messages to domains behind broken paths go through relays; this process is one.
 };
 
--- a/tests/platform_settings_test.cpp
+++ b/tests/platform_settings_test.cpp
@@ -40,6 +40,21 @@
         CHECK_THAT(faults[1], Catch::Matchers::StartsWith("vm: \"\""));
         CHECK_THAT(faults[2], Catch::Matchers::StartsWith("packets: \"nowhere\""));
     }
+    SECTION("the use of relays has a default and can be switched off in both roles")
+    {
+        for (auto role : { ProcessRole::Balancer, ProcessRole::Agent }) {
+            faults.clear();
+            CHECK(parsePlatformSettings(role, good, faults).relayPaths);
+            std::string text = good;
+            text.insert(1, R"("relayPaths":false,)");
+            CHECK_FALSE(parsePlatformSettings(role, text, faults).relayPaths);
+            CHECK(faults.empty());
+            text.replace(text.find("false"), 5, "7");
+            parsePlatformSettings(role, text, faults);
+            REQUIRE(faults.size() == 1);
+            CHECK(faults[0] == "relayPaths: 7; allowed: true or false");
+        }
+    }
     SECTION("settings of rotation have defaults, so that a file without them works")
     {
         PlatformSettings settings = parsePlatformSettings(ProcessRole::Balancer, good, faults);
--- a/tests/transit_entry_test.cpp
+++ b/tests/transit_entry_test.cpp
@@ -583,7 +583,10 @@
         stamp.entry.reset();
         stamp.balancers = { { 1, 2 }, { 3, 4 }, { 5, 6 }, { 7, 8 } };
         std::size_t usualBytes = encodeMessage({ Revision(7), stamp }, now).size() + headerBytes;
-        CAPTURE(entryBytes, usualBytes);
-        CHECK(entryBytes * entrySampleSize * roundsPerSecond + usualBytes * stampFanout * 2 < budget);
+        // Reports on paths are in the stamps of every second round.
+        stamp.paths.resize(largeFleetReports, { 4000000000, 4000000000, 800, 600 });
+        std::size_t reportBytes = encodeMessage({ Revision(7), stamp }, now).size() + headerBytes;
+        CAPTURE(entryBytes, usualBytes, reportBytes);
+        CHECK(entryBytes * entrySampleSize * roundsPerSecond + (usualBytes + reportBytes) * stampFanout < budget);
     }
 }
--- a/tests/transit_sim.cpp
+++ b/tests/transit_sim.cpp
@@ -109,8 +109,6 @@
         .seeds = m_seeds,
         .failureDomain = settings.domain,
         .relayPaths = m_relayPaths };
-    if (!settings.isAgent)
-        fleet.linkBytesPerSecond = m_linkBytesPerSecond;
     if (!settings.isAgent)
         return std::make_unique<TransitBalancer>(TransitBalancerOptions { .fleet = fleet,
             .failureDomain = settings.domain,
