--- a/tests/transit_relay_test.cpp
+++ b/tests/transit_relay_test.cpp
@@ -336,6 +336,31 @@
     CHECK_FALSE(fleet.routeFor(to, StampMessage {}, now + seconds(5)).isRelayed);
 }
 
+TEST_CASE("Stamps of a large fleet carry few reports", "[transit][path][relay]")
+{
+    // Guards against reports that exceed the budget for messages between processes.
+    auto [members, most]
+        = GENERATE(std::pair { 900U, std::size_t { 2 * maxPathReports } }, std::pair { 3000U, largeFleetReports });
+    TimePoint now { seconds(100).us };
+    TransitEffects effects;
+    TransitFleet fleet({ .self = { 1, fleetPort }, .incarnation = 1, .failureDomain = "a" });
+    for (std::uint32_t i = 2; i < members + 2; ++i)
+        fleet.addMember({ i, fleetPort }, ProcessRole::Agent, now);
+    std::size_t reports = 0;
+    for (int round = 0; round < 2; ++round) {
+        for (std::uint32_t i = 0; i < 420; ++i)
+            fleet.onStamp({ 2, fleetPort }, Revision(),
+                { .incarnation = 2, .failureDomain = "b", .paths = { { i + 1, i / 20 + 1000, 10, 5 } } }, now, effects);
+        effects.clear();
+        fleet.startGossipRound(now, effects);
+        const auto* stamp = std::get_if<StampMessage>(&std::get<SendMessage>(effects.front()).body);
+        REQUIRE(stamp);
+        reports += stamp->paths.size();
+        now = now + stampInterval;
+    }
+    CHECK(reports == most);
+}
+
 TEST_CASE("A fleet of 99 processes detects a broken path in time", "[transit][path][relay]")
 {
     // As in deployments with 25 balancers and 64 targets: a stamp goes to 12 processes, 3 of them in other domains.
