--- a/src/transit_core_cmd.cpp
+++ b/src/transit_core_cmd.cpp
@@ -14,8 +14,8 @@
         return;
     }
     // Stamps are the measurement of the direct path and never go through a relay.
-    bool isUsable
-        = message.origin && message.origin != m_fleet.self() && !std::holds_alternative<StampMessage>(message.body);
+    bool isUsable = message.origin && message.origin != m_fleet.self() && m_fleet.members().contains(from)
+        && !std::holds_alternative<StampMessage>(message.body);
     if (!isUsable)
         return;
     Endpoint origin = message.origin;
--- a/tests/transit_relay_test.cpp
+++ b/tests/transit_relay_test.cpp
@@ -277,6 +277,17 @@
         message.relayTo = sender;
         CHECK(forwarded(sender).empty());
     }
+    SECTION("and a receiver takes a message from members only")
+    {
+        message = { fleet.lastRevision(), LeavingMessage { ProcessRole::Balancer }, relay, sender };
+        auto isAliveAfter = [&](Endpoint from) {
+            TransitEffects effects;
+            fleet.agent(relay).receive(from, message, fleet.now(), effects);
+            return fleet.agent(relay).fleet().isAlive(sender, fleet.now());
+        };
+        CHECK(isAliveAfter({ 99, fleetPort }));
+        CHECK_FALSE(isAliveAfter(fleet.agents["c"][1]));
+    }
     SECTION("and a receiver takes no stamp from a relay, since stamps are the measurement")
     {
         message
