--- a/src/transit_fleet.cpp
+++ b/src/transit_fleet.cpp
@@ -14,7 +14,8 @@
 
 TransitFleet::TransitFleet(FleetOptions options)
     : m_options(std::move(options))
-    , m_paths(domainIdOf(m_options.failureDomain))
+    , m_ownDomain(domainIdOf(m_options.failureDomain))
+    , m_paths(m_ownDomain)
     , m_random(m_options.incarnation)
 {
     for (Endpoint seed : m_options.seeds) {
@@ -435,7 +436,7 @@
 {
     std::vector<Endpoint> sameDomain;
     std::vector<Endpoint> otherDomains;
-    std::map<DomainId, std::size_t> processes { { domainIdOf(m_options.failureDomain), 1 } };
+    std::map<DomainId, std::size_t> processes { { m_ownDomain, 1 } };
     for (const auto& [endpoint, member] : m_members) {
         (isInSameDomain(member) ? sameDomain : otherDomains).push_back(endpoint);
         ++processes[member.domain];
--- a/src/transit_fleet_base.h
+++ b/src/transit_fleet_base.h
@@ -229,6 +229,7 @@
     TransitView m_view;
     std::unordered_map<Endpoint, Member> m_members;
     std::size_t m_sameDomainMembers {}; ///< Members in the same failure domain, as of the last gossip round.
+    DomainId m_ownDomain {};
     TransitPaths m_paths;
     std::map<DomainId, std::string> m_domainNames; ///< Of the members.
     std::map<DomainId, Relays> m_relays; ///< By failure domain behind a broken path.
--- a/src/transit_fleet_path.cpp
+++ b/src/transit_fleet_path.cpp
@@ -53,7 +53,7 @@
 
 std::string TransitFleet::nameOfDomain(DomainId domain) const
 {
-    if (domain == domainIdOf(m_options.failureDomain))
+    if (domain == m_ownDomain)
         return m_options.failureDomain;
     auto found = m_domainNames.find(domain);
     return found == m_domainNames.end() ? std::to_string(domain) : found->second;
@@ -73,7 +73,7 @@
             { { "from_domain", nameOfDomain(change.from) }, { "to_domain", nameOfDomain(change.to) },
                 { "silence_ms", change.silence.us / 1000 }, { "report_age_ms", change.reportAge.us / 1000 } } });
         hasBroken |= change.isBroken;
-        if (change.isBroken || change.to != domainIdOf(m_options.failureDomain))
+        if (change.isBroken || change.to != m_ownDomain)
             continue;
         // Members of the domain could not be heard. They have their usual time to be heard again.
         for (auto& [endpoint, member] : m_members) {
@@ -96,13 +96,13 @@
 
 void TransitFleet::findRelays(TimePoint now)
 {
-    const DomainId own = domainIdOf(m_options.failureDomain);
     std::vector<const std::pair<const Endpoint, Member>*> agents;
     std::map<DomainId, bool> mayReceive; // Whether all members of the domain that are known take relayed messages.
     for (const auto& entry : m_members) {
         const Member& member = entry.second;
         mayReceive.try_emplace(member.domain, true).first->second &= !member.incarnation || member.takesRelayed;
-        bool isReachable = member.domain && member.domain != own && !m_paths.isBroken(own, member.domain);
+        bool isReachable
+            = member.domain && member.domain != m_ownDomain && !m_paths.isBroken(m_ownDomain, member.domain);
         if (isReachable && member.role == ProcessRole::Agent && member.takesRelayed && isAlive(member, now))
             agents.push_back(&entry);
     }
@@ -110,7 +110,7 @@
     std::sort(agents.begin(), agents.end(),
         [](const auto* one, const auto* other) { return one->second.lastHeardAt > other->second.lastHeardAt; });
     for (const auto& [domain, doAllReceive] : mayReceive) {
-        if (!m_paths.isBroken(own, domain))
+        if (!m_paths.isBroken(m_ownDomain, domain))
             continue;
         Relays& relays = m_relays[domain];
         relays.doAllReceive = doAllReceive;
@@ -203,7 +203,7 @@
 
 bool TransitFleet::isBehindBrokenPath(const Member& member) const
 {
-    return m_paths.isBroken(member.domain, domainIdOf(m_options.failureDomain));
+    return m_paths.isBroken(member.domain, m_ownDomain);
 }
 
 } // namespace hawthorncroft
