--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -130,10 +130,12 @@
     src/transit_capacity_cmd.cpp
     src/transit_capacity_query.cpp
     src/transit_codec_func.cpp
+    src/transit_core_cmd.cpp
     src/transit_egress_cmd.cpp
     src/transit_entry_cmd.cpp
     src/transit_entry_query.cpp
     src/transit_fleet.cpp
+    src/transit_fleet_path.cpp
     src/transit_health.cpp
     src/transit_http.cpp
     src/transit_inventory.cpp
@@ -141,6 +143,8 @@
     src/transit_log.cpp
     src/transit_metrics.cpp
     src/transit_place_func.cpp
+    src/transit_path_cmd.cpp
+    src/transit_path_query.cpp
     src/transit_placement.cpp
     src/transit_placement_query.cpp
     src/transit_queue.cpp
@@ -259,7 +263,9 @@
     tests/transit_load_test.cpp
     tests/transit_overload_test.cpp
     tests/transit_place_test.cpp
+    tests/transit_path_test.cpp
     tests/transit_lost_test.cpp
+    tests/transit_relay_test.cpp
     tests/transit_reports_test.cpp
     tests/transit_rotation_test.cpp
     tests/transit_sim.cpp
--- a/src/ctl_place.cpp
+++ b/src/ctl_place.cpp
@@ -152,9 +152,9 @@
         out << (candidate.isCompared ? "  compared      " : "  not compared  ") << candidate.id << " at "
             << candidate.address << " in " << candidate.failureDomain << ", " << candidate.state
             << (candidate.isTried ? ", tried" : "") << ": load " << candidate.load << " (utilisation "
-            << parts.utilisation << ", other domain " << parts.otherDomain << ", cold " << parts.cold << "), "
-            << candidate.inProgress << " in progress, " << candidate.openingsSent << " openings since, "
-            << candidate.slots << " slots";
+            << parts.utilisation << ", other domain " << parts.otherDomain << ", broken path " << parts.brokenPath
+            << ", cold " << parts.cold << "), " << candidate.inProgress << " in progress, " << candidate.openingsSent
+            << " openings since, " << candidate.slots << " slots";
         if (candidate.learnedLimit)
             out << ", limit " << *candidate.learnedLimit;
         if (candidate.serviceTimeUs)
--- a/src/transit_balancer_cmd.cpp
+++ b/src/transit_balancer_cmd.cpp
@@ -6,8 +6,19 @@
 
 namespace hawthorncroft {
 
+namespace {
+
+    FleetOptions fleetOptionsOf(const TransitBalancerOptions& options)
+    {
+        FleetOptions fleet = options.fleet;
+        fleet.linkBytesPerSecond = options.linkBytesPerSecond;
+        return fleet;
+    }
+
+}
+
 TransitBalancer::TransitBalancer(TransitBalancerOptions options)
-    : TransitCore(options.fleet)
+    : TransitCore(fleetOptionsOf(options))
     , m_options(std::move(options))
     , m_placement(m_options.failureDomain)
     , m_entry({ .self = m_options.fleet.self,
@@ -25,6 +36,7 @@
 {
     std::size_t firstEffect = effects.size();
     m_fleet.onTick(now, {}, effects);
+    m_placement.setBrokenDomains(m_fleet.domainsBehindBrokenPaths());
     releaseWaitingPackets(now, effects);
     // After a late tick, answers that are waiting in the sockets have to be read before timeouts are evaluated.
     bool isLate = m_lastTickAt && now >= *m_lastTickAt + lateTickThreshold;
--- a/src/transit_place_func.cpp
+++ b/src/transit_place_func.cpp
@@ -35,7 +35,8 @@
 
 template <> struct FieldsOf<PlaceLoad> {
     static constexpr auto fields = std::tuple { Field { "utilisation", &PlaceLoad::utilisation },
-        Field { "otherDomain", &PlaceLoad::otherDomain }, Field { "cold", &PlaceLoad::cold } };
+        Field { "otherDomain", &PlaceLoad::otherDomain }, Field { "brokenPath", &PlaceLoad::brokenPath },
+        Field { "cold", &PlaceLoad::cold } };
 };
 
 template <> struct FieldsOf<PlaceCandidate> {
--- a/src/transit_place_type.h
+++ b/src/transit_place_type.h
@@ -53,6 +53,7 @@
 struct PlaceLoad {
     double utilisation {};
     double otherDomain {};
+    double brokenPath {};
     double cold {};
 };
 
--- a/src/transit_placement.cpp
+++ b/src/transit_placement.cpp
@@ -78,7 +78,9 @@
 void TransitPlacement::consider(Choice& choice, const TargetEntry& target, PlacementBasis basis, TimePoint now) const
 {
     bool isInSameDomain = target.record.failureDomain == m_failureDomain;
-    std::size_t& compared = isInSameDomain ? choice.sameDomainCount : choice.otherDomainCount;
+    std::size_t& compared = isInSameDomain ? choice.sameDomainCount
+        : isBehindBrokenPath(target)       ? choice.brokenPathCount // Does not replace one that is in reach.
+                                           : choice.otherDomainCount;
     if (&target == choice.best || compared >= (isInSameDomain ? sameDomainCandidates : otherDomainCandidates))
         return;
     ++compared;
@@ -150,11 +152,19 @@
     }
     if (target.record.failureDomain != m_failureDomain)
         load.otherDomain = remoteWeight;
+    if (isBehindBrokenPath(target))
+        load.brokenPath = brokenPathWeight;
     if (isCold(target, now))
         load.cold = coldWeight;
     return load;
 }
 
+bool TransitPlacement::isBehindBrokenPath(const TargetEntry& target) const
+{
+    return std::find(m_brokenDomains.begin(), m_brokenDomains.end(), target.record.failureDomain)
+        != m_brokenDomains.end();
+}
+
 TransitPlacement::Speeds TransitPlacement::speedsOf(const std::vector<const TargetEntry*>& targets) const
 {
     Speeds sum { .timePerSlotUs = 0, .slotsPerLimit = 0 };
--- a/src/transit_placement_type.h
+++ b/src/transit_placement_type.h
@@ -15,9 +15,10 @@
 struct LoadTerms {
     double utilisation {}; ///< Expected time to an answer, relative to the mean target of the service.
     double otherDomain {}; ///< Penalty of targets in another failure domain than the balancer.
+    double brokenPath {}; ///< Penalty of targets behind a broken path.
     double cold {}; ///< Penalty of cold targets.
 
-    double sum() const { return utilisation + otherDomain + cold; }
+    double sum() const { return utilisation + otherDomain + brokenPath + cold; }
 };
 
 /** State of a target for new flows. Of several that apply, the first one counts. */
