Store outage: a process that reads in place of the usual readers retains expired registrations too

Registrations that expire while the store is away are retained for 2.2 s after its return, by the processes whose own calls had failed. A process that takes over reading because its view is old may make its first call just as the store is back. An old view now counts as an outage.

--- a/src/transit_fleet.cpp
+++ b/src/transit_fleet.cpp
@@ -552,8 +552,11 @@
     m_isCallPending = false;
     m_nextCallAt = now;
     m_nextStampAt = now; // Sends the confirmation to other members.
-    if (m_consecutiveFailures) {
+    // A process that reads in place of the usual readers may start just as the store is back, without a failed call.
+    auto age = viewAge(now);
+    if (m_consecutiveFailures || (age && *age > ageLimit()))
         m_storeRecoveredAt = now;
+    if (m_consecutiveFailures) {
         effects.push_back(
             WriteLog { "store_regained", { { "failures", static_cast<std::int64_t>(m_consecutiveFailures) } } });
     }
--- a/tests/transit_view_test.cpp
+++ b/tests/transit_view_test.cpp
@@ -266,6 +266,30 @@
     }
 }
 
+TEST_CASE("Registrations that expire in an outage of the store are retained, whatever its phase", "[transit][fleet]")
+{
+    // Guards against a process that begins to read in place of the usual readers just as the store is back. None of its
+    // own calls has failed.
+    for (std::int64_t phase = 0; phase < 80; ++phase) {
+        TransitSim sim;
+        Endpoint balancer = sim.addBalancer(1);
+        for (std::uint32_t i = 2; i <= 4; ++i)
+            sim.addBalancer(i);
+        for (std::uint32_t i = 11; i <= 16; ++i)
+            sim.addAgent(i);
+        sim.run(seconds(3) + milliseconds(35 * phase));
+        sim.setStoreDown(true);
+        sim.run(seconds(1) + milliseconds(13 * (phase % 40)));
+        sim.removeTarget("t11");
+        sim.setStoreDown(false);
+        INFO("phase " << phase);
+        sim.run(milliseconds(1000));
+        CHECK(sim.balancer(balancer).fleet().view().targets().size() == 6);
+        sim.run(milliseconds(2500));
+        CHECK(sim.balancer(balancer).fleet().view().targets().size() == 5);
+    }
+}
+
 TEST_CASE("In a large fleet each gossip round reaches only some of the processes", "[transit][fleet]")
 {
     TransitSim sim;
