--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -253,6 +253,7 @@
     tests/trace_test.cpp
     tests/transit_egress_test.cpp
     tests/transit_entry_test.cpp
+    tests/transit_codec_test.cpp
     tests/transit_contention_test.cpp
     bench/transit_capacity_sim.cpp
     tests/transit_capacity_test.cpp
