Control tool: one function reads the option for the timeout; clearer names

A local of the capacity's decision was called knee, as the measured knee is in another function, and the comment on paths in either direction read as if all messages were meant.

--- a/src/ctl_fetch.cpp
+++ b/src/ctl_fetch.cpp
@@ -102,12 +102,8 @@
 
 bool readFetchOptions(const options::variables_map& values, std::ostream& err, FetchOptions& fetchOptions)
 {
-    double timeout = values["timeout"].as<double>();
-    if (!(timeout > 0 && timeout <= 86400)) {
-        err << "hawthorncroftctl: the timeout must be above 0 and at most 86400 seconds\n";
+    if (!readTimeoutOption(values, err, fetchOptions.timeout))
         return false;
-    }
-    fetchOptions.timeout = microseconds(static_cast<std::int64_t>(timeout * 1e6));
     ProcessSettings settings;
     if (!readKeys(values, err, settings, fetchOptions))
         return false;
--- a/src/ctl_func.cpp
+++ b/src/ctl_func.cpp
@@ -121,6 +121,18 @@
     return file;
 }
 
+bool readTimeoutOption(const options::variables_map& values, std::ostream& err, Duration& timeout)
+{
+    constexpr double longest = 86400;
+    double seconds = values["timeout"].as<double>();
+    if (!(seconds > 0 && seconds <= longest)) {
+        err << "hawthorncroftctl: the timeout must be above 0 and at most 86400 seconds\n";
+        return false;
+    }
+    timeout = microseconds(static_cast<std::int64_t>(seconds * 1e6));
+    return true;
+}
+
 int parseArguments(const CtlArguments& arguments, options::options_description known, const char* positional,
     const char* usage, CtlStreams streams, options::variables_map& values)
 {
--- a/src/ctl_func.h
+++ b/src/ctl_func.h
@@ -55,6 +55,13 @@
 int parseArguments(const CtlArguments& arguments, boost::program_options::options_description options,
     const char* positional, const char* usage, CtlStreams streams, boost::program_options::variables_map& values);
 
+/**
+ * Reads the option `timeout`, in seconds.
+ * @param[out] timeout Its value.
+ * @return Whether it is valid; otherwise a line was written to `err`.
+ */
+bool readTimeoutOption(const boost::program_options::variables_map& values, std::ostream& err, Duration& timeout);
+
 /** @return The text as a quoted and escaped JSON string. */
 std::string quoted(std::string_view text);
 
--- a/src/ctl_place.cpp
+++ b/src/ctl_place.cpp
@@ -44,12 +44,8 @@
 
     bool readOptions(const options::variables_map& values, std::ostream& err, PlaceOptions& read)
     {
-        double timeout = values["timeout"].as<double>();
-        if (!(timeout > 0 && timeout <= 86400)) {
-            err << "hawthorncroftctl: the timeout must be above 0 and at most 86400 seconds\n";
+        if (!readTimeoutOption(values, err, read.timeout))
             return false;
-        }
-        read.timeout = microseconds(static_cast<std::int64_t>(timeout * 1e6));
         read.query.from = defaultCaller;
         Endpoint to;
         bool isValid = readEndpoint(values, "at", err, read.at) && readEndpoint(values, "to", err, to)
--- a/src/transit_capacity_cmd.cpp
+++ b/src/transit_capacity_cmd.cpp
@@ -147,15 +147,15 @@
     }
     std::uint32_t lowest = minLimit(m_slots);
     bool isObjectiveMissed = measured.objectiveUse * (1 - measured.error) > 1;
-    double knee = limit * capacityDeadZone;
-    if (isBaselineMeasured() && throughput - decisionErrors * error >= knee) {
+    double fullThroughput = limit * capacityDeadZone; // From there on, a knee cannot be told from the limit.
+    if (isBaselineMeasured() && throughput - decisionErrors * error >= fullThroughput) {
         m_fullLimit = m_limit;
         m_fullAt = now;
     }
     // A target that took this limit well a moment ago has most likely turned slow at every concurrency: knees seldom
     // move.
     bool wasFull = m_fullLimit >= m_limit && now < m_fullAt + fullLimitLifetime;
-    bool isKneeBelow = isBaselineMeasured() && !wasFull && throughput + 2 * error < knee;
+    bool isKneeBelow = isBaselineMeasured() && !wasFull && throughput + 2 * error < fullThroughput;
     bool isUnknown = !isBaselineMeasured() && measured.count >= unmeasuredTrialSamples
         && now >= m_changedAt + unmeasuredTrialDelay;
     if ((isObjectiveMissed || isKneeBelow || isUnknown) && m_limit > lowest && now >= m_loweringBackoff.until) {
--- a/src/transit_path_base.h
+++ b/src/transit_path_base.h
@@ -44,7 +44,8 @@
     /** @return Whether messages from one failure domain to another are lost while others arrive. */
     bool isBroken(DomainId from, DomainId to) const;
 
-    /** @return Whether no message between the failure domain and the one of this process arrives in one direction. */
+    /** @return Whether messages between the failure domain and that of this process are lost in at least one direction.
+     */
     bool isBehindBrokenPath(DomainId domain) const { return isBroken(m_own, domain) || isBroken(domain, m_own); }
 
     /** @return Number of broken paths. */
