Add review case 9: a changed store address is ignored (EVAC)

On SIGHUP a process reads its settings file and only checks it, so that after a change of the store's address the whole fleet keeps the view it had.

--- a/review/world-2.h
+++ b/review/world-2.h
@@ -307,8 +307,9 @@
     Store(Loop& loop, Record& record, const std::string& ip, std::uint16_t port)
         : m_loop(loop)
         , m_record(record)
-        , m_http(
-              loop, ip, port, [this](Http::Peer peer, const std::string& target) { onCall(std::move(peer), target); })
+        , m_ip(ip)
+        , m_http(std::make_unique<Http>(
+              loop, ip, port, [this](Http::Peer peer, const std::string& target) { onCall(std::move(peer), target); }))
     {
     }
 
@@ -341,13 +342,29 @@
         m_record.line("store: %s", state == State::Up ? "up" : state == State::Busy ? "answers 503" : "silent");
         if (state == State::Busy) {
             for (const Watch& watch : std::exchange(m_watches, {}))
-                m_http.answer(watch.peer, 503, "{}");
+                answer(watch.peer, 503, "{}");
         }
         answerWatches();
     }
 
     State state() const { return m_state; }
 
+    /** The same store is reached at a further port, too. */
+    void listenAt(std::uint16_t port)
+    {
+        m_nextHttp = std::make_unique<Http>(m_loop, m_ip, port,
+            [this](Http::Peer peer, const std::string& target) { onCall(std::move(peer), target); });
+        m_record.line("store: is reached at port %u, too", port);
+    }
+
+    /** The first port closes. */
+    void closeFirstPort()
+    {
+        std::erase_if(m_watches, [](const Watch&) { return true; });
+        m_http.reset();
+        m_record.line("store: is no longer reached at its first port");
+    }
+
 private:
     struct Item {
         std::string value;
@@ -360,6 +377,11 @@
         std::uint64_t number {};
     };
 
+    void answer(const Http::Peer& peer, int status, const std::string& body)
+    {
+        (m_nextHttp ? m_nextHttp : m_http)->answer(peer, status, body);
+    }
+
     static std::string parameter(const std::string& target, const std::string& name)
     {
         std::size_t at = target.find(name + "=");
@@ -384,11 +406,11 @@
         if (m_state == State::Silent)
             return; // Nothing further comes on this connection.
         if (m_state == State::Busy)
-            return m_http.answer(peer, 503, "{}");
+            return answer(peer, 503, "{}");
         if (target.starts_with("/kv-range"))
-            return m_http.answer(peer, 200, range(parameter(target, "Prefix"), parameter(target, "after")));
+            return answer(peer, 200, range(parameter(target, "Prefix"), parameter(target, "after")));
         if (!target.starts_with("/kv-watch"))
-            return m_http.answer(peer, 404, "{}");
+            return answer(peer, 404, "{}");
         std::string after = parameter(target, "after");
         std::string wait = parameter(target, "WaitMs");
         std::uint64_t number = ++m_lastWatch;
@@ -444,7 +466,7 @@
         std::vector<Watch> waiting;
         for (Watch& watch : std::exchange(m_watches, {})) {
             if (watch.after < m_revision)
-                m_http.answer(watch.peer, 200, events(watch.after));
+                answer(watch.peer, 200, events(watch.after));
             else
                 waiting.push_back(std::move(watch));
         }
@@ -457,7 +479,7 @@
             m_watches.begin(), m_watches.end(), [&](const Watch& watch) { return watch.number == number; });
         if (found == m_watches.end() || m_state == State::Silent)
             return;
-        m_http.answer(found->peer, 200, events(found->after));
+        answer(found->peer, 200, events(found->after));
         m_watches.erase(found);
     }
 
@@ -468,7 +490,9 @@
     std::uint64_t m_revision { 100 };
     std::uint64_t m_lastWatch {};
     State m_state { State::Up };
-    Http m_http;
+    std::string m_ip;
+    std::unique_ptr<Http> m_http;
+    std::unique_ptr<Http> m_nextHttp; ///< Null while the store is reached at one port only.
 };
 
 constexpr std::uint8_t FIN = 1;
@@ -863,6 +887,14 @@
     /** After this the platform uses other settings for the next start. */
     void setSettings(std::string settings) { m_settings = std::move(settings); }
 
+    /** The platform changes the settings file of the running process. */
+    void changeSettings(std::string settings)
+    {
+        m_settings = std::move(settings);
+        std::ofstream(m_folder + "/" + m_name + ".json") << m_settings;
+        m_record.line("process %s: its settings file has changed", m_name.c_str());
+    }
+
     void signal(int number)
     {
         m_record.line("process %s: signal %d", m_name.c_str(), number);
@@ -1316,6 +1348,18 @@
         consumers = std::make_unique<Consumers>(loop, record, ports, *routers, m_net + "5");
     }
 
+    /** Changes `platform.Addr` in the settings files of all machines. */
+    void moveStore(std::uint16_t port)
+    {
+        std::string before = quoted(m_net + "1:" + std::to_string(ports.store));
+        std::string after = quoted(m_net + "1:" + std::to_string(port));
+        for (std::size_t i = 0; i < processes.size(); ++i) {
+            std::string& settings = m_laterSettings[i];
+            settings.replace(settings.find(before), before.size(), after);
+            processes[i]->changeSettings(settings);
+        }
+    }
+
     /**
      * Judges FAILBACK for a host that was cold once.
      * @return Exit status: 1 when the host took more than `limit` flows in one second while it was cold.
