--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -266,6 +266,7 @@
     tests/transit_place_test.cpp
     tests/transit_path_test.cpp
     tests/transit_lost_test.cpp
+    tests/transit_registration_test.cpp
     tests/transit_relay_test.cpp
     tests/transit_reports_test.cpp
     tests/transit_rotation_test.cpp
--- a/src/transit_agent_locator.cpp
+++ b/src/transit_agent_locator.cpp
@@ -80,8 +80,6 @@
                                     // running and restart agents.
     auto domains = liveDomains(now);
     for (const auto& [endpoint, target] : m_fleet.view().targets()) {
-        if (!m_fleet.view().isOfKnownService(target))
-            continue;
         agents.insert(agentOf(endpoint.address));
         if (!domains.contains(target.record.failureDomain))
             unreachable.insert(agentOf(endpoint.address));
--- a/src/transit_balancer_locate.cpp
+++ b/src/transit_balancer_locate.cpp
@@ -90,10 +90,8 @@
 std::vector<Endpoint> TransitBalancer::possibleHolders(TimePoint now) const
 {
     std::vector<Endpoint> agents;
-    for (const auto& [endpoint, target] : m_fleet.view().targets()) {
-        if (m_fleet.view().isOfKnownService(target))
-            agents.push_back(agentOf(endpoint.address));
-    }
+    for (const auto& [endpoint, target] : m_fleet.view().targets())
+        agents.push_back(agentOf(endpoint.address));
     for (const auto& [endpoint, member] : m_fleet.members()) {
         if (member.role == ProcessRole::Agent && m_fleet.isAlive(endpoint, now))
             agents.push_back(endpoint);
--- a/src/transit_fleet.cpp
+++ b/src/transit_fleet.cpp
@@ -225,8 +225,6 @@
 void TransitFleet::addAgents(std::uint16_t fleetPort, TimePoint now)
 {
     for (const auto& [endpoint, target] : m_view.targets()) {
-        if (!m_view.isOfKnownService(target))
-            continue;
         Endpoint agent { endpoint.address, fleetPort };
         addMember(agent, ProcessRole::Agent, now);
         auto member = m_members.find(agent);
--- a/src/transit_locator.cpp
+++ b/src/transit_locator.cpp
@@ -72,8 +72,6 @@
     for (const auto& [endpoint, target] : view.targets()) {
         if (!candidates.empty() && candidates.back().address == endpoint.address)
             continue; // All ports of a VM share one agent.
-        if (!view.isOfKnownService(target))
-            continue; // Has no agent that could answer.
         candidates.push_back({ endpoint.address, &target.record.failureDomain });
         m_digest = mix64(m_digest, endpoint.address);
     }
--- a/src/transit_shell.cpp
+++ b/src/transit_shell.cpp
@@ -346,6 +346,7 @@
         { "view_age_us", age ? age->us : -1 },
         { "members", static_cast<std::int64_t>(fleet.members().size()) },
         { "targets", static_cast<std::int64_t>(fleet.view().targets().size()) },
+        { "unknown_service_addresses", static_cast<std::int64_t>(fleet.view().unknownServiceCount()) },
         { "broken_paths", static_cast<std::int64_t>(fleet.paths().brokenCount()) },
         { "datagrams_not_taken", static_cast<std::int64_t>(m_packetSocket.dropped() + m_fleetSocket.dropped()) },
         { "egress_waiting_bytes", egress.waitingBytes },
--- a/src/transit_view_base.h
+++ b/src/transit_view_base.h
@@ -13,7 +13,7 @@
 
 namespace hawthorncroft {
 
-/** Target in the view, with the revision of its record. */
+/** Target in the view: the registration that is in force at its address, with the revision of its record. */
 struct TargetEntry {
     TargetRecord record;
     Revision revision;
@@ -22,6 +22,10 @@
 
 /**
  * Keys with their revisions, and indexes by route address, service and target address.
+ * An entry of a target is a registration if the configuration has its service; any entry is until there is a
+ * configuration. Entries of other services are kept for a later configuration, but no index contains them. Of several
+ * registrations with one address the one with the latest start is in force, since two targets cannot have an address at
+ * the same time; one that is only retained after its removal gives way to any other.
  * The view contains all changes up to the revision `through`, and may contain later changes of some keys. Older data
  * changes nothing, whenever it arrives.
  */
@@ -89,18 +93,18 @@
     /** @return The service, or null. */
     const ServiceRecord* serviceNamed(const std::string& name) const;
 
-    /** @return The targets of a service, one per address. */
+    /** @return The targets of a service. */
     const std::vector<const TargetEntry*>& targetsOf(const std::string& service) const;
 
     /** @return The target at an address, or null. */
     const TargetEntry* targetAt(Endpoint address) const;
 
-    /** @return Whether the configuration has the target's service. Otherwise the record is not one of a target. */
-    bool isOfKnownService(const TargetEntry& target) const;
-
     /** @return All targets by address. */
     const std::map<Endpoint, TargetEntry>& targets() const { return m_targets; }
 
+    /** @return Number of addresses with entries whose service the configuration does not have. */
+    std::size_t unknownServiceCount() const { return m_unknownServices.size(); }
+
     bool isEvacuated(const std::string& failureDomain) const { return m_evacuated.contains(failureDomain); }
 
 private:
@@ -123,12 +127,16 @@
         const std::function<bool(const std::string&)>& isPresent, Revision asOf, TimePoint now, TimePoint retainUntil);
     void reindex(const std::string& key, const ViewItem* before, const ViewItem& after);
     void reindexTarget(Endpoint address);
+    void reindexTargets();
+    bool hasService(const std::string& name) const;
     void advance(Revision through);
 
     std::unordered_map<std::string, ViewItem> m_items;
-    std::map<Endpoint, std::set<std::string>> m_keysByAddress; ///< Keys of targets that share an address.
+    std::map<Endpoint, std::set<std::string>> m_keysByAddress; ///< Keys of all entries of targets with an address.
     std::unordered_map<Endpoint, std::string> m_routeKeys;
-    std::map<Endpoint, TargetEntry> m_targets; ///< Newest incarnation at each address.
+    std::map<Endpoint, TargetEntry> m_targets;
+    std::set<Endpoint> m_unknownServices; ///< Addresses with entries whose service the configuration does not have.
+    bool m_haveServicesChanged {}; ///< Services came or went since the indexes of targets were brought up to date.
     std::unordered_map<std::string, std::vector<const TargetEntry*>> m_byService;
     std::set<std::string> m_evacuated;
     std::uint64_t m_digest {};
--- a/src/transit_view_cmd.cpp
+++ b/src/transit_view_cmd.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <tuple>
 #include <unordered_set>
+#include <utility>
 
 namespace hawthorncroft {
 
@@ -83,6 +84,7 @@
     // Keys that were written and removed since the revision of the view leave no tombstone here.
     if (asOf > m_through)
         m_historyFloor = asOf;
+    reindexTargets();
     advance(asOf);
     return hasChanged;
 }
@@ -96,6 +98,7 @@
         if (revisionOf(change) > known && !isConfigurationKnown(change))
             hasChanged |= applyChange(change, now, retainRemovedUntil, nullptr);
     }
+    reindexTargets();
     advance(asOf);
     return hasChanged;
 }
@@ -109,6 +112,7 @@
     bool keepsConfiguration = hasNewerConfigurationThan(delta);
     bool hasChanged
         = isFullDelta ? applyFullDelta(delta, keepsConfiguration, now) : applyItems(delta, keepsConfiguration, now);
+    reindexTargets();
     bool isSame = keepsConfiguration || m_digest == delta.digest;
     // Until the view is the same as the sender's, it must not pass itself on as complete up to that revision.
     if (!isSame && !isFullDelta)
@@ -355,6 +359,8 @@
             m_evacuated.insert(domain);
         return;
     }
+    bool wasPresent = before && !before->isRemoved;
+    m_haveServicesChanged |= !m_hasConfiguration || (key.starts_with(servicePrefix) && wasPresent == after.isRemoved);
     m_hasConfiguration = true;
     if (!key.starts_with(routePrefix))
         return;
@@ -369,36 +375,62 @@
 
 void TransitView::reindexTarget(Endpoint address)
 {
-    const ViewItem* newest = nullptr;
+    const ViewItem* inForce = nullptr;
+    bool hasUnknownService = false;
     for (const auto& key : m_keysByAddress[address]) {
-        const ViewItem& item = m_items[key];
-        const TargetRecord* candidate = targetOf(&item);
-        const TargetRecord* best = targetOf(newest);
-        // A registered target takes precedence over one that is only retained after its removal.
-        auto order = [](const ViewItem& i, const TargetRecord& t) {
-            return std::tuple(!i.isRemoved, t.startedAt, i.revision);
+        const ViewItem& item = m_items.at(key);
+        const TargetRecord& candidate = *targetOf(&item);
+        if (!hasService(candidate.service)) {
+            hasUnknownService = true;
+            continue;
+        }
+        // The key makes all processes choose the same of two registrations that are otherwise equal.
+        auto order = [](const ViewItem& i) {
+            return std::tuple(!i.isRemoved, targetOf(&i)->startedAt, std::string_view(i.key));
         };
-        if (candidate && (!best || order(item, *candidate) > order(*newest, *best)))
-            newest = &item;
+        if (!inForce || order(item) > order(*inForce))
+            inForce = &item;
     }
+    if (hasUnknownService)
+        m_unknownServices.insert(address);
+    else
+        m_unknownServices.erase(address);
     auto found = m_targets.find(address);
     if (found != m_targets.end()) {
         std::erase(m_byService[found->second.record.service], &found->second);
-        if (!newest)
+        if (!inForce)
             m_targets.erase(found);
     }
-    if (!newest) {
+    if (m_keysByAddress[address].empty())
         m_keysByAddress.erase(address);
+    if (!inForce)
         return;
-    }
-    const TargetRecord& record = *targetOf(newest);
+    const TargetRecord& record = *targetOf(inForce);
     TargetEntry& targetEntry = m_targets[address];
     targetEntry.record = record;
-    targetEntry.revision = newest->revision;
-    targetEntry.receivedAt = newest->receivedAt;
+    targetEntry.revision = inForce->revision;
+    targetEntry.receivedAt = inForce->receivedAt;
     m_byService[record.service].push_back(&targetEntry);
 }
 
+void TransitView::reindexTargets()
+{
+    if (!std::exchange(m_haveServicesChanged, false))
+        return;
+    // The entries that the change concerns: those of services that were unknown, and those whose service is unknown
+    // now.
+    std::set<Endpoint> addresses = m_unknownServices;
+    for (const auto& [address, entry] : m_targets) {
+        if (!hasService(entry.record.service))
+            addresses.insert(address);
+    }
+    std::erase_if(m_byService, [&](const auto& entry) { return !hasService(entry.first); });
+    for (Endpoint address : addresses)
+        reindexTarget(address);
+}
+
+bool TransitView::hasService(const std::string& name) const { return !m_hasConfiguration || serviceNamed(name); }
+
 void TransitView::advance(Revision through) { m_through = std::max(m_through, through); }
 
 } // namespace hawthorncroft
--- a/src/transit_view_query.cpp
+++ b/src/transit_view_query.cpp
@@ -55,11 +55,6 @@
     return std::get_if<ServiceRecord>(&*found->second.value);
 }
 
-bool TransitView::isOfKnownService(const TargetEntry& target) const
-{
-    return !m_hasConfiguration || serviceNamed(target.record.service);
-}
-
 const std::vector<const TargetEntry*>& TransitView::targetsOf(const std::string& service) const
 {
     static const std::vector<const TargetEntry*> none;
--- a/tests/transit_sim.cpp
+++ b/tests/transit_sim.cpp
@@ -74,6 +74,8 @@
     Endpoint endpoint { address, fleetPort };
     m_processes[endpoint]
         = { .isAgent = true, .service = service, .domain = domain, .isFirstStart = isFirstStart, .nextTick = m_now };
+    if (m_services.insert(service).second)
+        writeRoutes(m_routes, m_warmupPerSecond);
     std::string id = "t" + std::to_string(address);
     m_targets[address] = { .id = id, .service = service };
     writeTarget(targetRecord(address, id, service, domain));
@@ -126,8 +128,10 @@
 void TransitSim::writeRoutes(const std::vector<RouteRecord>& routes, double warmupPerSecond)
 {
     ++m_revision.value;
+    m_routes = routes;
+    m_warmupPerSecond = warmupPerSecond;
     std::vector<ServiceRecord> services;
-    for (const char* name : { "web", "mail" })
+    for (const auto& name : m_services)
         services.push_back(
             { .name = name, .flowLimit = 2000, .warmup = seconds(2), .warmupPerSecond = warmupPerSecond });
     StoreChange change = ConfigurationChange { m_revision, routes, services };
--- a/tests/transit_sim.h
+++ b/tests/transit_sim.h
@@ -77,7 +77,10 @@
     /** Starts a balancer. The first three balancers are the seeds of later processes. @return Its endpoint. */
     Endpoint addBalancer(std::uint32_t address, const std::string& domain = "a");
 
-    /** Starts an agent and its target, and registers the target in the store. @return The agent's endpoint. */
+    /**
+     * Starts an agent and its target, and registers the target in the store, whose configuration has its service from
+     * now on. @return The agent's endpoint.
+     */
     Endpoint addAgent(std::uint32_t address, const std::string& service = "web", const std::string& domain = "a",
         bool isFirstStart = true);
 
@@ -264,6 +267,9 @@
     std::vector<std::pair<Revision, StoreChange>> m_history;
     std::vector<Watch> m_watches;
     Revision m_revision { 10 };
+    std::set<std::string> m_services { "web", "mail" }; ///< Services of the configuration.
+    std::vector<RouteRecord> m_routes;
+    double m_warmupPerSecond {};
     bool m_isStoreDown {};
     ReleaseOrder m_releaseOrder { ReleaseOrder::InTimeFirst };
     std::int64_t m_linkBytesPerSecond { 125000000 };
--- a/tests/transit_view_util.h
+++ b/tests/transit_view_util.h
@@ -17,10 +17,10 @@
         to.applyDelta(from.deltaSince(Revision()), viewStart);
 }
 
-/** @return A configuration with routes and without services. */
+/** @return A configuration with routes, and with the services that the routes of tests name. */
 inline StoreChange routes(std::uint64_t revision, const std::vector<RouteRecord>& list)
 {
-    return ConfigurationChange { Revision(revision), list, {} };
+    return ConfigurationChange { Revision(revision), list, { { .name = "web" }, { .name = "mail" } } };
 }
 
 } // namespace hawthorncroft::tests
