--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -22,6 +22,9 @@
 
 /** Interval between stamps; half of the time that the routers need for two probes. */
 inline constexpr Duration stampInterval = milliseconds(500);
+/** Time from a process's first view until it has heard the agents that send stamps to all processes: the longest time
+ * between two stamps, as each process keeps its own phase. */
+inline constexpr Duration agentDiscoveryTime = milliseconds(750);
 /** Silence after which a process counts as failed; up to three stamps in a row may be lost. */
 inline constexpr Duration memberLifetime = milliseconds(1700);
 inline constexpr Duration memberRetention = seconds(30); ///< Silence after which no more stamps are sent to a process.
--- a/src/transit_balancer_locate.cpp
+++ b/src/transit_balancer_locate.cpp
@@ -104,7 +104,7 @@
 void TransitBalancer::broadcastLocate(
     const FlowTuple& flow, Locate& locate, std::vector<Endpoint> agents, TimePoint now)
 {
-    bool isComplete = agents.size() <= maxLocateBroadcast;
+    bool isComplete = agents.size() <= maxLocateBroadcast && m_fleet.knowsAllAgents(now);
     std::erase_if(agents, [&](Endpoint agent) { return contains(locate.answered, agent); });
     agents.resize(std::min(agents.size(), maxLocateBroadcast));
     if (!queryAgents(flow, locate, agents))
--- a/src/transit_fleet.cpp
+++ b/src/transit_fleet.cpp
@@ -30,6 +30,8 @@
     updatePaths(now, effects);
     if (m_firstReadAt == TimePoint {})
         m_firstReadAt = now + firstReadWait();
+    if (!m_firstViewAt && m_view.through())
+        m_firstViewAt = now;
     if (now >= m_nextStampAt) {
         // A process without a view sends stamps ten times as often, to get one soon.
         m_nextStampAt = m_view.through() ? nextRoundAt(now) : now + stampInterval / 10;
@@ -341,6 +343,23 @@
     return found != m_members.end() && isAlive(found->second, now);
 }
 
+bool TransitFleet::knowsAllAgents(TimePoint now) const
+{
+    if (!m_firstViewAt || now < *m_firstViewAt + agentDiscoveryTime)
+        return false;
+    // In a large fleet a stamp of each agent takes many rounds. One that is heard and not registered shows that
+    // registrations are missing, and that there may be more such agents.
+    return now >= *m_firstViewAt + reregistrationTime || fanout() >= m_members.size() || !hasUnregisteredAgent(now);
+}
+
+bool TransitFleet::hasUnregisteredAgent(TimePoint now) const
+{
+    return std::any_of(m_members.begin(), m_members.end(), [&](const auto& entry) {
+        const auto& [endpoint, member] = entry;
+        return member.role == ProcessRole::Agent && isAlive(member, now) && !m_view.hasTargetOn(endpoint.address);
+    });
+}
+
 std::size_t TransitFleet::fanout() const { return m_members.size() <= maxFullFanout ? m_members.size() : stampFanout; }
 
 Duration TransitFleet::lifetimeOf(const Member& member) const
--- a/src/transit_fleet_base.h
+++ b/src/transit_fleet_base.h
@@ -137,6 +137,13 @@
     const TransitView& view() const { return m_view; }
     const std::unordered_map<Endpoint, Member>& members() const { return m_members; }
 
+    /**
+     * @return Whether the agents of registered targets and those heard so far are all that may run. Not so for some
+     * time after the first view: registrations that lapsed in an outage of the store are missing from it, and their
+     * agents are unknown until they are heard.
+     */
+    bool knowsAllAgents(TimePoint now) const;
+
     /** @return Whether a message of the process was received within its member lifetime; see lifetimeOf. */
     bool isAlive(Endpoint endpoint, TimePoint now) const;
 
@@ -195,6 +202,8 @@
     bool takeRelayBytes(std::int64_t bytes, TimePoint now);
     bool isBehindBrokenPath(const Member& member) const;
 
+    bool hasUnregisteredAgent(TimePoint now) const;
+
     StampMessage makeStamp(TimePoint now, bool wantsReply) const;
     void sendStamp(Endpoint to, bool wantsReply, TimePoint now, TransitEffects& effects);
     void sendDelta(Endpoint to, Revision since, TimePoint now, TransitEffects& effects);
@@ -253,6 +262,7 @@
     bool m_isCallPending {}; ///< A store call is in progress.
     TimePoint m_callStartedAt; ///< When the last store call was started.
     TimePoint m_nextCallAt;
+    std::optional<TimePoint> m_firstViewAt; ///< First tick with a view.
     TimePoint m_firstReadAt; ///< Earliest time at which a process without a view reads the store.
     std::uint32_t m_consecutiveFailures {}; ///< Failed store calls since the last response.
     std::optional<TimePoint> m_storeRecoveredAt; ///< Time of the first response after failed calls.
--- a/src/transit_view_base.h
+++ b/src/transit_view_base.h
@@ -99,6 +99,9 @@
     /** @return The target at an address, or null. */
     const TargetEntry* targetAt(Endpoint address) const;
 
+    /** @return Whether a VM has a target. @param address Address of the VM. */
+    bool hasTargetOn(std::uint32_t address) const;
+
     /** @return All targets by address. */
     const std::map<Endpoint, TargetEntry>& targets() const { return m_targets; }
 
--- a/src/transit_view_query.cpp
+++ b/src/transit_view_query.cpp
@@ -68,4 +68,10 @@
     return found == m_targets.end() ? nullptr : &found->second;
 }
 
+bool TransitView::hasTargetOn(std::uint32_t address) const
+{
+    auto found = m_targets.lower_bound({ address, 0 });
+    return found != m_targets.end() && found->first.address == address;
+}
+
 } // namespace hawthorncroft
--- a/tests/transit_registration_test.cpp
+++ b/tests/transit_registration_test.cpp
@@ -3,10 +3,10 @@
 
 #include "table/transit_limits.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
-#include <rapidcheck.h>
-
 #include <map>
+#include <rapidcheck.h>
 
 using namespace hawthorncroft;
 using namespace hawthorncroft::tests;
@@ -81,6 +81,91 @@
     }
 }
 
+namespace {
+
+/** A fleet whose registrations lapse in an outage of the store, with an open flow at each target. */
+struct LapsedFleet : Fleet {
+    std::map<std::uint32_t, FlowTuple> flows; ///< By the VM whose target holds it.
+
+    explicit LapsedFleet(std::uint32_t targets)
+        : Fleet(targets)
+    {
+        for (std::uint32_t i = 1; flows.size() < targets; ++i) {
+            FlowTuple flow = flowOf(i);
+            flows[open(balancers[i % 3], flow)] = flow;
+        }
+        for (const auto& [holder, flow] : flows)
+            sendRequest(balancers[0], flow);
+        run(milliseconds(100));
+        setStoreDown(true);
+        for (Endpoint agent : agents)
+            removeTarget(target(agent.address).id);
+        run(seconds(3));
+    }
+
+    void registerAgain(Endpoint agent) { writeTarget(targetRecord(agent.address, target(agent.address).id)); }
+
+    /** Restarts a balancer and sends requests of all flows through it, for 1 s. */
+    void restartUnderLoad(Endpoint balancer)
+    {
+        restart(balancer);
+        for (std::uint32_t sequence = 2; sequence < 42; ++sequence) {
+            for (const auto& [holder, flow] : flows)
+                sendRequest(balancer, flow, sequence);
+            run(milliseconds(25));
+        }
+    }
+
+    std::size_t resets()
+    {
+        return static_cast<std::size_t>(std::count_if(
+            flows.begin(), flows.end(), [&](const auto& entry) { return caller(entry.second).resetAt.has_value(); }));
+    }
+};
+
+}
+
+// Guards against a balancer that takes the agents heard so far for all of them and resets flows of the others (incident
+// review-6).
+TEST_CASE(
+    "A balancer that has just started resets no flow of an agent that it has not heard", "[transit][registration]")
+{
+    std::uint32_t targets = GENERATE(6U, 20U);
+    LapsedFleet fleet(targets);
+    Endpoint fresh = fleet.balancers[0];
+    fleet.setStoreDown(false);
+    fleet.run(seconds(1)); // The other processes have the store's newest revision, and retain the targets.
+
+    SECTION("while no target is registered again")
+    {
+        fleet.restartUnderLoad(fresh);
+        CHECK(fleet.resets() == 0);
+    }
+    SECTION("while some targets are registered again")
+    {
+        for (std::size_t i = 0; i < targets / 2; ++i)
+            fleet.registerAgain(fleet.agents[i]);
+        fleet.run(milliseconds(300));
+        fleet.restartUnderLoad(fresh);
+        CHECK(fleet.resets() == 0);
+    }
+    SECTION("but a flow that is lost is reset once it has heard all agents")
+    {
+        for (Endpoint agent : fleet.agents)
+            fleet.registerAgain(agent);
+        fleet.restart(fresh);
+        fleet.run(agentDiscoveryTime + milliseconds(50));
+        std::uint32_t lost = fleet.agents[1].address;
+        fleet.restartTarget(lost, "new");
+        fleet.run(milliseconds(100));
+        fleet.sendRequest(fresh, fleet.flows[lost], 2);
+        fleet.run(milliseconds(300));
+        fleet.sendRequest(fresh, fleet.flows[lost], 2);
+        fleet.run(milliseconds(300));
+        CHECK(fleet.caller(fleet.flows[lost]).resetAt);
+    }
+}
+
 TEST_CASE("The configuration decides which entries are registrations", "[transit][view][registration]")
 {
     TransitView view;
