--- a/src/transit_admission.cpp
+++ b/src/transit_admission.cpp
@@ -24,7 +24,8 @@
         return DeclineReason::NotRegistered;
     if (own->record.isDraining)
         return DeclineReason::Draining;
-    if (view.isEvacuated(own->record.failureDomain))
+    // The VM's own settings say where it is; what an entry in the store says cannot move it.
+    if (view.isEvacuated(m_options.failureDomain))
         return DeclineReason::Evacuated;
     const ServiceRecord* service = view.serviceNamed(m_options.service);
     if (service && service->flowLimit && load.flows >= service->flowLimit)
--- a/src/transit_admission_base.h
+++ b/src/transit_admission_base.h
@@ -17,6 +17,7 @@
 struct TransitAdmissionOptions {
     std::string service; ///< Service that the target serves.
     Endpoint target;
+    std::string failureDomain; ///< Failure domain of the target's VM.
     double warmupExcess { 1.5 }; ///< Factor on the service's warm-up rate for a cold target.
     double warmupSlack { 5 }; ///< Opening packets per window in addition to the scaled warm-up rate.
 };
--- a/src/transit_fleet.cpp
+++ b/src/transit_fleet.cpp
@@ -230,7 +230,8 @@
         Endpoint agent { endpoint.address, fleetPort };
         addMember(agent, ProcessRole::Agent, now);
         auto member = m_members.find(agent);
-        if (member != m_members.end())
+        // An agent that runs says itself where it is.
+        if (member != m_members.end() && !member->second.incarnation)
             setDomain(member->second, target.record.failureDomain);
     }
 }
--- a/standin/transit_demo_main.cpp
+++ b/standin/transit_demo_main.cpp
@@ -82,12 +82,14 @@
                 { "Prefix", "/" + std::to_string(address.port) + "/" }, { "Kind", kind }, { "TimeoutMs", 2000 },
                 { "TargetLatencyMs", 150 }, { "Priority", 1 }, { "Service", "web" } };
         };
-        boost::json::object service { { "Name", "web" }, { "MaxConns", 2000 }, { "WarmupS", 2.0 },
-            { "WarmupPerS", 0.0 } };
+        auto service = [](const char* name) {
+            return boost::json::object { { "Name", name }, { "MaxConns", 2000 }, { "WarmupS", 2.0 },
+                { "WarmupPerS", 0.0 } };
+        };
         m_store.put("op/config",
             boost::json::serialize(boost::json::object { { "Version", 1 },
                 { "Routes", boost::json::array { route(feedAddress, "safe"), route(confirmAddress, "unsafe") } },
-                { "Services", boost::json::array { service } } }));
+                { "Services", boost::json::array { service("web"), service("other") } } }));
     }
 
     void registerTarget(std::uint32_t agent, const char* state)
@@ -95,7 +97,8 @@
         m_store.put("servers/t" + std::to_string(agent),
             boost::json::serialize(boost::json::object { { "Service", agent == agentCount ? "other" : "web" },
                 { "Addr", toString({ agentBase + agent, m_ports.target }) }, { "Zone", domainOf(agent) },
-                { "MaxConcurrency", 4 }, { "State", state }, { "WarmupLeftMs", 0 }, { "born", 1000 + agent } }));
+                { "Version", "v1" }, { "MaxConcurrency", 4 }, { "State", state }, { "WarmupLeftMs", 0 },
+                { "Seq", ++m_registrations }, { "born", 1000 + agent } }));
     }
 
     boost::json::object settings(const std::string& vm, std::uint32_t address, const std::string& domain) const
@@ -262,6 +265,7 @@
     DemoProcesses m_processes;
     DemoPorts m_ports;
     DemoStore m_store;
+    int m_registrations {}; ///< Registrations written so far.
     std::vector<std::unique_ptr<DemoTarget>> m_targets;
     std::vector<std::unique_ptr<DemoCaller>> m_callers;
     std::set<std::uint32_t> m_outOfRotation; ///< Numbers of balancers that the routers do not use.
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -37,6 +37,19 @@
 const std::string goodTarget
     = R"({"Service":"web","Addr":"10.0.0.9:8080","Zone":"a","Version":"v1","MaxConcurrency":4,"State":"ready","WarmupLeftMs":0,"Seq":4,"born":1790449014666})";
 
+/** The fields of a target's registration, each as JSON. */
+const std::map<std::string, std::string> registrationFields { { "Service", R"("web")" },
+    { "Addr", R"("10.0.0.9:8080")" }, { "Zone", R"("a")" }, { "Version", R"("v1")" }, { "MaxConcurrency", "4" },
+    { "State", R"("ready")" }, { "WarmupLeftMs", "0" }, { "Seq", "4" }, { "born", "7" } };
+
+std::string jsonOf(const std::map<std::string, std::string>& fields)
+{
+    std::string text;
+    for (const auto& [name, value] : fields)
+        text += (text.empty() ? "{\"" : ",\"") + name + "\":" + value;
+    return text + "}";
+}
+
 struct Faults {
     std::vector<std::string> lines;
     StoreFaultHandler handler()
@@ -275,20 +288,28 @@
                 faults.handler());
         CHECK(std::get<StorePage>(outcome).nextAfter == "servers/i-1");
     }
-    // Guards against processes that end or stop following the store because of one odd entry.
+    SECTION("the entry that the odd ones below are made from is a registration")
+    {
+        auto changes = page(item("servers/i-1", 12, jsonOf(registrationFields))).changes;
+        REQUIRE(changes.size() == 1);
+        CHECK(std::get<TargetChange>(changes.front()).target.startedAt == 7);
+        CHECK(faults.lines.empty());
+    }
+    // Guards against processes that end or stop following the store because of one odd entry, and against entries of
+    // another writer that pass for registrations (incident review-8).
     SECTION("an odd entry of another writer is reported, and the entries around it are decoded")
     {
         std::string deep = std::string(200000, '[') + std::string(200000, ']');
         std::string deepField = R"({"Service":)" + deep + "}";
         auto with = [](const std::string& name, const std::string& value) {
-            std::map<std::string, std::string> fields { { "Service", R"("web")" }, { "Addr", R"("10.0.0.9:8080")" },
-                { "Zone", R"("a")" }, { "MaxConcurrency", "4" }, { "State", R"("ready")" }, { "WarmupLeftMs", "0" },
-                { "born", "7" } };
+            auto fields = registrationFields;
             fields[name] = value;
-            std::string text;
-            for (const auto& [field, content] : fields)
-                text += (text.empty() ? "{\"" : ",\"") + field + "\":" + content;
-            return text + "}";
+            return jsonOf(fields);
+        };
+        auto without = [](const std::string& name) {
+            auto fields = registrationFields;
+            fields.erase(name);
+            return jsonOf(fields);
         };
         std::string longName = '"' + std::string(1000000, 'x') + '"';
         std::vector<std::string> odd { deep, deepField, "", "{", "\xff\xfe", std::string(10, '\0'), "17", "null",
@@ -299,7 +320,12 @@
             with("MaxConcurrency", "1.5"), with("MaxConcurrency", "9223372036854775808"),
             with("WarmupLeftMs", "9223372036854775807"), with("WarmupLeftMs", "1e18"),
             with("WarmupLeftMs", std::string(5000, '9')), with("born", "1e300"), with("born", "\"7\""),
-            with("Service", longName), with("Zone", longName), with("State", "true"), with("Service", "{}") };
+            with("Service", longName), with("Zone", longName), with("State", "true"), with("Service", "{}"),
+            with("State", R"("leaving")"), with("Version", "1"), with("Version", "null"), with("Seq", "\"1\""),
+            with("Seq", "-1"), with("Seq", "1.5"), with("born", "-1"), with("born", "null"), with("Zone", "7"),
+            with("MaxConcurrency", "\"4\""), with("WarmupLeftMs", "false") };
+        for (const auto& [name, value] : registrationFields)
+            odd.push_back(without(name));
         for (const std::string& text : odd) {
             faults.lines.clear();
             auto changes = page(item("servers/a", 1, goodTarget) + "," + item("servers/odd", 2, text) + ","
@@ -355,11 +381,8 @@
 rc::Gen<std::string> oddEntry()
 {
     return rc::gen::exec([] {
-        std::map<std::string, std::string> fields { { "Service", R"("web")" }, { "Addr", R"("10.0.0.9:8080")" },
-            { "Zone", R"("a")" }, { "MaxConcurrency", "4" }, { "State", R"("ready")" }, { "WarmupLeftMs", "0" },
-            { "born", "7" } };
         std::string text = "{";
-        for (auto& [name, value] : fields) {
+        for (const auto& [name, value] : registrationFields) {
             int change = *rc::gen::inRange(0, 6);
             if (!change)
                 continue;
@@ -388,7 +411,7 @@
         auto page = std::get<StorePage>(decodeRange(range(items), faults.handler()));
         RC_ASSERT(page.changes.size() == entries.size() + 1);
         TransitAgent agent({ .fleet = { .self = { 0x0a000009, 7000 }, .role = ProcessRole::Agent, .incarnation = 5 },
-            .admission = { .service = "web", .target = { 0x0a000009, 8080 } },
+            .admission = { .service = "web", .target = { 0x0a000009, 8080 }, .failureDomain = "a" },
             .fleetPort = 7000 });
         TransitEffects effects;
         agent.onTick(now, effects);
--- a/tests/transit_registration_test.cpp
+++ b/tests/transit_registration_test.cpp
@@ -216,6 +216,44 @@
     }
 }
 
+// Guards against flows to a target in an evacuated failure domain that an entry puts into another one (incident
+// review-8).
+TEST_CASE("An entry in the store does not move a target out of its failure domain", "[transit][registration]")
+{
+    Fleet fleet(3);
+    Endpoint evacuated = fleet.addAgent(31, "web", "out");
+    TargetRecord moved = otherEntry(evacuated.address, "web");
+    fleet.writeTarget(moved);
+    fleet.run(seconds(1));
+    auto openFlows = [&](std::uint32_t first) {
+        std::set<std::uint32_t> holders;
+        for (std::uint32_t i = first; i < first + 40; ++i)
+            holders.insert(fleet.open(fleet.balancers[i % 3], flowOf(i)));
+        return holders;
+    };
+    REQUIRE(openFlows(1).contains(evacuated.address));
+
+    SECTION("when its domain is evacuated it gets no flow, and all flows are served")
+    {
+        fleet.evacuate("out", true);
+        fleet.run(milliseconds(300));
+        CHECK(openFlows(100) == std::set<std::uint32_t> { 11, 12, 13 });
+
+        SECTION("also not at a balancer that has just started")
+        {
+            fleet.restart(fleet.balancers[0]);
+            fleet.run(milliseconds(200));
+            CHECK(openFlows(200) == std::set<std::uint32_t> { 11, 12, 13 });
+        }
+        SECTION("and gets flows again afterwards")
+        {
+            fleet.evacuate("out", false);
+            fleet.run(milliseconds(300));
+            CHECK(openFlows(300).contains(evacuated.address));
+        }
+    }
+}
+
 namespace {
 
 /** Entries and services as the store has them, with the choice of the registration in force written down plainly. */
--- a/tests/transit_sim.cpp
+++ b/tests/transit_sim.cpp
@@ -118,7 +118,8 @@
             .linkBytesPerSecond = m_linkBytesPerSecond });
     return std::make_unique<TransitAgent>(TransitAgentOptions {
         .fleet = fleet,
-        .admission = { .service = settings.service, .target = { process.address, targetPort } },
+        .admission
+        = { .service = settings.service, .target = { process.address, targetPort }, .failureDomain = settings.domain },
         .fleetPort = fleetPort,
         .isFirstStart = settings.isFirstStart,
         .releaseOrder = m_releaseOrder,
