Registrations: an empty version is a version; clearer name in the view

The table of a registration's fields asked for a version that is not empty. Nothing depends on it and only its type tells an entry of another writer, so that any text is taken. TransitView::reindexTargets is named reindexChangedServices, since it does nothing else.

--- a/src/transit_view_base.h
+++ b/src/transit_view_base.h
@@ -130,7 +130,7 @@
         const std::function<bool(const std::string&)>& isPresent, Revision asOf, TimePoint now, TimePoint retainUntil);
     void reindex(const std::string& key, const ViewItem* before, const ViewItem& after);
     void reindexTarget(Endpoint address);
-    void reindexTargets();
+    void reindexChangedServices();
     bool hasService(const std::string& name) const;
     void advance(Revision through);
 
--- a/src/transit_view_cmd.cpp
+++ b/src/transit_view_cmd.cpp
@@ -84,7 +84,7 @@
     // Keys that were written and removed since the revision of the view leave no tombstone here.
     if (asOf > m_through)
         m_historyFloor = asOf;
-    reindexTargets();
+    reindexChangedServices();
     advance(asOf);
     return hasChanged;
 }
@@ -98,7 +98,7 @@
         if (revisionOf(change) > known && !isConfigurationKnown(change))
             hasChanged |= applyChange(change, now, retainRemovedUntil, nullptr);
     }
-    reindexTargets();
+    reindexChangedServices();
     advance(asOf);
     return hasChanged;
 }
@@ -112,7 +112,7 @@
     bool keepsConfiguration = hasNewerConfigurationThan(delta);
     bool hasChanged
         = isFullDelta ? applyFullDelta(delta, keepsConfiguration, now) : applyItems(delta, keepsConfiguration, now);
-    reindexTargets();
+    reindexChangedServices();
     bool isSame = keepsConfiguration || m_digest == delta.digest;
     // Until the view is the same as the sender's, it must not pass itself on as complete up to that revision.
     if (!isSame && !isFullDelta)
@@ -413,7 +413,7 @@
     m_byService[record.service].push_back(&targetEntry);
 }
 
-void TransitView::reindexTargets()
+void TransitView::reindexChangedServices()
 {
     if (!std::exchange(m_haveServicesChanged, false))
         return;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -293,6 +293,9 @@
         auto changes = page(item("servers/i-1", 12, jsonOf(registrationFields))).changes;
         REQUIRE(changes.size() == 1);
         CHECK(std::get<TargetChange>(changes.front()).target.startedAt == 7);
+        auto unversioned = registrationFields;
+        unversioned["Version"] = R"("")"; // Any text, as nothing depends on it.
+        CHECK(std::holds_alternative<TargetChange>(page(item("servers/i-1", 12, jsonOf(unversioned))).changes.front()));
         CHECK(faults.lines.empty());
     }
     // Guards against processes that end or stop following the store because of one odd entry, and against entries of
