--- a/review/12/scenario.cpp
+++ b/review/12/scenario.cpp
@@ -5,8 +5,8 @@
 
 int main(int, char** argv)
 {
-    constexpr double warmupPerS = 10;
-    constexpr int limit = 20; // WarmupPerS x WarmupExcess + WarmupSlack = 10 x 1.5 + 5
+    constexpr double warmupPerS = 4;
+    constexpr int limit = 11; // WarmupPerS x WarmupExcess + WarmupSlack = 4 x 1.5 + 5
     World world(argv[1], warmupPerS);
     constexpr std::uint16_t route = 8443;
     world.addBalancers({ "sofia-a", "sofia-a", "sofia-b", "sofia-b", "sofia-c" });
@@ -26,15 +26,15 @@
     loop.at(start + 10, [&] { world.host(1).crash(); });
     double back = start + 14.5;
     loop.at(back, [&] { world.host(1).start(true); });
-    // Once host 1 has taken fifteen opening packets in its warm-up, the process beside it is killed. The platform starts
+    // Once host 1 has taken eight opening packets in its warm-up, the process beside it is killed. The platform starts
     // it again after a short delay.
     const char* text = std::getenv("RESTART_S");
-    double restartS = text ? std::atof(text) : 0.2;
+    double restartS = text ? std::atof(text) : 0.5;
     std::function<void()> look = [&] {
         int count = 0;
         for (const Taken& taken : world.host(1).taken)
             count += taken.isCold;
-        if (count < 15) {
+        if (count < 8) {
             loop.after(0.02, look);
             return;
         }
