--- a/review/11/scenario.cpp
+++ b/review/11/scenario.cpp
@@ -6,7 +6,7 @@
 
 int main(int, char** argv)
 {
-    World world(argv[1], 0);
+    World world(argv[1]);
     constexpr std::uint16_t route = 8443;
     auto writeConfig = [&](int timeoutMs) {
         world.writeConfig({ { .name = "handover", .port = route, .service = "courier-api", .timeoutMs = timeoutMs } },
@@ -19,7 +19,7 @@
     world.addHosts(hosts);
     writeConfig(2000);
     for (auto& host : world.hosts)
-        host->start(false);
+        host->start();
     world.startAll();
 
     Store::Copy copy;
--- a/review/lab-3/lab.h
+++ b/review/lab-3/lab.h
@@ -219,8 +219,6 @@
         while (!m_connections.empty())
             drop(m_connections.begin()->first);
     }
-    /** While set, requests are read and never answered. */
-    bool isSilent {};
 
 private:
     struct Connection {
@@ -260,12 +258,10 @@
         c.input.erase(0, end + 4);
         std::size_t a = head.find(' ');
         std::string target = a == std::string::npos ? "" : head.substr(a + 1, head.find(' ', a + 1) - a - 1);
-        if (isSilent)
-            return;
         std::uint64_t id = c.id;
         m_handler(target, [this, fd, id](int status, const std::string& headers, const std::string& body) {
             auto found = m_connections.find(fd);
-            if (found == m_connections.end() || found->second.id != id || isSilent)
+            if (found == m_connections.end() || found->second.id != id)
                 return;
             std::string reply = "HTTP/1.1 " + std::to_string(status) + (status == 200 ? " OK" : " Other")
                 + "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" + headers
@@ -370,12 +366,6 @@
         ++m_era;
         m_http.open();
     }
-    void setSilent(bool isSilent)
-    {
-        m_http.isSilent = isSilent;
-        if (isSilent)
-            m_watches.clear();
-    }
 
 private:
     struct Event {
@@ -595,7 +585,6 @@
 struct Taken {
     double at {}; ///< When the host took the opening packet.
     double sentAt {}; ///< When the consumer sent it.
-    bool isCold {};
 };
 
 class World;
@@ -603,19 +592,21 @@
 class Host {
 public:
     Host(World& world, int number, std::string zone, std::string service);
-    void start(bool isCold);
-    /** The process ends at once: nothing is sent, its flows are gone. */
-    void crash();
+    void start();
     void writeEntry();
     void heartbeat();
-    bool isRunning() const { return m_isRunning; }
+    /** The host's software is updated; it writes its entry. */
+    void setVersion(const std::string& text)
+    {
+        version = text;
+        heartbeat();
+    }
 
     int number;
-    std::string zone, service, id, state { "ready" };
+    std::string zone, service, id, state { "ready" }, version { "v1" };
     Addr app;
     int slots { 5 };
     double workS { 0.039 };
-    double coldUntil {};
     std::uint64_t born {};
     std::vector<Taken> taken; ///< Opening packets, one for each flow.
     int runs {};
@@ -640,7 +631,6 @@
     bool m_isRunning {};
     std::uint64_t m_life {};
     int m_seq {};
-    std::string m_written; ///< Last entry without Seq.
     std::map<std::pair<Addr, Addr>, Flow> m_flows;
 };
 
@@ -674,9 +664,8 @@
 
 class World {
 public:
-    World(const std::string& folder, double warmupPerS)
+    explicit World(const std::string& folder)
         : record(folder + "/record.txt")
-        , warmupPerSecond(warmupPerS)
     {
         signal(SIGPIPE, SIG_IGN);
         const char* trouble = std::getenv("TROUBLE");
@@ -734,12 +723,9 @@
         }
         text += "],\"Services\":[";
         for (std::size_t i = 0; i < services.size(); ++i) {
-            char warm[64];
-            std::snprintf(warm, sizeof(warm), "%.1f", warmupPerSecond);
             text += std::string(i ? "," : "") + "{\"Name\":\"" + services[i]
                 + "\",\"HealthPath\":\"/healthz\",\"MaxConns\":2000,\"Protocol\":\"h1\",\"Tls\":false,\"WarmupS\":2.0,"
-                  "\"WarmupPerS\":"
-                + warm + "}";
+                  "\"WarmupPerS\":0.0}";
         }
         text += "],\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":262144,\"HeaderTimeoutMs\":3000,"
                 "\"IdleTimeoutMs\":15000}}";
@@ -803,27 +789,6 @@
         child.pid = pid;
         record.line("process %s started", name.c_str());
     }
-    void killChild(const std::string& name, int number)
-    {
-        Child& child = children.at(name);
-        record.say("process " + name + " gets signal " + std::to_string(number));
-        ::kill(child.pid, number);
-        if (number == SIGKILL) {
-            waitpid(child.pid, nullptr, 0);
-            child.pid = 0;
-        }
-    }
-    /** @return Whether the process has ended; then it may be started again. */
-    bool hasEnded(const std::string& name)
-    {
-        Child& child = children.at(name);
-        if (child.pid > 0 && waitpid(child.pid, nullptr, WNOHANG) == child.pid) {
-            record.line("process %s has ended", name.c_str());
-            child.pid = 0;
-        }
-        return child.pid == 0;
-    }
-
     /** @return Whether all balancers answer 200 to the routers. */
     bool areAllReady() const
     {
@@ -863,11 +828,19 @@
             + std::string(20, 'b');
         m_routeOf[caller] = { routeIp, routePort };
         ++sent;
+        m_sentTo[routePort].emplace_back(a.requestId, a.sentAt);
         sentTimes[flowOf(a)] = a.sentAt;
         sendOpening(a, a.sentAt);
     }
     std::pair<Addr, Addr> flowOf(const Attempt& a) { return { a.caller, m_routeOf[a.caller] }; }
 
+    /** @return Requests to a route, with the time of their first opening packet. */
+    std::vector<std::pair<std::string, double>> sentTo(std::uint16_t routePort) const
+    {
+        auto found = m_sentTo.find(routePort);
+        return found == m_sentTo.end() ? std::vector<std::pair<std::string, double>> {} : found->second;
+    }
+
     // What the routers do: a hash over the nodes of the zone that are in rotation.
     const Child* routerChoice(std::uint32_t zone, Addr caller)
     {
@@ -895,27 +868,6 @@
         return best;
     }
 
-    /** Highest number of opening packets that a cold host took in any span of one second; sent within it, too. */
-    static int mostInASecond(const std::vector<Taken>& taken, bool isColdOnly)
-    {
-        int most = 0;
-        std::size_t first = 0;
-        std::vector<Taken> list;
-        for (const Taken& t : taken) {
-            if (!isColdOnly || t.isCold)
-                list.push_back(t);
-        }
-        for (std::size_t i = 0; i < list.size(); ++i) {
-            while (list[first].at <= list[i].at - 1.0)
-                ++first;
-            int count = 0;
-            for (std::size_t j = first; j <= i; ++j)
-                count += list[j].sentAt >= list[i].at - 1.0;
-            most = std::max(most, count);
-        }
-        return most;
-    }
-
     Loop loop;
     Record record;
     Ports ports;
@@ -925,7 +877,6 @@
     std::vector<std::string> zones { "sofia-a", "sofia-b", "sofia-c" };
     std::map<Addr, Attempt> attempts;
     std::map<std::pair<Addr, Addr>, double> sentTimes; ///< Consumer's first opening packet of a flow.
-    double warmupPerSecond {};
     double heartbeatS { 0.77 };
     bool hasTrouble { true };
     bool isStoreWritable { true };
@@ -1107,6 +1058,7 @@
     std::set<std::string> m_answered;
     std::vector<int> m_consumerSockets;
     std::map<Addr, Addr> m_routeOf;
+    std::map<std::uint16_t, std::vector<std::pair<std::string, double>>> m_sentTo;
     std::uint64_t m_nextCaller {}, m_nextRequest {}, m_nextZone {};
     int m_version {};
     bool m_hasEnded {};
@@ -1122,48 +1074,28 @@
 {
 }
 
-inline void Host::start(bool isCold)
+inline void Host::start()
 {
     m_isRunning = true;
     ++m_life;
     m_seq = 0;
     m_flows.clear();
-    m_written.clear();
     state = "ready";
     born = unixMs();
-    coldUntil = isCold ? now() + 2.0 : 0;
     m_socket = openUdp(app);
     m_world.loop.watch(m_socket, [this] { onReadable(); });
     m_health = std::make_unique<Http>(m_world.loop, app,
         [](const std::string&, Http::Reply reply) { reply(200, "", "{}"); });
     m_health->open();
-    m_world.record.line("host %d (%s, %s) starts%s", number, zone.c_str(), service.c_str(), isCold ? ", cold" : "");
+    m_world.record.line("host %d (%s, %s) starts", number, zone.c_str(), service.c_str());
     heartbeat();
 }
 
-inline void Host::crash()
-{
-    m_world.record.say("host " + std::to_string(number) + " crashes");
-    m_isRunning = false;
-    m_world.loop.forget(m_socket);
-    close(m_socket);
-    m_socket = -1;
-    m_health.reset();
-    m_flows.clear();
-    // The entry is removed after three heartbeat intervals of silence.
-    std::uint64_t life = m_life;
-    m_world.loop.after(3 * m_world.heartbeatS, [this, life] {
-        if (m_life == life && m_world.isStoreWritable)
-            m_world.store->remove("servers/" + id);
-    });
-}
-
 inline std::string Host::entry()
 {
-    int left = int(std::max(0.0, coldUntil - now()) * 1000);
     return "\"Service\":\"" + service + "\",\"Addr\":\"" + textOf(app) + "\",\"Zone\":\"" + zone
-        + "\",\"Version\":\"v1\",\"MaxConcurrency\":" + std::to_string(slots) + ",\"State\":\"" + state
-        + "\",\"WarmupLeftMs\":" + std::to_string(left) + ",\"born\":" + std::to_string(born);
+        + "\",\"Version\":\"" + version + "\",\"MaxConcurrency\":" + std::to_string(slots) + ",\"State\":\"" + state
+        + "\",\"WarmupLeftMs\":0,\"born\":" + std::to_string(born);
 }
 
 inline void Host::heartbeat()
@@ -1176,10 +1108,9 @@
 {
     ++m_seq;
     std::string text = entry();
-    bool isKnown = m_world.store->has("servers/" + id) && text == m_written;
-    if (isKnown)
+    std::string stored = m_world.store->valueOf("servers/" + id);
+    if (stored.starts_with("{" + text + ",\"Seq\":"))
         return; // The entry changes when more than Seq changes.
-    m_written = text;
     std::uint64_t revision = m_world.store->put("servers/" + id, "{" + text + ",\"Seq\":" + std::to_string(m_seq) + "}");
     m_world.record.line("host %d writes its entry at revision %llu: %s", number,
         static_cast<unsigned long long>(revision), text.c_str());
@@ -1215,10 +1146,9 @@
             found = m_flows.emplace(key, Flow {}).first;
             found->second.seq = std::uint32_t(mix(p.src.port * 977ULL + app.ip + m_life * 7919)) | 0x10000;
             found->second.callerNext = p.seq + 1;
-            bool isCold = now() < coldUntil;
-            taken.push_back({ now(), m_world.sentTimes[key], isCold });
-            m_world.record.line("host %d (%s%s) takes the opening packet of %s, sent %.3f s before", number, zone.c_str(),
-                isCold ? ", cold" : "", textOf(p.src).c_str(), now() - taken.back().sentAt);
+            taken.push_back({ now(), m_world.sentTimes[key] });
+            m_world.record.line("host %d (%s) takes the opening packet of %s, sent %.3f s before", number, zone.c_str(),
+                textOf(p.src).c_str(), now() - taken.back().sentAt);
         }
         reply(p, SYN | ACK, found->second.seq, p.seq + 1, "");
         return;
