Review: more late requests in case 12

Cause: with 19 late requests in place of 20 the script could not run without the disruption in a fresh clone.

--- a/review/12/scenario.cpp
+++ b/review/12/scenario.cpp
@@ -32,8 +32,8 @@
     loop.at(start + 5, [&] {
         if (!world.areAllReady())
             cannotRun("not all balancers are ready");
-        world.startTraffic(60, keptRoute, 30);
-        world.startTraffic(10, droppedRoute, 30);
+        world.startTraffic(60, keptRoute, 34);
+        world.startTraffic(10, droppedRoute, 34);
     });
     // The hosts of sofia-b were updated; each writes another Version. The operator changes a time-out.
     loop.at(start + 8, [&] { copy = world.store->copy(); });
@@ -67,7 +67,7 @@
             world.host(number).writeEntry();
         world.record.say("all is written again, at revision " + std::to_string(world.store->revision()));
     });
-    loop.at(start + 37, [&] { loop.stop(); });
+    loop.at(start + 41, [&] { loop.stop(); });
     loop.run();
 
     // ConfigMs is 3,000; ContactMs 4,000 and PartitionMs 12,000 are added for the store's absence.
