--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -136,6 +136,7 @@
     src/transit_entry_query.cpp
     src/transit_fleet.cpp
     src/transit_fleet_path.cpp
+    src/transit_fleet_store.cpp
     src/transit_health.cpp
     src/transit_http.cpp
     src/transit_inventory.cpp
--- a/src/transit_fleet.cpp
+++ b/src/transit_fleet.cpp
@@ -141,73 +141,6 @@
         "member_left", { { "peer", toString(from) }, { "role", std::string(nameOf(found->second.role)) } } });
 }
 
-bool TransitFleet::onStorePage(std::vector<StoreChange> changes, Revision asOf, const std::string& nextAfter,
-    TimePoint now, TransitEffects& effects)
-{
-    if (m_pages.empty() && !m_firstPageRevision)
-        m_firstPageRevision = asOf;
-    std::move(changes.begin(), changes.end(), std::back_inserter(m_pages));
-    if (!nextAfter.empty()) {
-        effects.push_back(ReadStore { nextAfter, readTimeout });
-        return false;
-    }
-    recordStoreAnswer(m_firstPageRevision, m_callStartedAt, now, effects);
-    m_needsFullRead = false;
-    Revision before = m_view.through();
-    bool hasChanged = m_view.applySnapshot(m_pages, m_firstPageRevision, now, retainRemovedUntil(now));
-    effects.push_back(WriteLog { "view_from_store",
-        { { "call", std::string("read") }, { "from_revision", static_cast<std::int64_t>(before.value) },
-            { "as_of", static_cast<std::int64_t>(m_firstPageRevision.value) },
-            { "took_ms", (now - m_callStartedAt).us / 1000 },
-            { "revision", static_cast<std::int64_t>(m_view.through().value) },
-            { "items", static_cast<std::int64_t>(m_pages.size()) } } });
-    m_pages = {};
-    m_firstPageRevision = {};
-    if (m_view.through() > before)
-        startGossipRound(now, effects);
-    return hasChanged;
-}
-
-bool TransitFleet::onStoreChanges(
-    const std::vector<StoreChange>& changes, Revision asOf, TimePoint now, TransitEffects& effects)
-{
-    recordStoreAnswer(asOf, now, now, effects);
-    Revision before = m_view.through();
-    bool hasChanged = m_view.applyChanges(changes, asOf, now, retainRemovedUntil(now));
-    if (!changes.empty()) {
-        effects.push_back(WriteLog { "view_from_store",
-            { { "call", std::string("watch") }, { "from_revision", static_cast<std::int64_t>(before.value) },
-                { "as_of", static_cast<std::int64_t>(asOf.value) }, { "took_ms", (now - m_callStartedAt).us / 1000 },
-                { "revision", static_cast<std::int64_t>(m_view.through().value) },
-                { "items", static_cast<std::int64_t>(changes.size()) } } });
-    }
-    if (m_view.through() > before)
-        startGossipRound(now, effects);
-    return hasChanged;
-}
-
-void TransitFleet::onStoreFailure(StoreFailure failure, TimePoint now, TransitEffects& effects)
-{
-    m_isCallPending = false;
-    m_pages = {};
-    m_firstPageRevision = {};
-    // A watch that returned something unreadable would return it again; a full read has current values only.
-    m_needsFullRead |= failure == StoreFailure::Invalid || failure == StoreFailure::HistoryGone;
-    if (failure == StoreFailure::HistoryGone) {
-        m_nextCallAt = now;
-    } else {
-        Duration backoff = storeBackoffMin * (std::int64_t { 1 } << std::min<std::uint32_t>(m_consecutiveFailures, 6));
-        backoff = std::min(backoff, storeBackoffMax);
-        m_nextCallAt = now + backoff / 2
-            + microseconds(static_cast<std::int64_t>(nextRandom() % static_cast<std::uint64_t>(backoff.us)));
-        ++m_consecutiveFailures;
-    }
-    effects.push_back(CountEvent { TransitCounter::StoreFailures });
-    effects.push_back(WriteLog { m_consecutiveFailures == 1 ? "store_lost" : "store_call_failed",
-        { { "reason", std::string(nameOf(failure)) }, { "failures", static_cast<std::int64_t>(m_consecutiveFailures) },
-            { "view_age_ms", viewAgeMs(now) }, { "revision", static_cast<std::int64_t>(m_view.through().value) } } });
-}
-
 void TransitFleet::announceLeaving(TransitEffects& effects)
 {
     for (const auto& [endpoint, member] : m_members)
@@ -379,34 +312,6 @@
     return !m_options.failureDomain.empty() && member.failureDomain == m_options.failureDomain;
 }
 
-Duration TransitFleet::ageLimit() const
-{
-    // A confirmation spreads by gossip: each round multiplies the number of processes that have it by fanout + 1.
-    Duration limit = viewAgeLimit;
-    for (std::size_t reached = fanout() + 1; reached < m_members.size(); reached *= fanout() + 1)
-        limit = limit + stampInterval;
-    return limit;
-}
-
-std::optional<Duration> TransitFleet::viewAge(TimePoint now) const
-{
-    if (!m_confirmedAt)
-        return std::nullopt;
-    return now - *m_confirmedAt;
-}
-
-std::int64_t TransitFleet::viewAgeMs(TimePoint now) const
-{
-    auto age = viewAge(now);
-    return age ? age->us / 1000 : -1;
-}
-
-bool TransitFleet::isPermanentReader(TimePoint now) const
-{
-    return m_options.role == ProcessRole::Balancer
-        && rankAmong(ProcessRole::Balancer, false, now) < permanentStoreReaders;
-}
-
 StampMessage TransitFleet::makeStamp(TimePoint now, bool wantsReply) const
 {
     StampMessage stamp {
@@ -511,86 +416,6 @@
     }
 }
 
-void TransitFleet::confirm(TimePoint at)
-{
-    if (!m_confirmedAt || at > *m_confirmedAt)
-        m_confirmedAt = at;
-}
-
-bool TransitFleet::shouldReadStore(TimePoint now) const
-{
-    if (!m_view.through())
-        return now >= m_firstReadAt;
-    if (isPermanentReader(now))
-        return true;
-    auto age = viewAge(now);
-    if (!age)
-        return true;
-    if (*age <= ageLimit())
-        return false; // The usual case; avoids the scan over all members.
-    std::size_t rank = rankAmong(m_options.role, true, now);
-    return *age > ageLimit() + viewAgeStep * static_cast<std::int64_t>(rank);
-}
-
-Duration TransitFleet::firstReadWait()
-{
-    // Balancers read without a delay: they are fewer, and send the view to the agents of their failure domain.
-    if (m_options.role == ProcessRole::Balancer)
-        return {};
-    return storeReadDelay
-        + microseconds(static_cast<std::int64_t>(nextRandom() % static_cast<std::uint64_t>(storeReadJitter.us)));
-}
-
-std::size_t TransitFleet::rankAmong(ProcessRole role, bool isAnyRole, TimePoint now) const
-{
-    std::hash<Endpoint> hash;
-    std::uint64_t own = hash(m_options.self);
-    std::size_t rank = 0;
-    for (const auto& [endpoint, member] : m_members) {
-        if ((isAnyRole || member.role == role) && isAlive(member, now) && hash(endpoint) < own)
-            ++rank;
-    }
-    return rank;
-}
-
-void TransitFleet::startStoreCall(TimePoint now, TransitEffects& effects)
-{
-    m_callStartedAt = now;
-    effects.push_back(CountEvent { TransitCounter::StoreCalls });
-    m_isCallPending = true;
-    if (m_needsFullRead || !m_view.through()) {
-        effects.push_back(ReadStore { {}, readTimeout });
-        return;
-    }
-    effects.push_back(WatchStore { m_view.through(), watchWait, watchWait + watchGrace });
-}
-
-void TransitFleet::recordStoreAnswer(Revision asOf, TimePoint confirmedAt, TimePoint now, TransitEffects& effects)
-{
-    m_isCallPending = false;
-    m_nextCallAt = now;
-    m_nextStampAt = now; // Sends the confirmation to other members.
-    // A process that reads in place of the usual readers may start just as the store is back, without a failed call.
-    auto age = viewAge(now);
-    if (m_consecutiveFailures || (age && *age > ageLimit()))
-        m_storeRecoveredAt = now;
-    if (m_consecutiveFailures) {
-        effects.push_back(
-            WriteLog { "store_regained", { { "failures", static_cast<std::int64_t>(m_consecutiveFailures) } } });
-    }
-    m_consecutiveFailures = 0;
-    // A response from before the view's revision says nothing about changes after it.
-    if (asOf >= m_view.through())
-        confirm(confirmedAt);
-}
-
-TimePoint TransitFleet::retainRemovedUntil(TimePoint now) const
-{
-    if (!m_storeRecoveredAt || now >= *m_storeRecoveredAt + reregistrationTime)
-        return now;
-    return *m_storeRecoveredAt + reregistrationTime;
-}
-
 std::uint64_t TransitFleet::nextRandom()
 {
     m_random = mix64(m_random);
