--- a/bench/declined_openings.cpp
+++ b/bench/declined_openings.cpp
@@ -56,7 +56,7 @@
                 changes.emplace_back(TargetChange { Revision(1), record });
                 busy.push_back(i < load.emptyTargets * targetCount ? 0 : capacityOf(i));
             }
-            view.applySnapshot(changes, Revision(1), now - seconds(60), now);
+            view.applySnapshot(changes, StorePosition(1), now - seconds(60), now);
             for (std::uint32_t i = 0; i < balancerCount; ++i)
                 placements.emplace_back(domains[i % 3]);
         }
--- a/bench/transit_bench.cpp
+++ b/bench/transit_bench.cpp
@@ -66,7 +66,7 @@
 
     explicit Balancer(std::uint32_t targets)
     {
-        core.onStorePage(storeWith(targets), Revision(1), {}, start, effects);
+        core.onStorePage(storeWith(targets), StorePosition(1), {}, start, effects);
         effects.clear();
     }
 
@@ -74,7 +74,7 @@
     void learnHolder(const FlowTuple& flow)
     {
         HeldMessage held { .flow = flow, .targetSequence = 5, .load = {} };
-        core.onMessage({ firstTarget, fleetPort }, { Revision(1), held }, start, effects);
+        core.onMessage({ firstTarget, fleetPort }, { StorePosition(1), held }, start, effects);
         effects.clear();
     }
 };
@@ -152,7 +152,7 @@
             .fleetPort = fleetPort,
             .isFirstStart = true });
         TransitEffects effects;
-        agent.onStorePage(storeWith(7), Revision(1), {}, start, effects);
+        agent.onStorePage(storeWith(7), StorePosition(1), {}, start, effects);
         effects.clear();
         std::size_t before = mallinfo2().uordblks;
         for (std::uint32_t i = 0; i < flows; ++i) {
@@ -164,7 +164,7 @@
         before = mallinfo2().uordblks;
         for (std::uint32_t i = 0; i < flows; ++i) {
             agent.onMessage({ firstTarget + 1, fleetPort },
-                { Revision(1), InventoryUpdateMessage { { flowOf(1000000 + i) } } }, start, effects);
+                { StorePosition(1), InventoryUpdateMessage { { flowOf(1000000 + i) } } }, start, effects);
             effects.clear();
         }
         noted = static_cast<double>(mallinfo2().uordblks - before) / flows;
--- a/bench/transit_capacity_sim.cpp
+++ b/bench/transit_capacity_sim.cpp
@@ -88,7 +88,7 @@
                         .coldLeft = load.targets[i].isCold ? load.targets[i].slowUntil : Duration {},
                         .startedAt = 1 } });
             }
-            view.applySnapshot(changes, Revision(1), now, now);
+            view.applySnapshot(changes, StorePosition(1), now, now);
             for (const char* domain : domains)
                 placements.emplace_back(domain);
         }
--- a/bench/transit_policy_bench.cpp
+++ b/bench/transit_policy_bench.cpp
@@ -119,7 +119,7 @@
                     .slots = slots,
                     .startedAt = 1 } });
         }
-        view.applySnapshot(changes, Revision(1), now - seconds(60), now);
+        view.applySnapshot(changes, StorePosition(1), now - seconds(60), now);
         for (std::uint32_t i = 0; i < balancerCount; ++i)
             placements.emplace_back(domains[i]);
     }
--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -154,6 +154,7 @@
     src/transit_transfer_cmd.cpp
     src/transit_type.cpp
     src/transit_view_cmd.cpp
+    src/transit_view_era.cpp
     src/transit_view_query.cpp
     src/udp_func.cpp
     src/version_func.cpp
@@ -276,6 +277,7 @@
     tests/transit_transfer_fleet_test.cpp
     tests/transit_transfer_test.cpp
     tests/transit_view_test.cpp
+    tests/transit_era_test.cpp
     tests/udp_test.cpp
 )
 
--- a/src/table/transit_limits.h
+++ b/src/table/transit_limits.h
@@ -65,6 +65,9 @@
 inline constexpr Duration storeBackoffMax = milliseconds(600);
 /** Time after a store outage within which targets whose registration lapsed register again. */
 inline constexpr Duration reregistrationTime = milliseconds(2200);
+/** Time for which an evacuation stays in force that the store lacks after it came back from a copy. The operator writes
+ * it again; until then a false evacuation costs less than requests to targets that are about to lose power. */
+inline constexpr Duration evacuationRetention = seconds(10);
 
 // Balancer.
 
--- a/src/table/transit_names.h
+++ b/src/table/transit_names.h
@@ -57,6 +57,7 @@
     "refused",
     "unreachable",
     "invalid",
+    "other_era",
 };
 
 inline constexpr NameTable<TransitCounter> transitCounterNames = {
@@ -91,6 +92,7 @@
     "messages_out",
     "store_calls",
     "store_failures",
+    "store_answers_discarded",
     "log_lines_dropped",
     "entry_changes",
     "messages_relayed",
--- a/src/transit_admission.cpp
+++ b/src/transit_admission.cpp
@@ -63,7 +63,7 @@
 bool TransitAdmission::isRouteWrong(const TransitView& view, const OpenRequest& request) const
 {
     // The newer of the two views decides, so a balancer with a newer route is trusted.
-    if (request.routeRevision > view.through())
+    if (request.routePosition > view.through())
         return false;
     const RouteRecord* route = view.routeAt(request.address);
     if (!route)
--- a/src/transit_admission_base.h
+++ b/src/transit_admission_base.h
@@ -26,7 +26,7 @@
 struct OpenRequest {
     std::string service; ///< Service that the balancer chose.
     Endpoint address; ///< Destination of the caller's packet.
-    Revision routeRevision; ///< Revision of the route that the balancer used.
+    StorePosition routePosition; ///< Position of the route that the balancer used.
 };
 
 /** Admission of opening packets to one target. Pure. */
--- a/src/transit_agent_cmd.cpp
+++ b/src/transit_agent_cmd.cpp
@@ -169,8 +169,9 @@
 {
     effects.push_back(WriteLog { "target_lifetime",
         { { "target", own.record.id }, { "started_at", static_cast<std::int64_t>(own.record.startedAt) },
-            { "revision", static_cast<std::int64_t>(own.revision.value) }, { "cold_ms", own.record.coldLeft.us / 1000 },
-            { "cold_limit_per_s", coldLimit() }, { "flows_before", static_cast<std::int64_t>(m_flows.size()) },
+            { "revision", static_cast<std::int64_t>(own.position.revision.value) },
+            { "cold_ms", own.record.coldLeft.us / 1000 }, { "cold_limit_per_s", coldLimit() },
+            { "flows_before", static_cast<std::int64_t>(m_flows.size()) },
             { "knows_all_flows", static_cast<std::int64_t>(m_knowsAllFlows) } } });
     m_health = {};
     m_capacity.reset(now);
--- a/src/transit_agent_message.cpp
+++ b/src/transit_agent_message.cpp
@@ -46,7 +46,7 @@
         m_opensAwaitingView.emplace_back(now, std::move(forward));
         return;
     }
-    OpenRequest request { forward.service, flow.service, forward.routeRevision };
+    OpenRequest request { forward.service, flow.service, forward.routePosition };
     auto reason = m_admission.test(m_fleet.view(), request, load(), now);
     if (!reason && !m_health.canAdmit(now))
         reason = DeclineReason::Faulty;
@@ -134,8 +134,8 @@
     effects.push_back(WriteLog { "open_declined",
         { { "flow", toString(flow.caller) }, { "to", toString(flow.service) },
             { "reason", std::string(nameOf(reason)) }, { "busy", static_cast<std::int64_t>(m_busy) },
-            { "target_revision", static_cast<std::int64_t>(own ? own->revision.value : 0) },
-            { "revision", static_cast<std::int64_t>(m_fleet.view().through().value) } } });
+            { "target_revision", static_cast<std::int64_t>(own ? own->position.revision.value : 0) },
+            { "revision", static_cast<std::int64_t>(m_fleet.view().through().revision.value) } } });
     if (reason == DeclineReason::Silent || reason == DeclineReason::Returned)
         forgetFlow(flow);
     Endpoint balancer = forward.replyTo;
--- a/src/transit_agent_queue.cpp
+++ b/src/transit_agent_queue.cpp
@@ -151,7 +151,7 @@
             { "age_ms", (now - request.startedAt).us / 1000 }, { "busy", static_cast<std::int64_t>(m_busy) },
             { "queued", static_cast<std::int64_t>(m_queue.size()) },
             { "route_revision",
-                static_cast<std::int64_t>(m_fleet.view().routeRevisionAt(request.flow.service).value) } } });
+                static_cast<std::int64_t>(m_fleet.view().routePositionAt(request.flow.service).revision.value) } } });
     flow.queuedPackets.push_back(std::move(forward));
     // The short last packet of a request often arrives before the full first one.
     for (auto& early : std::exchange(flow.earlyPackets, {}))
--- a/src/transit_balancer_cmd.cpp
+++ b/src/transit_balancer_cmd.cpp
@@ -61,7 +61,7 @@
         m_fleet.setReady(m_wasReady, now, effects);
         effects.push_back(WriteLog { "ready",
             { { "is_ready", static_cast<std::int64_t>(m_wasReady) },
-                { "revision", static_cast<std::int64_t>(m_fleet.view().through().value) },
+                { "revision", static_cast<std::int64_t>(m_fleet.view().through().revision.value) },
                 { "targets", static_cast<std::int64_t>(m_fleet.view().targets().size()) } } });
     }
 }
--- a/src/transit_balancer_locate.cpp
+++ b/src/transit_balancer_locate.cpp
@@ -343,7 +343,7 @@
             { "asked", static_cast<std::int64_t>(locate.queried.size()) },
             { "answered", static_cast<std::int64_t>(locate.answered.size()) },
             { "vouchers", static_cast<std::int64_t>(locate.reportingLocators.size()) },
-            { "revision", static_cast<std::int64_t>(m_fleet.view().through().value) },
+            { "revision", static_cast<std::int64_t>(m_fleet.view().through().revision.value) },
             { "took_us", (now - locate.startedAt).us } } });
     bool hasGivenUp = std::any_of(
         locate.packets.begin(), locate.packets.end(), [](const auto& each) { return each.flags.isReset; });
--- a/src/transit_balancer_open.cpp
+++ b/src/transit_balancer_open.cpp
@@ -43,7 +43,7 @@
     ForwardMessage forward {
         .replyTo = m_fleet.self(),
         .service = *service,
-        .routeRevision = m_fleet.view().routeRevisionAt(flow.service),
+        .routePosition = m_fleet.view().routePositionAt(flow.service),
     };
     forward.packet = std::move(packet);
     if (standing.holder) {
@@ -94,7 +94,7 @@
             { "attempt", static_cast<std::int64_t>(forward.tried.size()) },
             { "copy", static_cast<std::int64_t>(forward.packet.acknowledged) },
             { "load_percent", static_cast<std::int64_t>(100 * m_placement.loadOf(m_fleet.view(), *target, now)) },
-            { "revision", static_cast<std::int64_t>(target->revision.value) },
+            { "revision", static_cast<std::int64_t>(target->position.revision.value) },
             { "view_age_ms", m_fleet.viewAgeMs(now) } } });
     m_placement.recordSent(address);
     effects.push_back(SendMessage { agent, forward });
@@ -162,8 +162,9 @@
     effects.push_back(WriteLog { "flow_refused",
         { { "flow", toString(packet.flow.caller) }, { "to", toString(packet.flow.service) },
             { "reason", std::string(reason) }, { "tried", static_cast<std::int64_t>(tried) },
-            { "route_revision", static_cast<std::int64_t>(m_fleet.view().routeRevisionAt(packet.flow.service).value) },
-            { "revision", static_cast<std::int64_t>(m_fleet.view().through().value) },
+            { "route_revision",
+                static_cast<std::int64_t>(m_fleet.view().routePositionAt(packet.flow.service).revision.value) },
+            { "revision", static_cast<std::int64_t>(m_fleet.view().through().revision.value) },
             { "view_age_ms", m_fleet.viewAgeMs(now) } } });
     effects.push_back(ResetCaller { packet.flow, packet.acknowledged });
 }
--- a/src/transit_balancer_place.cpp
+++ b/src/transit_balancer_place.cpp
@@ -88,7 +88,7 @@
         return { 400, error + "\n" };
     if (!view.hasConfiguration())
         return { 503, "no view yet: opening packets wait for it\n" };
-    std::string atRevision = " at revision " + std::to_string(view.through().value) + "\n";
+    std::string atRevision = " at revision " + std::to_string(view.through().revision.value) + "\n";
     if (parsed.to && !view.routeAt(*parsed.to))
         return { 404, "no route for " + toString(*parsed.to) + atRevision };
     if (!parsed.to && !view.serviceNamed(parsed.service) && view.targetsOf(parsed.service).empty())
@@ -103,11 +103,11 @@
     PlaceReport report {
         .balancer = toString(m_fleet.self()), .failureDomain = m_options.failureDomain, .from = toString(query.from)
     };
-    report.view = { .revision = view.through().value, .ageMs = millisecondsOf(m_fleet.viewAge(now)) };
+    report.view = { .revision = view.through().revision.value, .ageMs = millisecondsOf(m_fleet.viewAge(now)) };
     const std::string* service = &query.service;
     std::string_view reason = "requested";
     if (const RouteRecord* route = query.to ? view.routeAt(*query.to) : nullptr) {
-        report.route = describe(*route, view.routeRevisionAt(flow.service));
+        report.route = describe(*route, view.routePositionAt(flow.service).revision);
         service = serviceFor(*route, flow, now);
         reason = service == serviceByWeight(*route, flow) ? "weight" : "spare_capacity";
     }
--- a/src/transit_codec_func.cpp
+++ b/src/transit_codec_func.cpp
@@ -139,8 +139,10 @@
     {
         auto out = std::make_unique<wire::ItemT>();
         out->key = item.key;
-        out->revision = item.revision.value;
+        out->revision = item.position.revision.value;
+        out->era = item.position.era.value;
         out->is_removed = item.isRemoved;
+        out->is_missing = item.isMissing;
         out->hold_us = std::max<std::int64_t>((item.retainedUntil - now).us, 0);
         out->age_us = std::max<std::int64_t>((now - item.receivedAt).us, 0);
         if (item.value)
@@ -181,11 +183,12 @@
     {
         ViewItem item {
             .key = in.key,
-            .revision = Revision(in.revision),
+            .position = StorePosition(in.revision, in.era),
             .isRemoved = in.is_removed,
             .value = {},
             .retainedUntil = now + Duration { in.hold_us },
             .receivedAt = now,
+            .isMissing = in.is_missing,
         };
         if (in.route)
             item.value = routeOf(*in.route);
@@ -206,7 +209,8 @@
     {
         out.reply_to = std::make_unique<wire::Node>(nodeOf(body.replyTo));
         out.service = body.service;
-        out.route_revision = body.routeRevision.value;
+        out.route_revision = body.routePosition.revision.value;
+        out.route_era = body.routePosition.era.value;
         out.flags |= body.isLocating ? flagLocating : 0;
         out.hops = body.hops;
         putNodes(out, body.tried);
@@ -295,20 +299,40 @@
         out.failure_domain = body.failureDomain;
         out.flags |= body.isReady ? flagReady : 0;
         out.flags |= body.takesRelayed ? flagTakesRelayed : 0;
+        out.configuration_version = body.keptConfigurationVersion;
         if (body.entry)
             out.entry = std::make_unique<wire::EntryT>(wireEntryOf(*body.entry));
         for (const auto& path : body.paths)
             out.paths.push_back({ path.from, path.to, path.heardAgeMs, path.reportAgeMs });
     }
 
+    void putConfiguration(wire::MessageT& out, const ViewDelta& delta)
+    {
+        const ConfigurationStamp& stamp = delta.configuration;
+        out.configuration_era = stamp.writtenAt.era.value;
+        out.configuration_revision = stamp.writtenAt.revision.value;
+        out.configuration_version = stamp.version;
+        // Processes of earlier versions compare the revision up to which the configuration is complete.
+        out.configuration_through = std::max(stamp.writtenAt, delta.through).revision.value;
+    }
+
+    ConfigurationStamp configurationOf(const wire::MessageT& in)
+    {
+        if (in.configuration_revision)
+            return { StorePosition(in.configuration_revision, in.configuration_era), in.configuration_version };
+        // From a process of an earlier version.
+        return { StorePosition(std::max(in.configuration_through, in.through), in.era), 0 };
+    }
+
     void putBody(wire::MessageT& out, const DeltaMessage& body, TimePoint now)
     {
         out.age_us = body.age.us;
-        out.since = body.delta.since.value;
+        out.since = body.delta.since.revision.value;
+        out.since_era = body.delta.since.era.value;
         out.flags |= body.delta.hasKeys ? flagKeys : 0;
         out.keys = body.delta.keys;
         out.digest = body.delta.digest;
-        out.configuration_through = body.delta.configurationThrough.value;
+        putConfiguration(out, body.delta);
         for (const auto& item : body.delta.items)
             out.items.push_back(wireItemOf(item, now));
     }
@@ -388,7 +412,7 @@
         return ForwardMessage {
             .replyTo = endpointOf(in.reply_to),
             .service = in.service,
-            .routeRevision = Revision(in.route_revision),
+            .routePosition = StorePosition(in.route_revision, in.route_era),
             .isLocating = (in.flags & flagLocating) != 0,
             .hops = in.hops,
             .tried = endpointsOf(in),
@@ -438,13 +462,13 @@
             return StampMessage { static_cast<ProcessRole>(in.role), in.incarnation, { in.age_us },
                 (in.flags & flagWantsReply) != 0, (in.flags & flagWantsFullDelta) != 0, loadOf(in), endpointsOf(in),
                 in.failure_domain, (in.flags & flagReady) != 0, entryOf(in), pathsOf(in),
-                (in.flags & flagTakesRelayed) != 0 };
+                (in.flags & flagTakesRelayed) != 0, in.configuration_version };
         case Kind::Delta: {
             DeltaMessage message { { in.age_us },
-                { Revision(in.since), Revision(in.through), (in.flags & flagKeys) != 0, in.keys, {} } };
+                { StorePosition(in.since, in.since_era), StorePosition(in.through, in.era), (in.flags & flagKeys) != 0,
+                    in.keys, {} } };
             message.delta.digest = in.digest;
-            // Processes of earlier versions do not send it.
-            message.delta.configurationThrough = Revision(std::max(in.configuration_through, in.through));
+            message.delta.configuration = configurationOf(in);
             for (const auto& item : in.items)
                 message.delta.items.push_back(itemOf(*item, now));
             return message;
@@ -491,7 +515,8 @@
 {
     wire::MessageT out;
     out.kind = static_cast<std::uint8_t>(message.body.index());
-    out.through = message.through.value;
+    out.through = message.through.revision.value;
+    out.era = message.through.era.value;
     if (message.relayTo) {
         out.relay_to = std::make_unique<wire::Node>(nodeOf(message.relayTo));
         out.origin = std::make_unique<wire::Node>(nodeOf(message.origin));
@@ -512,7 +537,8 @@
     auto body = bodyOf(in, format, now);
     if (!body)
         return std::nullopt;
-    return Message { Revision(in.through), std::move(*body), endpointOf(in.relay_to), endpointOf(in.origin) };
+    return Message { StorePosition(in.through, in.era), std::move(*body), endpointOf(in.relay_to),
+        endpointOf(in.origin) };
 }
 
 std::vector<std::vector<std::uint8_t>> FragmentJoiner::split(const std::vector<std::uint8_t>& message)
--- a/src/transit_core_base.h
+++ b/src/transit_core_base.h
@@ -73,7 +73,7 @@
     }
 
     /** Handles one page of a full read of the store; see TransitFleet::onStorePage. */
-    void onStorePage(std::vector<StoreChange> changes, Revision asOf, const std::string& nextAfter, TimePoint now,
+    void onStorePage(std::vector<StoreChange> changes, StorePosition asOf, const std::string& nextAfter, TimePoint now,
         TransitEffects& effects)
     {
         if (m_fleet.onStorePage(std::move(changes), asOf, nextAfter, now, effects))
@@ -81,16 +81,17 @@
     }
 
     /** Handles the response to a watch of the store; see TransitFleet::onStoreChanges. */
-    void onStoreChanges(const std::vector<StoreChange>& changes, Revision asOf, TimePoint now, TransitEffects& effects)
+    void onStoreChanges(
+        const std::vector<StoreChange>& changes, StorePosition asOf, TimePoint now, TransitEffects& effects)
     {
         if (m_fleet.onStoreChanges(changes, asOf, now, effects))
             onViewChanged(now, effects);
     }
 
     /** Handles a failed store call; see TransitFleet::onStoreFailure. */
-    void onStoreFailure(StoreFailure failure, TimePoint now, TransitEffects& effects)
+    void onStoreFailure(StoreFailure failure, StoreEra era, TimePoint now, TransitEffects& effects)
     {
-        m_fleet.onStoreFailure(failure, now, effects);
+        m_fleet.onStoreFailure(failure, era, now, effects);
     }
 
     const TransitFleet& fleet() const { return m_fleet; }
--- a/src/transit_effect_type.h
+++ b/src/transit_effect_type.h
@@ -49,9 +49,9 @@
     Duration timeout;
 };
 
-/** Ask the store for changes after a revision. */
+/** Ask the store for changes after a position. */
 struct WatchStore {
-    Revision after;
+    StorePosition after;
     Duration wait; ///< Long-poll time: the store answers after it even without a change.
     Duration timeout; ///< The connection is closed when no answer has arrived by then.
 };
@@ -104,6 +104,7 @@
     MessagesOut,
     StoreCalls,
     StoreFailures,
+    StoreAnswersDiscarded, ///< Of the failures: the response was of another era of the store.
     LogLinesDropped,
     EntryChanges, ///< A balancer left rotation or returned because of the load.
     MessagesRelayed, ///< Sent through a relay, since the path to the receiver's failure domain is broken.
@@ -143,6 +144,7 @@
     Refused, ///< The store rejected the call.
     Unreachable, ///< Connection failure or timeout.
     Invalid, ///< The response cannot be decoded.
+    OtherEra, ///< The response is of an earlier era than the view, or its pages are of different eras.
     End,
 };
 
--- a/src/transit_fleet.cpp
+++ b/src/transit_fleet.cpp
@@ -49,13 +49,13 @@
         m_wasReader = isReader;
         effects.push_back(WriteLog { "store_reader",
             { { "reads", static_cast<std::int64_t>(isReader) }, { "view_age_ms", viewAgeMs(now) },
-                { "revision", static_cast<std::int64_t>(m_view.through().value) } } });
+                { "revision", static_cast<std::int64_t>(m_view.through().revision.value) } } });
     }
     if (isReader && !m_isCallPending && now >= m_nextCallAt)
         startStoreCall(now, effects);
 }
 
-void TransitFleet::recordContact(Endpoint from, Revision through, TimePoint now, TransitEffects& effects)
+void TransitFleet::recordContact(Endpoint from, StorePosition through, TimePoint now, TransitEffects& effects)
 {
     Member* known = findOrAddMember(from);
     if (!known)
@@ -69,7 +69,7 @@
 }
 
 bool TransitFleet::onStamp(
-    Endpoint from, Revision through, const StampMessage& stamp, TimePoint now, TransitEffects& effects)
+    Endpoint from, StorePosition through, const StampMessage& stamp, TimePoint now, TransitEffects& effects)
 {
     Member* known = findOrAddMember(from);
     if (!known)
@@ -89,33 +89,37 @@
     }
     for (Endpoint balancer : stamp.balancers)
         addMember(balancer, ProcessRole::Balancer, now);
-    if (stamp.age.us >= 0 && through <= m_view.through())
+    if (stamp.age.us >= 0 && isConfirmedBy(through))
         confirm(now - stamp.age);
+    bool hasNewerConfiguration = stamp.keptConfigurationVersion > m_view.configuration().version;
+    if (hasNewerConfiguration && through == m_view.through() && now >= m_deltaRequestedAt + fetchTimeout)
+        requestFullDelta(from, now, effects);
     if (stamp.wantsFullDelta && through <= m_view.through())
-        sendDelta(from, Revision(), now, effects);
+        sendDelta(from, StorePosition(), now, effects);
     else if (stamp.wantsReply && through < m_view.through())
         sendDelta(from, through, now, effects);
     else if (isNew && through < m_view.through())
-        sendStamp(from, false, now, effects); // Shows a newly started process that a newer revision exists.
+        sendStamp(from, false, now, effects); // Shows a newly started process that a newer view exists.
     return isNew;
 }
 
 bool TransitFleet::onDelta(Endpoint from, const DeltaMessage& message, TimePoint now, TransitEffects& effects)
 {
     m_deltaRequestedAt = now - fetchTimeout; // Allows the next request immediately.
-    Revision before = m_view.through();
+    StorePosition before = m_view.through();
     DeltaOutcome outcome = m_view.applyDelta(message.delta, now);
     if (outcome == DeltaOutcome::Mismatch)
         requestFullDelta(from, now, effects);
+    logEraChange(before, "peer", effects);
     if (m_view.through() > before) {
         effects.push_back(WriteLog { "view_from_peer",
-            { { "peer", toString(from) }, { "from_revision", static_cast<std::int64_t>(before.value) },
-                { "revision", static_cast<std::int64_t>(m_view.through().value) },
+            { { "peer", toString(from) }, { "from_revision", static_cast<std::int64_t>(before.revision.value) },
+                { "revision", static_cast<std::int64_t>(m_view.through().revision.value) },
                 { "items", static_cast<std::int64_t>(message.delta.items.size()) },
                 { "age_ms", message.age.us / 1000 } } });
         startGossipRound(now, effects);
     }
-    if (message.age.us >= 0 && message.delta.through <= m_view.through())
+    if (message.age.us >= 0 && isConfirmedBy(message.delta.through))
         confirm(now - message.age);
     return outcome != DeltaOutcome::Ignored;
 }
@@ -123,7 +127,7 @@
 void TransitFleet::requestFullDelta(Endpoint from, TimePoint now, TransitEffects& effects)
 {
     effects.push_back(WriteLog { "view_differs",
-        { { "peer", toString(from) }, { "revision", static_cast<std::int64_t>(m_view.through().value) } } });
+        { { "peer", toString(from) }, { "revision", static_cast<std::int64_t>(m_view.through().revision.value) } } });
     m_deltaRequestedAt = now;
     StampMessage stamp = makeStamp(now, true);
     stamp.wantsFullDelta = true;
@@ -327,6 +331,7 @@
         .entry = {},
         .paths = {},
         .takesRelayed = m_options.relayPaths,
+        .keptConfigurationVersion = m_view.keptConfigurationVersion(),
     };
     std::vector<Endpoint> balancers;
     for (const auto& [endpoint, member] : m_members) {
@@ -350,7 +355,7 @@
     effects.push_back(SendMessage { to, std::move(stamp) });
 }
 
-void TransitFleet::sendDelta(Endpoint to, Revision since, TimePoint now, TransitEffects& effects)
+void TransitFleet::sendDelta(Endpoint to, StorePosition since, TimePoint now, TransitEffects& effects)
 {
     effects.push_back(SendMessage { to, DeltaMessage { viewAge(now).value_or(unknownAge), m_view.deltaSince(since) } });
 }
--- a/src/transit_fleet_base.h
+++ b/src/transit_fleet_base.h
@@ -69,9 +69,9 @@
     /**
      * Records that a message of any kind was received, and requests a delta when the sender's view is newer.
      * @param from Sender of the message.
-     * @param through Revision of the sender's view.
+     * @param through Position of the sender's view.
      */
-    void recordContact(Endpoint from, Revision through, TimePoint now, TransitEffects& effects);
+    void recordContact(Endpoint from, StorePosition through, TimePoint now, TransitEffects& effects);
 
     /** Records that a message of any kind was received directly from its sender, for the state of the paths. */
     void recordReceived(Endpoint from, TimePoint now);
@@ -92,7 +92,8 @@
     std::vector<std::string> domainsBehindBrokenPaths() const;
 
     /** Handles a stamp; parameters as for recordContact. @return Whether the incarnation of the sender is new. */
-    bool onStamp(Endpoint from, Revision through, const StampMessage& stamp, TimePoint now, TransitEffects& effects);
+    bool onStamp(
+        Endpoint from, StorePosition through, const StampMessage& stamp, TimePoint now, TransitEffects& effects);
 
     /**
      * Handles a delta of the view.
@@ -106,21 +107,23 @@
     /**
      * Handles one page of a full read of the store.
      * @param changes Content of the page.
-     * @param asOf Revision of the store when it returned the page.
+     * @param asOf Position of the store when it returned the page.
      * @param nextAfter Key after which the next page starts; empty on the last page.
      * @return Whether the view changed.
      */
-    bool onStorePage(std::vector<StoreChange> changes, Revision asOf, const std::string& nextAfter, TimePoint now,
+    bool onStorePage(std::vector<StoreChange> changes, StorePosition asOf, const std::string& nextAfter, TimePoint now,
         TransitEffects& effects);
 
     /** Handles the response to a watch. @return Whether the view changed. */
-    bool onStoreChanges(const std::vector<StoreChange>& changes, Revision asOf, TimePoint now, TransitEffects& effects);
+    bool onStoreChanges(
+        const std::vector<StoreChange>& changes, StorePosition asOf, TimePoint now, TransitEffects& effects);
 
     /**
      * Handles a failed store call: schedules the next call with exponential backoff, or a full read at once when the
-     * store no longer has the history since the revision of the view.
+     * store no longer has the history since the position of the view.
+     * @param era Era of the store in the response; zero when there was none.
      */
-    void onStoreFailure(StoreFailure failure, TimePoint now, TransitEffects& effects);
+    void onStoreFailure(StoreFailure failure, StoreEra era, TimePoint now, TransitEffects& effects);
 
     /** Sends all members the message that this process shuts down. */
     void announceLeaving(TransitEffects& effects);
@@ -206,7 +209,7 @@
 
     StampMessage makeStamp(TimePoint now, bool wantsReply) const;
     void sendStamp(Endpoint to, bool wantsReply, TimePoint now, TransitEffects& effects);
-    void sendDelta(Endpoint to, Revision since, TimePoint now, TransitEffects& effects);
+    void sendDelta(Endpoint to, StorePosition since, TimePoint now, TransitEffects& effects);
     void requestFullDelta(Endpoint from, TimePoint now, TransitEffects& effects);
     void sendStamps(
         const StampMessage& stamp, const std::vector<Endpoint>& members, std::size_t count, TransitEffects& effects);
@@ -215,6 +218,7 @@
     std::vector<Endpoint> entryReceivers() const;
     Member* findOrAddMember(Endpoint endpoint);
     void expireMembers(TimePoint now, TransitEffects& effects);
+    bool isConfirmedBy(StorePosition through) const;
     void confirm(TimePoint at);
     std::size_t fanout() const;
     Duration lifetimeOf(const Member& member) const;
@@ -227,10 +231,16 @@
     void startStoreCall(TimePoint now, TransitEffects& effects);
     /**
      * Records that a store call was answered.
-     * @param asOf Revision of the store in the response.
-     * @param confirmedAt Time at which that was its revision, at the latest.
+     * @param asOf Position of the store in the response.
+     * @param confirmedAt Time at which that was its position, at the latest.
      */
-    void recordStoreAnswer(Revision asOf, TimePoint confirmedAt, TimePoint now, TransitEffects& effects);
+    void recordStoreAnswer(StorePosition asOf, TimePoint confirmedAt, TimePoint now, TransitEffects& effects);
+    bool applyPages(TimePoint now, TransitEffects& effects);
+    void discardPages();
+    Duration nextBackoff(std::uint32_t attempts);
+    bool isFullReadNeededFor(StoreEra era) const;
+    void discardStoreAnswer(StorePosition asOf, TimePoint now, TransitEffects& effects);
+    void logEraChange(StorePosition before, std::string_view source, TransitEffects& effects) const;
     TimePoint retainRemovedUntil(TimePoint now) const;
     std::uint64_t nextRandom();
 
@@ -265,11 +275,12 @@
     std::optional<TimePoint> m_firstViewAt; ///< First tick with a view.
     TimePoint m_firstReadAt; ///< Earliest time at which a process without a view reads the store.
     std::uint32_t m_consecutiveFailures {}; ///< Failed store calls since the last response.
+    std::uint32_t m_readsBehind {}; ///< Full reads in a row that were older than the view.
     std::optional<TimePoint> m_storeRecoveredAt; ///< Time of the first response after failed calls.
-    bool m_needsFullRead {}; ///< The store no longer has the history since the revision of the view.
+    bool m_needsFullRead {}; ///< The store no longer has the history since the position of the view.
     bool m_wasReader {};
     std::vector<StoreChange> m_pages; ///< Content of the pages received so far in a full read.
-    Revision m_firstPageRevision; ///< Revision of the first page; changes after it may be missing from the pages.
+    StorePosition m_firstPageAsOf; ///< Position of the first page; changes after it may be missing from the pages.
 };
 
 } // namespace hawthorncroft
--- a/src/transit_fleet_store.cpp
+++ b/src/transit_fleet_store.cpp
@@ -10,44 +10,69 @@
 
 namespace hawthorncroft {
 
-bool TransitFleet::onStorePage(std::vector<StoreChange> changes, Revision asOf, const std::string& nextAfter,
+bool TransitFleet::onStorePage(std::vector<StoreChange> changes, StorePosition asOf, const std::string& nextAfter,
     TimePoint now, TransitEffects& effects)
 {
-    if (m_pages.empty() && !m_firstPageRevision)
-        m_firstPageRevision = asOf;
+    if (!m_firstPageAsOf)
+        m_firstPageAsOf = asOf;
+    bool isOneEra = asOf.era == m_firstPageAsOf.era;
+    if (!isOneEra || asOf.era < m_view.through().era) {
+        discardStoreAnswer(asOf, now, effects);
+        return false;
+    }
     std::move(changes.begin(), changes.end(), std::back_inserter(m_pages));
     if (!nextAfter.empty()) {
         effects.push_back(ReadStore { nextAfter, readTimeout });
         return false;
     }
-    recordStoreAnswer(m_firstPageRevision, m_callStartedAt, now, effects);
+    return applyPages(now, effects);
+}
+
+bool TransitFleet::applyPages(TimePoint now, TransitEffects& effects)
+{
+    StorePosition before = m_view.through();
+    StorePosition asOf = m_firstPageAsOf;
+    // What the store lacks after its return from a copy has the time to be written again that it has after an outage.
+    if (before && asOf.era > before.era)
+        m_storeRecoveredAt = now;
+    recordStoreAnswer(asOf, m_callStartedAt, now, effects);
     m_needsFullRead = false;
-    Revision before = m_view.through();
-    bool hasChanged = m_view.applySnapshot(m_pages, m_firstPageRevision, now, retainRemovedUntil(now));
+    bool hasChanged = m_view.applySnapshot(m_pages, asOf, now, retainRemovedUntil(now));
+    logEraChange(before, "store", effects);
     effects.push_back(WriteLog { "view_from_store",
-        { { "call", std::string("read") }, { "from_revision", static_cast<std::int64_t>(before.value) },
-            { "as_of", static_cast<std::int64_t>(m_firstPageRevision.value) },
+        { { "call", std::string("read") }, { "from_revision", static_cast<std::int64_t>(before.revision.value) },
+            { "as_of", static_cast<std::int64_t>(asOf.revision.value) },
             { "took_ms", (now - m_callStartedAt).us / 1000 },
-            { "revision", static_cast<std::int64_t>(m_view.through().value) },
+            { "revision", static_cast<std::int64_t>(m_view.through().revision.value) },
             { "items", static_cast<std::int64_t>(m_pages.size()) } } });
-    m_pages = {};
-    m_firstPageRevision = {};
+    discardPages();
+    // A store that gives out no revision as high as that of the view would be read again at once, and without end.
+    m_readsBehind = asOf < before ? m_readsBehind + 1 : 0;
+    if (m_readsBehind)
+        m_nextCallAt = now + nextBackoff(m_readsBehind - 1);
     if (m_view.through() > before)
         startGossipRound(now, effects);
     return hasChanged;
 }
 
+void TransitFleet::discardPages()
+{
+    m_pages = {};
+    m_firstPageAsOf = {};
+}
+
 bool TransitFleet::onStoreChanges(
-    const std::vector<StoreChange>& changes, Revision asOf, TimePoint now, TransitEffects& effects)
+    const std::vector<StoreChange>& changes, StorePosition asOf, TimePoint now, TransitEffects& effects)
 {
     recordStoreAnswer(asOf, now, now, effects);
-    Revision before = m_view.through();
+    StorePosition before = m_view.through();
     bool hasChanged = m_view.applyChanges(changes, asOf, now, retainRemovedUntil(now));
     if (!changes.empty()) {
         effects.push_back(WriteLog { "view_from_store",
-            { { "call", std::string("watch") }, { "from_revision", static_cast<std::int64_t>(before.value) },
-                { "as_of", static_cast<std::int64_t>(asOf.value) }, { "took_ms", (now - m_callStartedAt).us / 1000 },
-                { "revision", static_cast<std::int64_t>(m_view.through().value) },
+            { { "call", std::string("watch") }, { "from_revision", static_cast<std::int64_t>(before.revision.value) },
+                { "as_of", static_cast<std::int64_t>(asOf.revision.value) },
+                { "took_ms", (now - m_callStartedAt).us / 1000 },
+                { "revision", static_cast<std::int64_t>(m_view.through().revision.value) },
                 { "items", static_cast<std::int64_t>(changes.size()) } } });
     }
     if (m_view.through() > before)
@@ -55,26 +80,56 @@
     return hasChanged;
 }
 
-void TransitFleet::onStoreFailure(StoreFailure failure, TimePoint now, TransitEffects& effects)
+void TransitFleet::discardStoreAnswer(StorePosition asOf, TimePoint now, TransitEffects& effects)
+{
+    effects.push_back(CountEvent { TransitCounter::StoreAnswersDiscarded });
+    onStoreFailure(StoreFailure::OtherEra, asOf.era, now, effects);
+}
+
+bool TransitFleet::isFullReadNeededFor(StoreEra era) const { return m_view.through() && era > m_view.through().era; }
+
+Duration TransitFleet::nextBackoff(std::uint32_t attempts)
+{
+    Duration backoff = storeBackoffMin * (std::int64_t { 1 } << std::min<std::uint32_t>(attempts, 6));
+    backoff = std::min(backoff, storeBackoffMax);
+    return backoff / 2 + microseconds(static_cast<std::int64_t>(nextRandom() % static_cast<std::uint64_t>(backoff.us)));
+}
+
+void TransitFleet::onStoreFailure(StoreFailure failure, StoreEra era, TimePoint now, TransitEffects& effects)
 {
     m_isCallPending = false;
-    m_pages = {};
-    m_firstPageRevision = {};
+    discardPages();
     // A watch that returned something unreadable would return it again; a full read has current values only.
-    m_needsFullRead |= failure == StoreFailure::Invalid || failure == StoreFailure::HistoryGone;
-    if (failure == StoreFailure::HistoryGone) {
-        m_nextCallAt = now;
-    } else {
-        Duration backoff = storeBackoffMin * (std::int64_t { 1 } << std::min<std::uint32_t>(m_consecutiveFailures, 6));
-        backoff = std::min(backoff, storeBackoffMax);
-        m_nextCallAt = now + backoff / 2
-            + microseconds(static_cast<std::int64_t>(nextRandom() % static_cast<std::uint64_t>(backoff.us)));
-        ++m_consecutiveFailures;
-    }
+    m_needsFullRead
+        |= failure == StoreFailure::Invalid || failure == StoreFailure::HistoryGone || isFullReadNeededFor(era);
+    m_nextCallAt = now;
+    if (failure != StoreFailure::HistoryGone)
+        m_nextCallAt = now + nextBackoff(m_consecutiveFailures++);
     effects.push_back(CountEvent { TransitCounter::StoreFailures });
     effects.push_back(WriteLog { m_consecutiveFailures == 1 ? "store_lost" : "store_call_failed",
         { { "reason", std::string(nameOf(failure)) }, { "failures", static_cast<std::int64_t>(m_consecutiveFailures) },
-            { "view_age_ms", viewAgeMs(now) }, { "revision", static_cast<std::int64_t>(m_view.through().value) } } });
+            { "view_age_ms", viewAgeMs(now) },
+            { "revision", static_cast<std::int64_t>(m_view.through().revision.value) } } });
+}
+
+void TransitFleet::logEraChange(StorePosition before, std::string_view source, TransitEffects& effects) const
+{
+    StorePosition after = m_view.through();
+    if (!before || after.era == before.era)
+        return;
+    effects.push_back(WriteLog { "store_era_changed",
+        { { "source", std::string(source) }, { "from_era", static_cast<std::int64_t>(before.era.value) },
+            { "era", static_cast<std::int64_t>(after.era.value) },
+            { "from_revision", static_cast<std::int64_t>(before.revision.value) },
+            { "revision", static_cast<std::int64_t>(after.revision.value) },
+            { "retained", static_cast<std::int64_t>(m_view.retainedCount()) },
+            { "kept_configuration", static_cast<std::int64_t>(m_view.keptConfigurationVersion()) } } });
+}
+
+bool TransitFleet::isConfirmedBy(StorePosition through) const
+{
+    // The age in a message is that of its sender's era, which a view of a later era is not confirmed by.
+    return through.era == m_view.through().era && through <= m_view.through();
 }
 
 void TransitFleet::confirm(TimePoint at)
@@ -159,7 +214,7 @@
     effects.push_back(WatchStore { m_view.through(), watchWait, watchWait + watchGrace });
 }
 
-void TransitFleet::recordStoreAnswer(Revision asOf, TimePoint confirmedAt, TimePoint now, TransitEffects& effects)
+void TransitFleet::recordStoreAnswer(StorePosition asOf, TimePoint confirmedAt, TimePoint now, TransitEffects& effects)
 {
     m_isCallPending = false;
     m_nextCallAt = now;
@@ -173,7 +228,7 @@
             WriteLog { "store_regained", { { "failures", static_cast<std::int64_t>(m_consecutiveFailures) } } });
     }
     m_consecutiveFailures = 0;
-    // A response from before the view's revision says nothing about changes after it.
+    // A response from before the view's position says nothing about changes after it.
     if (asOf >= m_view.through())
         confirm(confirmedAt);
 }
--- a/src/transit_message_type.h
+++ b/src/transit_message_type.h
@@ -17,7 +17,7 @@
 struct ForwardMessage {
     Endpoint replyTo; ///< Balancer that received the packet from the caller.
     std::string service; ///< Opening packets: service that the balancer chose.
-    Revision routeRevision; ///< Opening packets: revision of the route that the service was chosen by.
+    StorePosition routePosition; ///< Opening packets: position of the route that the service was chosen by.
     bool isLocating {}; ///< The balancer does not know the holder and queries several agents.
     std::uint8_t hops {}; ///< Times forwarded by agents; above zero, the receiver answers for its own target only.
     std::vector<Endpoint> tried; ///< Opening packets: agents that declined the packet or did not answer.
@@ -122,6 +122,7 @@
     std::optional<EntryReport> entry; ///< In stamps to balancers of the own failure domain, from balancers.
     std::vector<PathReport> paths; ///< At most `maxPathReports`; in the stamps of a round only.
     bool takesRelayed {}; ///< The sender forwards and receives relayed messages; processes of earlier versions do not.
+    std::uint64_t keptConfigurationVersion {}; ///< As TransitView::keptConfigurationVersion.
 };
 
 /** Part of the view that the receiver lacks. */
@@ -139,9 +140,10 @@
     StampMessage, DeltaMessage, LeavingMessage, LocateMessage, NotHeldFlowsMessage, InventoryResyncMessage,
     AbsenceReportMessage, InventoryAckMessage>;
 
-/** A message with the sender's revision, so that every message shows receivers whether their view is behind. */
+/** A message with the position of the sender's view, so that every message shows receivers whether their view is
+ * behind. */
 struct Message {
-    Revision through; ///< The sender's view contains all changes up to this revision.
+    StorePosition through; ///< The sender's view contains all changes up to this position.
     MessageBody body;
     Endpoint relayTo {}; ///< Receiver of a message that goes through a relay; none otherwise.
     Endpoint origin {}; ///< Sender of that message.
--- a/src/transit_shell.cpp
+++ b/src/transit_shell.cpp
@@ -101,15 +101,16 @@
     applyEffects();
 }
 
-void TransitShell::onStoreOutcome(StoreOutcome outcome)
+void TransitShell::onStoreAnswer(StoreAnswer answer)
 {
     TimePoint now = monotonicNow();
-    if (auto* page = std::get_if<StorePage>(&outcome))
-        m_core.onStorePage(std::move(page->changes), page->asOf, page->nextAfter, now, m_effects);
-    else if (auto* changes = std::get_if<StoreChanges>(&outcome))
-        m_core.onStoreChanges(changes->changes, changes->asOf, now, m_effects);
+    StoreEra era = answer.era;
+    if (auto* page = std::get_if<StorePage>(&answer.outcome))
+        m_core.onStorePage(std::move(page->changes), { era, page->asOf }, page->nextAfter, now, m_effects);
+    else if (auto* changes = std::get_if<StoreChanges>(&answer.outcome))
+        m_core.onStoreChanges(changes->changes, { era, changes->asOf }, now, m_effects);
     else
-        m_core.onStoreFailure(std::get<StoreFailure>(outcome), now, m_effects);
+        m_core.onStoreFailure(std::get<StoreFailure>(answer.outcome), era, now, m_effects);
     applyEffects();
 }
 
@@ -121,7 +122,7 @@
     m_metrics.add(TransitCounter::PacketsDropped, count);
     log({ "pause",
         { { "paused_ms", (now - *m_lastTickAt).us / 1000 }, { "packets_dropped", static_cast<std::int64_t>(count) },
-            { "revision", static_cast<std::int64_t>(m_core.fleet().view().through().value) } } });
+            { "revision", static_cast<std::int64_t>(m_core.fleet().view().through().revision.value) } } });
 }
 
 void TransitShell::tick()
@@ -278,12 +279,12 @@
 
 void TransitShell::applyEffect(ReadStore& effect)
 {
-    m_store.read(effect, [this](StoreOutcome outcome) { onStoreOutcome(std::move(outcome)); });
+    m_store.read(effect, [this](StoreAnswer answer) { onStoreAnswer(std::move(answer)); });
 }
 
 void TransitShell::applyEffect(WatchStore& effect)
 {
-    m_store.watch(effect, [this](StoreOutcome outcome) { onStoreOutcome(std::move(outcome)); });
+    m_store.watch(effect, [this](StoreAnswer answer) { onStoreAnswer(std::move(answer)); });
 }
 
 void TransitShell::applyEffect(ProbeTarget&)
@@ -342,8 +343,11 @@
     auto age = fleet.viewAge(now);
     EgressState egress = m_egress.state(now);
     std::vector<TransitGauge> gauges {
-        { "view_revision", static_cast<std::int64_t>(fleet.view().through().value) },
+        { "view_revision", static_cast<std::int64_t>(fleet.view().through().revision.value) },
         { "view_age_us", age ? age->us : -1 },
+        { "store_era", static_cast<std::int64_t>(fleet.view().through().era.value) },
+        { "configuration_version", static_cast<std::int64_t>(fleet.view().configuration().version) },
+        { "retained_entries", static_cast<std::int64_t>(fleet.view().retainedCount()) },
         { "members", static_cast<std::int64_t>(fleet.members().size()) },
         { "targets", static_cast<std::int64_t>(fleet.view().targets().size()) },
         { "unknown_service_addresses", static_cast<std::int64_t>(fleet.view().unknownServiceCount()) },
--- a/src/transit_shell.h
+++ b/src/transit_shell.h
@@ -56,7 +56,7 @@
     void onPacket(std::span<const std::uint8_t> bytes);
     void onDatagram(Endpoint from, std::span<const std::uint8_t> bytes);
     void onSignal(int number);
-    void onStoreOutcome(StoreOutcome outcome);
+    void onStoreAnswer(StoreAnswer answer);
     bool isAfterPause(TimePoint now) const;
     void discardStale(TimePoint now);
     void tick();
--- a/src/transit_store_base.h
+++ b/src/transit_store_base.h
@@ -25,10 +25,16 @@
 
 using StoreOutcome = std::variant<StorePage, StoreChanges, StoreFailure>;
 
+/** Response to a call, or its failure. */
+struct StoreAnswer {
+    StoreOutcome outcome;
+    StoreEra era; ///< Era that the store told last, in this response if it did; zero when it never told one.
+};
+
 /** Store client. At most one call may be in progress. */
 class StoreClient {
 public:
-    using Handler = std::function<void(StoreOutcome)>;
+    using Handler = std::function<void(StoreAnswer)>;
 
     StoreClient() = default;
     StoreClient(const StoreClient&) = delete;
--- a/src/transit_type.h
+++ b/src/transit_type.h
@@ -31,6 +31,34 @@
         (static_cast<std::uint64_t>(flow.service.address) << 16) | flow.service.port);
 }
 
+using StoreEra = StrongId<struct StoreEraTag,
+    std::uint64_t>; ///< Rises each time the store comes back from a copy; zero when the store does not tell.
+
+/**
+ * Position in the history of the store. When the store comes back from a copy, revisions go back and are given out
+ * again, so that a revision alone orders nothing: one of a later era is newer than any of an earlier era.
+ */
+struct StorePosition {
+    StoreEra era;
+    Revision revision;
+
+    constexpr StorePosition() = default;
+    constexpr explicit StorePosition(std::uint64_t revisionNumber, std::uint64_t eraNumber = 0)
+        : era(eraNumber)
+        , revision(revisionNumber)
+    {
+    }
+    constexpr StorePosition(StoreEra e, Revision r)
+        : era(e)
+        , revision(r)
+    {
+    }
+    constexpr auto operator<=>(const StorePosition&) const = default;
+
+    /** @return Whether there is a position; none precedes all. */
+    constexpr explicit operator bool() const { return era || revision; }
+};
+
 /** Control bits of a packet. */
 struct PacketFlags {
     bool isOpening {}; ///< First packet that the caller or the target sends, or its retransmission.
--- a/src/transit_view_cmd.cpp
+++ b/src/transit_view_cmd.cpp
@@ -1,4 +1,5 @@
 #include "transit_view_base.h"
+#include "transit_view_func.h"
 
 #include "table/transit_limits.h"
 
@@ -11,18 +12,8 @@
 
 namespace {
 
-    constexpr std::string_view routePrefix = "route/";
-    constexpr std::string_view servicePrefix = "service/";
-    constexpr std::string_view targetPrefix = "target/";
-    constexpr std::string_view evacuationPrefix = "evacuation/";
-
     std::string keyOf(std::string_view prefix, const std::string& name) { return std::string(prefix) + name; }
 
-    bool isConfigurationKey(const std::string& key)
-    {
-        return key.starts_with(routePrefix) || key.starts_with(servicePrefix);
-    }
-
     std::string digestText(const RouteRecord& route)
     {
         std::string text = std::to_string(route.isIdempotent) + ' ' + std::to_string(route.priority) + ' '
@@ -54,34 +45,26 @@
         return mix64(hashOfKey(item.key), hashOfKey(text));
     }
 
-    Revision revisionOf(const StoreChange& change)
-    {
-        return std::visit([](const auto& value) { return value.revision; }, change);
-    }
-
-    const TargetRecord* targetOf(const ViewItem* item)
+    StorePosition positionOf(const StoreChange& change, StoreEra era)
     {
-        return item && item->value ? std::get_if<TargetRecord>(&*item->value) : nullptr;
+        return { era, std::visit([](const auto& value) { return value.revision; }, change) };
     }
 
 }
 
 bool TransitView::applySnapshot(
-    const std::vector<StoreChange>& changes, Revision asOf, TimePoint now, TimePoint retainRemovedUntil)
+    const std::vector<StoreChange>& changes, StorePosition asOf, TimePoint now, TimePoint retainRemovedUntil)
 {
     if (asOf < m_through)
         return applyChanges(changes, asOf, now, retainRemovedUntil);
-    bool isConfigurationOlder = asOf < m_configurationThrough;
     std::set<std::string> seen;
     bool hasChanged = false;
-    for (const auto& change : changes) {
-        if (!isConfigurationOlder || !isConfigurationKnown(change))
-            hasChanged |= applyChange(change, now, retainRemovedUntil, &seen);
-    }
+    for (const auto& change : changes)
+        hasChanged |= applyChange(change, asOf.era, now, retainRemovedUntil, &seen);
     // Routes and services are removed by a configuration without them. Without any configuration they stay in force.
     auto isPresent = [&](const std::string& key) { return isConfigurationKey(key) || seen.contains(key); };
     hasChanged |= removeMissing(isPresent, asOf, now, retainRemovedUntil);
-    // Keys that were written and removed since the revision of the view leave no tombstone here.
+    // Keys that were written and removed since the position of the view leave no tombstone here.
     if (asOf > m_through)
         m_historyFloor = asOf;
     reindexChangedServices();
@@ -90,13 +73,13 @@
 }
 
 bool TransitView::applyChanges(
-    const std::vector<StoreChange>& changes, Revision asOf, TimePoint now, TimePoint retainRemovedUntil)
+    const std::vector<StoreChange>& changes, StorePosition asOf, TimePoint now, TimePoint retainRemovedUntil)
 {
-    Revision known = m_through;
+    StorePosition known = m_through;
     bool hasChanged = false;
     for (const auto& change : changes) {
-        if (revisionOf(change) > known && !isConfigurationKnown(change))
-            hasChanged |= applyChange(change, now, retainRemovedUntil, nullptr);
+        if (positionOf(change, asOf.era) > known)
+            hasChanged |= applyChange(change, asOf.era, now, retainRemovedUntil, nullptr);
     }
     reindexChangedServices();
     advance(asOf);
@@ -109,12 +92,12 @@
     if (delta.through < m_through || delta.since > m_through || (delta.through == m_through && !isFullDelta))
         return DeltaOutcome::Ignored;
     // The digest covers the configuration, so that it can differ while the view keeps a newer one.
-    bool keepsConfiguration = hasNewerConfigurationThan(delta);
+    bool keepsConfiguration = isNewer(m_configuration, delta.configuration);
     bool hasChanged
         = isFullDelta ? applyFullDelta(delta, keepsConfiguration, now) : applyItems(delta, keepsConfiguration, now);
     reindexChangedServices();
     bool isSame = keepsConfiguration || m_digest == delta.digest;
-    // Until the view is the same as the sender's, it must not pass itself on as complete up to that revision.
+    // Until the view is the same as the sender's, it must not pass itself on as complete up to that position.
     if (!isSame && !isFullDelta)
         return DeltaOutcome::Mismatch;
     bool isNewer = hasChanged || delta.through > m_through;
@@ -122,7 +105,7 @@
     if (isFullDelta || delta.hasKeys)
         m_historyFloor = delta.through;
     if (!keepsConfiguration)
-        m_configurationThrough = std::max(m_configurationThrough, delta.configurationThrough);
+        m_configuration = delta.configuration;
     advance(delta.through);
     if (!isSame)
         return DeltaOutcome::Mismatch;
@@ -141,8 +124,10 @@
     if (!delta.hasKeys)
         return hasChanged;
     std::unordered_set<std::uint64_t> present(delta.keys.begin(), delta.keys.end());
-    bool hasRemovedKeys = removeMissing(
-        [&](const std::string& key) { return present.contains(hashOfKey(key)); }, delta.through, now, now);
+    auto isPresent = [&](const std::string& key) {
+        return (keepsConfiguration && isConfigurationKey(key)) || present.contains(hashOfKey(key));
+    };
+    bool hasRemovedKeys = removeMissing(isPresent, delta.through, now, now);
     return hasChanged || hasRemovedKeys;
 }
 
@@ -162,53 +147,50 @@
 {
     auto found = m_items.find(item.key);
     // Routes and services are replaced as a whole; of any other key the newer value stays.
-    if (!isConfigurationKey(item.key) && found != m_items.end() && found->second.revision > delta.through)
+    if (!isConfigurationKey(item.key) && found != m_items.end() && found->second.position > delta.through)
         return false;
-    bool isSame
-        = found != m_items.end() && found->second.isRemoved == item.isRemoved && found->second.value == item.value;
+    bool isSame = found != m_items.end() && found->second.position.era == item.position.era
+        && found->second.isRemoved == item.isRemoved && found->second.value == item.value;
     if (isSame)
         return false;
     ViewItem received = item;
     received.receivedAt = now;
-    // This view had another value, and so may processes that learned it from here. The new revision makes the
-    // correction part of the deltas to them.
-    if (found != m_items.end())
-        received.revision = std::max({ item.revision, found->second.revision, delta.through });
+    if (found != m_items.end()) {
+        carryOver(found->second, received);
+        // This view had another value, and so may processes that learned it from here. The new position makes the
+        // correction part of the deltas to them.
+        received.position = std::max({ item.position, found->second.position, delta.through });
+    }
     return replace(std::move(received));
 }
 
 bool TransitView::removeMissingFromFullDelta(
     const std::set<std::string>& seen, const ViewDelta& delta, bool keepsConfiguration, TimePoint now)
 {
-    std::vector<std::pair<std::string, Revision>> missing;
+    std::vector<ViewItem> removed;
     for (const auto& [key, item] : m_items) {
         if (item.isRemoved || seen.contains(key))
             continue;
-        bool isNewer = isConfigurationKey(key) ? keepsConfiguration : item.revision > delta.through;
-        if (!isNewer)
-            missing.emplace_back(key, std::max(item.revision, delta.through));
+        bool isItemNewer = isConfigurationKey(key) ? keepsConfiguration : item.position > delta.through;
+        if (isItemNewer)
+            continue;
+        ViewItem tombstone { .key = key,
+            .position = std::max(item.position, delta.through),
+            .isRemoved = true,
+            .retainedUntil = now,
+            .receivedAt = now };
+        carryOver(item, tombstone);
+        removed.push_back(std::move(tombstone));
     }
-    for (const auto& [key, revision] : missing)
-        replace({ .key = key, .revision = revision, .isRemoved = true, .retainedUntil = now, .receivedAt = now });
-    return !missing.empty();
-}
-
-Revision TransitView::configurationThrough() const { return std::max(m_through, m_configurationThrough); }
-
-bool TransitView::isConfigurationKnown(const StoreChange& change) const
-{
-    const auto* configuration = std::get_if<ConfigurationChange>(&change);
-    return configuration && configuration->revision <= m_configurationThrough;
-}
-
-bool TransitView::hasNewerConfigurationThan(const ViewDelta& delta) const
-{
-    return configurationThrough() > std::max(delta.through, delta.configurationThrough);
+    bool hasRemoved = !removed.empty();
+    for (ViewItem& tombstone : removed)
+        replace(std::move(tombstone));
+    return hasRemoved;
 }
 
-Revision TransitView::completeRevisionOf(const std::string& key, const ViewItem& item) const
+StorePosition TransitView::completePositionOf(const std::string& key, const ViewItem& item) const
 {
-    return isConfigurationKey(key) ? std::max(item.revision, m_configurationThrough) : item.revision;
+    return isConfigurationKey(key) ? std::max(item.position, m_configuration.writtenAt) : item.position;
 }
 
 void TransitView::expire(TimePoint now)
@@ -219,41 +201,42 @@
         if (!item.isRemoved)
             continue;
         ++removed;
-        const TargetRecord* target = targetOf(&item);
-        if (!target || now < item.retainedUntil)
+        if (!item.value || now < item.retainedUntil)
             continue;
-        Endpoint address = target->address;
-        m_keysByAddress[address].erase(key);
+        if (const TargetRecord* target = targetOf(&item)) {
+            m_keysByAddress[target->address].erase(key);
+            touched.push_back(target->address);
+        } else if (const auto* evacuation = std::get_if<EvacuationRecord>(&*item.value)) {
+            m_evacuated.erase(evacuation->failureDomain);
+        }
         item.value.reset();
-        touched.push_back(address);
     }
     for (Endpoint address : touched)
         reindexTarget(address);
     if (removed <= maxRemovedItems)
         return;
     std::erase_if(m_items, [&](const auto& entry) {
-        return entry.second.isRemoved && !entry.second.value && entry.second.revision <= m_through;
+        return entry.second.isRemoved && !entry.second.value && entry.second.position <= m_through;
     });
     m_historyFloor = m_through;
 }
 
 bool TransitView::applyChange(
-    const StoreChange& change, TimePoint now, TimePoint retainRemovedUntil, std::set<std::string>* seen)
+    const StoreChange& change, StoreEra era, TimePoint now, TimePoint retainRemovedUntil, std::set<std::string>* seen)
 {
     if (const auto* configuration = std::get_if<ConfigurationChange>(&change))
-        return applyConfiguration(*configuration, now);
+        return applyConfiguration(*configuration, era, now);
+    StorePosition position = positionOf(change, era);
     if (const auto* removal = std::get_if<TargetRemoval>(&change))
-        return removeKey(keyOf(targetPrefix, removal->id), removal->revision, now, retainRemovedUntil);
+        return removeKey(keyOf(targetPrefix, removal->id), position, now, retainRemovedUntil);
     if (const auto* end = std::get_if<EvacuationEnd>(&change))
-        return removeKey(keyOf(evacuationPrefix, end->failureDomain), end->revision, now, now);
-    ViewItem item { .receivedAt = now };
+        return removeKey(keyOf(evacuationPrefix, end->failureDomain), position, now, now);
+    ViewItem item { .position = position, .receivedAt = now };
     if (const auto* target = std::get_if<TargetChange>(&change)) {
         item.key = keyOf(targetPrefix, target->target.id);
-        item.revision = target->revision;
         item.value = target->target;
     } else if (const auto* evacuation = std::get_if<EvacuationChange>(&change)) {
         item.key = keyOf(evacuationPrefix, evacuation->failureDomain);
-        item.revision = evacuation->revision;
         item.value = EvacuationRecord { evacuation->failureDomain };
     }
     if (seen)
@@ -261,19 +244,24 @@
     return apply(std::move(item));
 }
 
-bool TransitView::applyConfiguration(const ConfigurationChange& change, TimePoint now)
+bool TransitView::applyConfiguration(const ConfigurationChange& change, StoreEra era, TimePoint now)
 {
-    m_configurationThrough = std::max(m_configurationThrough, change.revision);
+    ConfigurationStamp stamp { .writtenAt = { era, change.revision }, .version = change.version };
+    if (isNewer(m_configuration, stamp))
+        return false;
+    m_configuration = stamp;
     std::set<std::string> written;
     bool hasChanged = false;
     auto put = [&](std::string key, ViewValue value) {
         written.insert(key);
         auto found = m_items.find(key);
-        bool isSame = found != m_items.end() && !found->second.isRemoved && found->second.value == value;
-        // An unchanged record keeps its revision, so that deltas contain only what changed.
+        bool isSame = found != m_items.end() && found->second.position.era == era && !found->second.isRemoved
+            && found->second.value == value;
+        // An unchanged record keeps its position, so that deltas contain only what changed. Not so in a new era, where
+        // a process may have another value from changes of the former era that this one never received.
         if (!isSame)
             hasChanged |= apply(
-                { .key = std::move(key), .revision = change.revision, .value = std::move(value), .receivedAt = now });
+                { .key = std::move(key), .position = stamp.writtenAt, .value = std::move(value), .receivedAt = now });
     };
     for (const auto& route : change.routes)
         put(keyOf(routePrefix, toString(route.address)), route);
@@ -285,14 +273,14 @@
             dropped.push_back(key);
     }
     for (const auto& key : dropped)
-        hasChanged |= removeKey(key, change.revision, now, now);
+        hasChanged |= removeKey(key, stamp.writtenAt, now, now);
     return hasChanged;
 }
 
-bool TransitView::removeKey(const std::string& key, Revision revision, TimePoint now, TimePoint retainUntil)
+bool TransitView::removeKey(const std::string& key, StorePosition position, TimePoint now, TimePoint retainUntil)
 {
     ViewItem item {
-        .key = key, .revision = revision, .isRemoved = true, .retainedUntil = retainUntil, .receivedAt = now
+        .key = key, .position = position, .isRemoved = true, .retainedUntil = retainUntil, .receivedAt = now
     };
     auto found = m_items.find(key);
     if (found != m_items.end() && targetOf(&found->second) && retainUntil > now)
@@ -301,11 +289,11 @@
 }
 
 bool TransitView::removeMissing(
-    const std::function<bool(const std::string&)>& isPresent, Revision asOf, TimePoint now, TimePoint retainUntil)
+    const std::function<bool(const std::string&)>& isPresent, StorePosition asOf, TimePoint now, TimePoint retainUntil)
 {
     std::vector<std::string> missing;
     for (const auto& [key, item] : m_items) {
-        if (!item.isRemoved && completeRevisionOf(key, item) <= asOf && !isPresent(key))
+        if (!item.isRemoved && completePositionOf(key, item) <= asOf && !isPresent(key))
             missing.push_back(key);
     }
     for (const auto& key : missing)
@@ -316,8 +304,11 @@
 bool TransitView::apply(ViewItem item)
 {
     auto found = m_items.find(item.key);
-    if (found != m_items.end() && found->second.revision >= item.revision)
-        return false;
+    if (found != m_items.end()) {
+        if (found->second.position >= item.position)
+            return false;
+        carryOver(found->second, item);
+    }
     return replace(std::move(item));
 }
 
@@ -353,7 +344,7 @@
     }
     if (key.starts_with(evacuationPrefix)) {
         std::string domain = key.substr(evacuationPrefix.size());
-        if (after.isRemoved)
+        if (after.isRemoved && !after.value)
             m_evacuated.erase(domain);
         else
             m_evacuated.insert(domain);
@@ -386,7 +377,7 @@
         }
         // The key makes all processes choose the same of two registrations that are otherwise equal.
         auto order = [](const ViewItem& i) {
-            return std::tuple(!i.isRemoved, targetOf(&i)->startedAt, std::string_view(i.key));
+            return std::tuple(!i.isRemoved || i.isMissing, targetOf(&i)->startedAt, std::string_view(i.key));
         };
         if (!inForce || order(item) > order(*inForce))
             inForce = &item;
@@ -408,7 +399,7 @@
     const TargetRecord& record = *targetOf(inForce);
     TargetEntry& targetEntry = m_targets[address];
     targetEntry.record = record;
-    targetEntry.revision = inForce->revision;
+    targetEntry.position = inForce->position;
     targetEntry.receivedAt = inForce->receivedAt;
     m_byService[record.service].push_back(&targetEntry);
 }
@@ -431,6 +422,6 @@
 
 bool TransitView::hasService(const std::string& name) const { return !m_hasConfiguration || serviceNamed(name); }
 
-void TransitView::advance(Revision through) { m_through = std::max(m_through, through); }
+void TransitView::advance(StorePosition through) { m_through = std::max(m_through, through); }
 
 } // namespace hawthorncroft
--- a/src/transit_view_query.cpp
+++ b/src/transit_view_query.cpp
@@ -10,7 +10,7 @@
     return hash;
 }
 
-ViewDelta TransitView::deltaSince(Revision since) const
+ViewDelta TransitView::deltaSince(StorePosition since) const
 {
     ViewDelta delta {
         .since = since, .through = m_through, .hasKeys = since && since < m_historyFloor, .keys = {}, .items = {}
@@ -18,12 +18,12 @@
     for (const auto& [key, item] : m_items) {
         if (delta.hasKeys && !item.isRemoved)
             delta.keys.push_back(hashOfKey(key));
-        bool isWanted = since ? item.revision > since : !item.isRemoved || item.value;
+        bool isWanted = since ? item.position > since : !item.isRemoved || item.value;
         if (isWanted)
             delta.items.push_back(item);
     }
     delta.digest = m_digest;
-    delta.configurationThrough = configurationThrough();
+    delta.configuration = m_configuration;
     return delta;
 }
 
@@ -41,10 +41,10 @@
     return found != m_items.end() && found->second.isRemoved;
 }
 
-Revision TransitView::routeRevisionAt(Endpoint address) const
+StorePosition TransitView::routePositionAt(Endpoint address) const
 {
     auto key = m_routeKeys.find(address);
-    return key == m_routeKeys.end() ? Revision() : m_items.at(key->second).revision;
+    return key == m_routeKeys.end() ? StorePosition() : m_items.at(key->second).position;
 }
 
 const ServiceRecord* TransitView::serviceNamed(const std::string& name) const
--- a/src/transit_view_type.h
+++ b/src/transit_view_type.h
@@ -71,31 +71,46 @@
 /** Current value of one key, or its tombstone. */
 struct ViewItem {
     std::string key;
-    Revision revision;
-    bool isRemoved {}; ///< Tombstone. That of a target keeps the value until `retainedUntil`.
+    StorePosition position;
+    bool isRemoved {}; ///< Tombstone. Those of targets and evacuations may keep the value until `retainedUntil`.
     std::optional<ViewValue> value;
-    TimePoint retainedUntil {}; ///< Removed targets only: they stay in use until then, since their registration may
-                                ///< have expired only because the store was unreachable.
+    TimePoint retainedUntil {}; ///< Removed targets and evacuations stay in force until then: a registration may have
+                                ///< expired only because the store was unreachable, and a store that came back from a
+                                ///< copy lacks what was written since.
     TimePoint receivedAt {};
+    bool isMissing {}; ///< Retained since the store came back from a copy without it.
+};
+
+/** Identity of a configuration. */
+struct ConfigurationStamp {
+    StorePosition writtenAt;
+    std::uint64_t version {}; ///< Given by the operator; rises with each configuration. Zero when unknown.
+
+    bool operator==(const ConfigurationStamp&) const = default;
 };
 
-/** All changes after a revision. */
+/**
+ * @return Whether one configuration is newer than the other. In different eras the versions decide: a store that came
+ * back from a copy may have an older configuration than the one in force.
+ */
+bool isNewer(const ConfigurationStamp& one, const ConfigurationStamp& other);
+
+/** All changes after a position. */
 struct ViewDelta {
-    Revision since; ///< Revision up to which the receiver must be complete; zero in a full delta.
-    Revision through; ///< Revision up to which the receiver is complete once it has applied the delta.
+    StorePosition since; ///< Position up to which the receiver must be complete; none in a full delta.
+    StorePosition through; ///< Position up to which the receiver is complete once it has applied the delta.
     bool hasKeys {}; ///< The sender no longer has all tombstones; keys that are not in `keys` do not exist.
     std::vector<std::uint64_t> keys; ///< Hashes of all existing keys, so that unchanged items need not be sent.
     std::vector<ViewItem> items;
     std::uint64_t digest {}; ///< Digest of the sender's view; see TransitView::digest.
-    Revision configurationThrough; ///< Revision up to which the sender's routes and services are complete; may be above
-                                   ///< `through`.
+    ConfigurationStamp configuration; ///< Configuration in force at the sender; may be written after `through`.
 };
 
 /** Result of applying a delta. */
 enum class DeltaOutcome : std::uint8_t {
-    Ignored, ///< Contains nothing new, or does not start at or below the revision of the view.
+    Ignored, ///< Contains nothing new, or does not start at or below the position of the view.
     Applied,
-    Mismatch, ///< The digest still differs from the sender's, so that the view does not advance to the revision of the
+    Mismatch, ///< The digest still differs from the sender's, so that the view does not advance to the position of the
               ///< delta: a full delta has to be requested.
 };
 
@@ -107,6 +122,7 @@
     Revision revision;
     std::vector<RouteRecord> routes;
     std::vector<ServiceRecord> services;
+    std::uint64_t version {}; ///< As in ConfigurationStamp.
 };
 
 /** A target was registered, or its record changed. */
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -240,12 +240,25 @@
         REQUIRE(changes.size() == 1);
         const auto& change = std::get<ConfigurationChange>(changes.front());
         REQUIRE(change.routes.size() == 2);
+        CHECK(change.version == 7);
         CHECK(toString(change.routes[0].address) == "198.18.0.1:8443");
         CHECK(change.routes[0].shares.size() == 2);
         CHECK(change.routes[0].isIdempotent);
         CHECK_FALSE(change.routes[1].isIdempotent);
         CHECK(change.services.front().warmup == milliseconds(2500));
     }
+    SECTION("a configuration with an unreadable version is reported, and comes into force")
+    {
+        for (const char* version : { "\"7\"", "-7", "7.5", "null" }) {
+            faults.lines.clear();
+            std::string text = std::string(R"({"Version":)") + version + R"(,"Routes":[],"Services":[]})";
+            auto changes = page(item("op/config", 9, text)).changes;
+            REQUIRE(changes.size() == 1);
+            CHECK(std::get<ConfigurationChange>(changes.front()).version == 0);
+            REQUIRE(faults.lines.size() == 1);
+            CHECK_THAT(faults.lines.front(), Catch::Matchers::StartsWith("op/config: Version"));
+        }
+    }
     SECTION("numbers of a configuration that are too large are capped, so that it comes into force")
     {
         std::string text
@@ -418,13 +431,13 @@
             .fleetPort = 7000 });
         TransitEffects effects;
         agent.onTick(now, effects);
-        agent.onStorePage(page.changes, Revision(entries.size() + 2), {}, now, effects);
+        agent.onStorePage(page.changes, StorePosition(entries.size() + 2), {}, now, effects);
         ForwardMessage forward { .replyTo = { 1, 7000 }, .service = "web", .packet = { .flow = flowOf(9) } };
         forward.packet.flags.isOpening = true;
-        agent.onMessage({ 1, 7000 }, { Revision(1), forward }, now, effects);
+        agent.onMessage({ 1, 7000 }, { StorePosition(1), forward }, now, effects);
         agent.onTick(now + seconds(1), effects);
-        DeltaMessage delta { milliseconds(1), agent.fleet().view().deltaSince(Revision()) };
-        auto bytes = encodeMessage({ Revision(1), delta }, now + seconds(1));
+        DeltaMessage delta { milliseconds(1), agent.fleet().view().deltaSince(StorePosition()) };
+        auto bytes = encodeMessage({ StorePosition(1), delta }, now + seconds(1));
         RC_ASSERT(decodeMessage(bytes, PlatformPacketFormat(), now).has_value());
     }));
 }
@@ -445,8 +458,8 @@
         Faults faults;
         PlatformStoreClient client(context, { 0x7f000001, acceptor.local_endpoint().port() }, faults.handler());
         std::optional<StoreOutcome> outcome;
-        client.watch({ Revision(1), milliseconds(10), seconds(5) }, [&](StoreOutcome result) {
-            outcome = std::move(result);
+        client.watch({ StorePosition(1), milliseconds(10), seconds(5) }, [&](StoreAnswer result) {
+            outcome = std::move(result.outcome);
             context.stop();
         });
         context.run_for(std::chrono::seconds(5));
@@ -471,3 +484,68 @@
     }
     SECTION("a connection that closes without a response is") { CHECK(outcomeOfWatch() == StoreFailure::Unreachable); }
 }
+
+namespace {
+
+/** Client of a server on loopback that answers each connection with the next of some responses. */
+struct AnsweredClient {
+    using tcp = boost::asio::ip::tcp;
+
+    boost::asio::io_context context;
+    tcp::acceptor acceptor { context, { boost::asio::ip::address_v4::loopback(), 0 } };
+    std::vector<std::string> responses;
+    Faults faults;
+    PlatformStoreClient client { context, { 0x7f000001, acceptor.local_endpoint().port() }, faults.handler() };
+
+    /** @return Answer to a watch whose response has this status and, if there is one, this header line. */
+    StoreAnswer watch(const std::string& status, const std::string& header = {})
+    {
+        std::string body = status == "200 OK" ? R"({"events":[],"AsOf":5})" : "";
+        std::string response = "HTTP/1.1 " + status + "\r\n" + header + (header.empty() ? "" : "\r\n")
+            + "Connection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        tcp::socket peer(context);
+        acceptor.async_accept(
+            peer, [&](boost::system::error_code) { boost::asio::write(peer, boost::asio::buffer(response)); });
+        std::optional<StoreAnswer> answer;
+        client.watch({ StorePosition(1), milliseconds(10), seconds(5) }, [&](StoreAnswer result) {
+            answer = std::move(result);
+            context.stop();
+        });
+        context.restart();
+        context.run_for(std::chrono::seconds(5));
+        REQUIRE(answer);
+        return *answer;
+    }
+};
+
+}
+
+// Guards against a store that came back from a copy without any process noticing it (incident review-11).
+TEST_CASE("Each answer of the store tells its era", "[platform][era]")
+{
+    AnsweredClient store;
+
+    SECTION("an answer with data, and a refusal")
+    {
+        CHECK(store.watch("200 OK", "Store-Era: 3").era == StoreEra(3));
+        for (const char* status : { "410 Gone", "429 Too Many Requests", "503 Service Unavailable" })
+            CHECK(store.watch(status, "Store-Era: 4").era == StoreEra(4));
+        CHECK(std::get<StoreFailure>(store.watch("410 Gone", "store-era: 5").outcome) == StoreFailure::HistoryGone);
+    }
+    SECTION("a store that tells none has none")
+    {
+        CHECK_FALSE(store.watch("200 OK").era);
+        CHECK(store.faults.lines.empty());
+    }
+    SECTION("without a readable one it is the last, and what cannot be read is reported")
+    {
+        CHECK(store.watch("200 OK", "Store-Era: 3").era == StoreEra(3));
+        CHECK(store.watch("200 OK").era == StoreEra(3));
+        REQUIRE(store.faults.lines.empty());
+        std::size_t faults = 0;
+        for (const char* era : { "", "x", "4x", "0", "-4", "4.0", "9223372036854775808" }) {
+            CHECK(store.watch("200 OK", std::string("Store-Era: ") + era).era == StoreEra(3));
+            CHECK(store.faults.lines.size() == ++faults);
+        }
+    }
+}
--- a/tests/transit_capacity_test.cpp
+++ b/tests/transit_capacity_test.cpp
@@ -404,7 +404,7 @@
     TimePoint now { seconds(5).us };
     for (const MessageBody& body : { MessageBody(HeldMessage { .load = load }),
              MessageBody(StampMessage { .role = ProcessRole::Agent, .load = load }) }) {
-        auto decoded = decodeMessage(encodeMessage({ Revision(7), body }, now), format, now);
+        auto decoded = decodeMessage(encodeMessage({ StorePosition(7), body }, now), format, now);
         REQUIRE(decoded);
         if (const auto* held = std::get_if<HeldMessage>(&decoded->body))
             CHECK(held->load == load);
--- a/tests/transit_codec_test.cpp
+++ b/tests/transit_codec_test.cpp
@@ -15,16 +15,16 @@
     TimePoint now { seconds(9).us };
     auto packet = *format.decode(openingPacket(), false);
     auto roundTrip = [&](MessageBody body) {
-        auto decoded = decodeMessage(encodeMessage({ Revision(7), std::move(body) }, now), format, now);
+        auto decoded = decodeMessage(encodeMessage({ StorePosition(7), std::move(body) }, now), format, now);
         REQUIRE(decoded);
-        CHECK(decoded->through == Revision(7));
+        CHECK(decoded->through == StorePosition(7));
         return decoded->body;
     };
 
     SECTION("a forwarded packet")
     {
         auto body = std::get<ForwardMessage>(
-            roundTrip(ForwardMessage { { 1, 2 }, "web", Revision(5), true, 1, { { 3, 4 } }, packet }));
+            roundTrip(ForwardMessage { { 1, 2 }, "web", StorePosition(5), true, 1, { { 3, 4 } }, packet }));
         CHECK(body.packet.bytes == packet.bytes);
         CHECK(body.packet.flow == packet.flow);
         CHECK(body.replyTo == Endpoint { 1, 2 });
@@ -71,30 +71,64 @@
         TargetRecord record = targetRecord(11, "one");
         record.coldLeft = seconds(2);
         ViewItem target { .key = "target/one",
-            .revision = Revision(6),
+            .position = StorePosition(6),
             .isRemoved = true,
             .value = record,
             .retainedUntil = now + milliseconds(300),
             .receivedAt = now - milliseconds(500) };
-        ViewItem route { .key = "route/x", .revision = Revision(7), .value = routeTo("web") };
+        ViewItem route { .key = "route/x", .position = StorePosition(7), .value = routeTo("web") };
         ViewItem service {
-            .key = "service/web", .revision = Revision(7), .value = ServiceRecord { "web", 2000, seconds(2), 4.5 }
+            .key = "service/web", .position = StorePosition(7), .value = ServiceRecord { "web", 2000, seconds(2), 4.5 }
         };
-        ViewItem evacuation { .key = "evacuation/a", .revision = Revision(7), .value = EvacuationRecord { "a" } };
+        ViewItem evacuation { .key = "evacuation/a", .position = StorePosition(7), .value = EvacuationRecord { "a" } };
         DeltaMessage message { milliseconds(4),
-            { Revision(1), Revision(7), true, { 42 }, { target, route, service, evacuation }, 77 } };
-        message.delta.configurationThrough = Revision(9);
+            { StorePosition(1), StorePosition(7), true, { 42 }, { target, route, service, evacuation }, 77 } };
+        message.delta.configuration = { StorePosition(9), 4 };
         auto body = std::get<DeltaMessage>(roundTrip(message));
         REQUIRE(body.delta.items.size() == 4);
         CHECK(body.delta.keys == std::vector<std::uint64_t> { 42 });
         CHECK(body.delta.digest == 77);
-        CHECK(body.delta.configurationThrough == Revision(9));
+        CHECK(body.delta.configuration == ConfigurationStamp { StorePosition(9), 4 });
         CHECK(std::get<TargetRecord>(*body.delta.items[0].value).coldLeft == milliseconds(1500));
         CHECK(body.delta.items[0].retainedUntil == now + milliseconds(300));
         CHECK(body.delta.items[1].value == route.value);
         CHECK(body.delta.items[2].value == service.value);
         CHECK(body.delta.items[3].value == evacuation.value);
     }
+    SECTION("eras of the store, and the configuration of a delta from a process of an earlier version")
+    {
+        ViewItem kept { .key = "evacuation/a",
+            .position = StorePosition(6, 3),
+            .isRemoved = true,
+            .value = EvacuationRecord { "a" },
+            .retainedUntil = now + seconds(4),
+            .isMissing = true };
+        DeltaMessage delta { milliseconds(4), { StorePosition(9, 2), StorePosition(7, 3), true, {}, { kept } } };
+        auto decode = [&](MessageBody body) {
+            return decodeMessage(encodeMessage({ StorePosition(7, 3), std::move(body) }, now), format, now);
+        };
+        delta.delta.configuration = { StorePosition(8, 2), 4 };
+        auto decoded = decode(delta);
+        REQUIRE(decoded);
+        CHECK(decoded->through == StorePosition(7, 3));
+        const ViewDelta& received = std::get<DeltaMessage>(decoded->body).delta;
+        CHECK(received.since == delta.delta.since);
+        CHECK(received.through == delta.delta.through);
+        CHECK(received.configuration == delta.delta.configuration);
+        REQUIRE(received.items.size() == 1);
+        CHECK(received.items[0].position == kept.position);
+        CHECK(received.items[0].isMissing);
+        CHECK(received.items[0].value == kept.value);
+        CHECK(received.items[0].retainedUntil == kept.retainedUntil);
+
+        delta.delta.configuration = {};
+        CHECK(std::get<DeltaMessage>(decode(delta)->body).delta.configuration
+            == ConfigurationStamp { StorePosition(7, 3), 0 });
+        ForwardMessage forward { { 1, 2 }, "web", StorePosition(5, 2), true, 1, { { 3, 4 } }, packet };
+        CHECK(std::get<ForwardMessage>(decode(forward)->body).routePosition == forward.routePosition);
+        StampMessage stamp { .keptConfigurationVersion = 12 };
+        CHECK(std::get<StampMessage>(decode(stamp)->body).keptConfigurationVersion == 12);
+    }
     SECTION("a report with rates that no process can have, which guards against a negative load")
     {
         EntryReport report { std::numeric_limits<std::int64_t>::max(), 4294967295, -1, 0, false };
@@ -106,7 +140,8 @@
     }
     SECTION("receiver and sender of a relayed message, and none of one that is sent directly")
     {
-        Message message { Revision(7), ForwardMessage { .replyTo = { 1, 2 }, .packet = packet }, { 3, 4 }, { 5, 6 } };
+        Message message { StorePosition(7), ForwardMessage { .replyTo = { 1, 2 }, .packet = packet }, { 3, 4 },
+            { 5, 6 } };
         auto decoded = decodeMessage(encodeMessage(message, now), format, now);
         REQUIRE(decoded);
         CHECK(decoded->relayTo == Endpoint { 3, 4 });
@@ -122,7 +157,7 @@
         REQUIRE(rc::check("arbitrary bytes do not crash the decoder",
             [&](std::vector<std::uint8_t> bytes) { decodeMessage(bytes, format, now); }));
         REQUIRE(rc::check("messages with one changed byte do not crash the decoder", [&] {
-            auto bytes = encodeMessage({ Revision(7), HeldMessage { packet.flow, 9, true, {} } }, now);
+            auto bytes = encodeMessage({ StorePosition(7), HeldMessage { packet.flow, 9, true, {} } }, now);
             bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] ^= *rc::gen::inRange<std::uint8_t>(1, 255);
             decodeMessage(bytes, format, now);
         }));
--- a/tests/transit_contention_test.cpp
+++ b/tests/transit_contention_test.cpp
@@ -332,7 +332,7 @@
         TransitEffects effects;
         HeldMessage held;
         held.load = { .busy = busy, .slots = 4, .flows = 0 };
-        core().onMessage(agent, Message { Revision(), held }, now(), effects);
+        core().onMessage(agent, Message { StorePosition(), held }, now(), effects);
     }
 
     TransitEffects open(const FlowTuple& flow)
@@ -350,7 +350,7 @@
         TransitEffects effects;
         DeclinedMessage declined { reason, std::get<ForwardMessage>(sent.body),
             { .busy = busy, .slots = 4, .flows = 0 } };
-        core().onMessage(sent.to, Message { Revision(), declined }, now(), effects);
+        core().onMessage(sent.to, Message { StorePosition(), declined }, now(), effects);
         return effects;
     }
 
--- a/tests/transit_entry_test.cpp
+++ b/tests/transit_entry_test.cpp
@@ -548,7 +548,7 @@
             .failureDomain = "a" });
         for (std::uint32_t i = 1; i <= count + 1; ++i) {
             if (i != self)
-                fleet.onStamp({ i, fleetPort }, Revision(), stampOf(i), now, effects);
+                fleet.onStamp({ i, fleetPort }, StorePosition(), stampOf(i), now, effects);
         }
         fleet.setEntry({ 1250000, 90, 2, 3, false }, entryStampInterval);
         effects.clear();
@@ -579,13 +579,13 @@
         StampMessage stamp = stampOf(1);
         stamp.failureDomain = "zone-a";
         stamp.age = milliseconds(300);
-        std::size_t entryBytes = encodeMessage({ Revision(7), stamp }, now).size() + headerBytes;
+        std::size_t entryBytes = encodeMessage({ StorePosition(7), stamp }, now).size() + headerBytes;
         stamp.entry.reset();
         stamp.balancers = { { 1, 2 }, { 3, 4 }, { 5, 6 }, { 7, 8 } };
-        std::size_t usualBytes = encodeMessage({ Revision(7), stamp }, now).size() + headerBytes;
+        std::size_t usualBytes = encodeMessage({ StorePosition(7), stamp }, now).size() + headerBytes;
         // Reports on paths are in the stamps of every second round.
         stamp.paths.resize(largeFleetReports, { 4000000000, 4000000000, 800, 600 });
-        std::size_t reportBytes = encodeMessage({ Revision(7), stamp }, now).size() + headerBytes;
+        std::size_t reportBytes = encodeMessage({ StorePosition(7), stamp }, now).size() + headerBytes;
         CAPTURE(entryBytes, usualBytes, reportBytes);
         CHECK(entryBytes * entrySampleSize * roundsPerSecond + (usualBytes + reportBytes) * stampFanout < budget);
     }
--- a/tests/transit_flow_test.cpp
+++ b/tests/transit_flow_test.cpp
@@ -179,7 +179,7 @@
     ForwardMessage copy {
         .replyTo = fleet.balancers[1], .service = "web", .packet = { .flow = flow, .flags = { .isOpening = true } }
     };
-    fleet.agent({ other, fleetPort }).onMessage(fleet.balancers[1], { Revision(1), copy }, fleet.now(), effects);
+    fleet.agent({ other, fleetPort }).onMessage(fleet.balancers[1], { StorePosition(1), copy }, fleet.now(), effects);
     TransitPacket answer { .flow = flow,
         .flags = { .isOpening = true, .hasAcknowledgement = true },
         .sequence = fleet.caller(flow).targetSequence - 5000 };
@@ -194,7 +194,8 @@
         .dataSize = 1 };
     fleet.agent({ other, fleetPort })
         .onMessage(fleet.balancers[1],
-            { Revision(1), ForwardMessage { .replyTo = fleet.balancers[1], .packet = first } }, fleet.now(), effects);
+            { StorePosition(1), ForwardMessage { .replyTo = fleet.balancers[1], .packet = first } }, fleet.now(),
+            effects);
     // Guards against packets of the flow at a target that the caller did not choose.
     CHECK(std::none_of(effects.begin(), effects.end(),
         [](const auto& effect) { return std::holds_alternative<DeliverToTarget>(effect); }));
@@ -295,7 +296,7 @@
         ForwardMessage forward { .replyTo = fleet.balancers[0],
             .service = service,
             .packet = { .flow = flowOf(9), .flags = { .isOpening = true } } };
-        fleet.agent(agent).onMessage(fleet.balancers[0], { Revision(1), forward }, fleet.now(), effects);
+        fleet.agent(agent).onMessage(fleet.balancers[0], { StorePosition(1), forward }, fleet.now(), effects);
         for (auto& effect : effects) {
             auto* send = std::get_if<SendMessage>(&effect);
             if (send && std::get_if<DeclinedMessage>(&send->body))
--- a/tests/transit_holder_test.cpp
+++ b/tests/transit_holder_test.cpp
@@ -351,7 +351,7 @@
 {
     TransitEffects effects;
     HeldMessage held { .flow = flow, .targetSequence = sequence, .isOpening = true, .load = {} };
-    sim.balancer(balancer).onMessage({ address, fleetPort }, { sim.lastRevision(), held }, sim.now(), effects);
+    sim.balancer(balancer).onMessage({ address, fleetPort }, { sim.lastPosition(), held }, sim.now(), effects);
     sim.applyEffectsFor(balancer, effects);
 }
 
@@ -444,7 +444,7 @@
     effects.clear();
     ForwardMessage query { .replyTo = fleet.balancers[1], .isLocating = true };
     query.packet = { .flow = flow, .flags = { .hasAcknowledgement = true }, .acknowledged = 77, .dataSize = 100 };
-    agent.onMessage(fleet.balancers[1], { fleet.lastRevision(), query }, fleet.now(), effects);
+    agent.onMessage(fleet.balancers[1], { fleet.lastPosition(), query }, fleet.now(), effects);
     bool isReported = std::any_of(effects.begin(), effects.end(), [&](const TransitEffect& effect) {
         const auto* send = std::get_if<SendMessage>(&effect);
         const auto* held = send ? std::get_if<HeldMessage>(&send->body) : nullptr;
--- a/tests/transit_late_view_test.cpp
+++ b/tests/transit_late_view_test.cpp
@@ -35,72 +35,72 @@
     TransitView view;
     TransitView peer;
     for (TransitView* each : { &view, &peer })
-        each->applySnapshot({ routes(5, bothRoutes), target(4, 11) }, Revision(5), start, start);
-    peer.applySnapshot({ routes(7, bothRoutes), target(4, 11) }, Revision(7), start, start);
+        each->applySnapshot({ routes(5, bothRoutes), target(4, 11) }, StorePosition(5), start, start);
+    peer.applySnapshot({ routes(7, bothRoutes), target(4, 11) }, StorePosition(7), start, start);
     pullDelta(view, peer);
-    REQUIRE(view.through() == Revision(7));
+    REQUIRE(view.through() == StorePosition(7));
     REQUIRE(view.routeAt(routeAddress));
 
     SECTION("a full read from before version 7")
     {
-        view.applySnapshot({ routes(6, stableRoute), target(4, 11) }, Revision(6), start, start);
+        view.applySnapshot({ routes(6, stableRoute), target(4, 11) }, StorePosition(6), start, start);
         CHECK(view.routeAt(routeAddress));
-        CHECK(view.through() == Revision(7));
+        CHECK(view.through() == StorePosition(7));
 
         SECTION("and no other process gets that from it")
         {
-            view.applyChanges({ target(8, 12) }, Revision(8), start, start);
+            view.applyChanges({ target(8, 12) }, StorePosition(8), start, start);
             pullDelta(peer, view);
-            CHECK(peer.through() == Revision(8));
+            CHECK(peer.through() == StorePosition(8));
             CHECK(peer.routeAt(routeAddress));
         }
     }
     SECTION("a watch that returns version 6")
     {
-        view.applyChanges({ routes(6, stableRoute) }, Revision(6), start, start);
+        view.applyChanges({ routes(6, stableRoute) }, StorePosition(6), start, start);
         CHECK(view.routeAt(routeAddress));
     }
     SECTION("a full read that lacks a target that has registered since")
     {
-        view.applyChanges({ target(8, 12) }, Revision(8), start, start);
-        view.applySnapshot({ routes(7, bothRoutes) }, Revision(7), start, start);
+        view.applyChanges({ target(8, 12) }, StorePosition(8), start, start);
+        view.applySnapshot({ routes(7, bothRoutes) }, StorePosition(7), start, start);
         view.expire(start);
         CHECK(view.targetsOf("web").size() == 2);
     }
     SECTION("a full read with a target that has left since, of which a process that started later has no tombstone")
     {
-        peer.applyChanges({ TargetRemoval { Revision(8), "t11" } }, Revision(8), start, start);
+        peer.applyChanges({ TargetRemoval { Revision(8), "t11" } }, StorePosition(8), start, start);
         peer.expire(start);
         TransitView started;
         pullDelta(started, peer);
-        started.applySnapshot({ routes(7, bothRoutes), target(4, 11) }, Revision(7), start, start);
+        started.applySnapshot({ routes(7, bothRoutes), target(4, 11) }, StorePosition(7), start, start);
         CHECK(started.targetsOf("web").empty());
 
         SECTION("also from a watch")
         {
-            started.applyChanges({ target(4, 11) }, Revision(7), start, start);
+            started.applyChanges({ target(4, 11) }, StorePosition(7), start, start);
             CHECK(started.targetsOf("web").empty());
         }
     }
     SECTION("a full read with an evacuation that has ended since")
     {
-        peer.applyChanges({ EvacuationEnd { Revision(9), "a" } }, Revision(9), start, start);
+        peer.applyChanges({ EvacuationEnd { Revision(9), "a" } }, StorePosition(9), start, start);
         TransitView started;
         pullDelta(started, peer);
         started.applySnapshot(
-            { routes(7, bothRoutes), EvacuationChange { Revision(8), "a" } }, Revision(8), start, start);
+            { routes(7, bothRoutes), EvacuationChange { Revision(8), "a" } }, StorePosition(8), start, start);
         CHECK_FALSE(started.isEvacuated("a"));
     }
     SECTION("but what its later pages have beyond the view is taken over")
     {
-        view.applySnapshot({ routes(9, stableRoute), target(10, 12) }, Revision(6), start, start);
+        view.applySnapshot({ routes(9, stableRoute), target(10, 12) }, StorePosition(6), start, start);
         CHECK_FALSE(view.routeAt(routeAddress));
         CHECK(view.targetsOf("web").size() == 2);
-        CHECK(view.through() == Revision(7));
+        CHECK(view.through() == StorePosition(7));
 
         SECTION("and stays, though a process without it sends a newer view")
         {
-            peer.applyChanges({ target(8, 13) }, Revision(8), start, start);
+            peer.applyChanges({ target(8, 13) }, StorePosition(8), start, start);
             pullDelta(view, peer);
             CHECK_FALSE(view.routeAt(routeAddress));
             CHECK(view.routeAt(stableAddress));
@@ -112,10 +112,10 @@
 TEST_CASE("A full read without a configuration leaves the last one in force", "[transit][view]")
 {
     TransitView view;
-    view.applySnapshot({ routes(5, bothRoutes), target(4, 11) }, Revision(5), start, start);
-    view.applySnapshot({ target(4, 11) }, Revision(9), start, start);
+    view.applySnapshot({ routes(5, bothRoutes), target(4, 11) }, StorePosition(5), start, start);
+    view.applySnapshot({ target(4, 11) }, StorePosition(9), start, start);
     CHECK(view.routeAt(routeAddress));
-    CHECK(view.through() == Revision(9));
+    CHECK(view.through() == StorePosition(9));
 }
 
 // Guards against a process that spreads a configuration that it has only in part.
@@ -124,16 +124,16 @@
     TransitView all;
     TransitView some;
     for (TransitView* view : { &all, &some })
-        view->applySnapshot({ routes(5, bothRoutes) }, Revision(5), start, start);
-    all.applyChanges({ routes(6, stableRoute) }, Revision(6), start, start);
-    some.applyChanges({ routes(7, bothRoutes) }, Revision(7), start, start);
+        view->applySnapshot({ routes(5, bothRoutes) }, StorePosition(5), start, start);
+    all.applyChanges({ routes(6, stableRoute) }, StorePosition(6), start, start);
+    some.applyChanges({ routes(7, bothRoutes) }, StorePosition(7), start, start);
     REQUIRE(all.applyDelta(some.deltaSince(all.through()), start) == DeltaOutcome::Mismatch);
 
     TransitView third;
-    third.applySnapshot({ routes(6, stableRoute) }, Revision(6), start, start);
+    third.applySnapshot({ routes(6, stableRoute) }, StorePosition(6), start, start);
     pullDelta(third, all);
     pullDelta(third, some);
-    CHECK(third.through() == Revision(7));
+    CHECK(third.through() == StorePosition(7));
     CHECK(third.routeAt(routeAddress));
 }
 
@@ -144,24 +144,24 @@
     TransitView watching;
     TransitView reading;
     for (TransitView* view : { &watching, &reading })
-        view->applySnapshot({ routes(5, bothRoutes) }, Revision(5), start, start);
-    watching.applyChanges({ target(6, 11) }, Revision(6), start, start);
+        view->applySnapshot({ routes(5, bothRoutes) }, StorePosition(5), start, start);
+    watching.applyChanges({ target(6, 11) }, StorePosition(6), start, start);
 
     SECTION("when they get the view from it")
     {
-        reading.applySnapshot({ routes(5, bothRoutes) }, Revision(8), start, start);
+        reading.applySnapshot({ routes(5, bothRoutes) }, StorePosition(8), start, start);
         pullDelta(watching, reading);
     }
     SECTION("when they get it from a process that got it from there")
     {
-        reading.applySnapshot({ routes(5, bothRoutes) }, Revision(8), start, start);
+        reading.applySnapshot({ routes(5, bothRoutes) }, StorePosition(8), start, start);
         TransitView between;
-        between.applySnapshot({ routes(5, bothRoutes) }, Revision(5), start, start);
+        between.applySnapshot({ routes(5, bothRoutes) }, StorePosition(5), start, start);
         pullDelta(between, reading);
         pullDelta(watching, between);
     }
     watching.expire(start);
-    CHECK(watching.through() == Revision(8));
+    CHECK(watching.through() == StorePosition(8));
     CHECK(watching.targetsOf("web").empty());
 }
 
@@ -175,18 +175,18 @@
     fleet.setStoreDown(true);
     fleet.run(milliseconds(10));
     fleet.writeRoutes(stableRoute);
-    Revision dropped = fleet.lastRevision();
+    StorePosition dropped = fleet.lastPosition();
     auto stale = fleet.storeContent();
     fleet.writeRoutes(bothRoutes);
     TransitEffects effects;
     for (Endpoint balancer : fleet.balancers) {
-        fleet.balancer(balancer).onStoreFailure(StoreFailure::HistoryGone, fleet.now(), effects);
+        fleet.balancer(balancer).onStoreFailure(StoreFailure::HistoryGone, {}, fleet.now(), effects);
         fleet.applyEffectsFor(balancer, effects);
         effects.clear();
     }
     fleet.setStoreDown(false);
     fleet.run(seconds(1));
-    REQUIRE(fleet.balancer(reader).fleet().view().through() == fleet.lastRevision());
+    REQUIRE(fleet.balancer(reader).fleet().view().through() == fleet.lastPosition());
     REQUIRE(fleet.balancer(reader).fleet().view().routeAt(routeAddress));
 
     fleet.balancer(reader).onStorePage(stale, dropped, {}, fleet.now(), effects);
@@ -215,7 +215,7 @@
 {
     Fleet fleet;
     Endpoint reader = fleet.balancers[0];
-    Revision before = fleet.lastRevision();
+    StorePosition before = fleet.lastPosition();
     auto stale = fleet.storeContent();
     fleet.writeRoutes(bothRoutes);
     fleet.run(milliseconds(100));
@@ -234,7 +234,7 @@
     Endpoint reader = *std::find_if(fleet.balancers.begin(), fleet.balancers.end(),
         [&](Endpoint each) { return fleet.balancer(each).fleet().isPermanentReader(fleet.now()); });
     TransitEffects effects;
-    fleet.balancer(reader).onStoreFailure(StoreFailure::Invalid, fleet.now(), effects);
+    fleet.balancer(reader).onStoreFailure(StoreFailure::Invalid, {}, fleet.now(), effects);
     for (int i = 0; i < 100; ++i)
         fleet.balancer(reader).onTick(fleet.now() + tickInterval * i, effects);
     auto isCall = [](const auto& effect) {
@@ -353,7 +353,7 @@
 {
     if (!view.through())
         return;
-    const StoreModel::State& state = store.states.at(view.through().value);
+    const StoreModel::State& state = store.states.at(view.through().revision.value);
     RC_ASSERT(versionIn(view) == state.version);
     RC_ASSERT(view.targets().size() == state.targets.size());
     for (int i = 20; i < 23; ++i)
@@ -371,7 +371,7 @@
         auto index = static_cast<std::size_t>(which);
         TransitView& view = views[index];
         std::uint64_t version = versionIn(view);
-        Revision through = view.through();
+        StorePosition through = view.through();
         if (kind < 6) {
             store.change(kind, which);
         } else if (kind == 6) {
@@ -379,15 +379,15 @@
         } else if (kind < 9) {
             store.answers.push_back(store.read(index, arePagesSnapshots ? store.revision : begunAt));
         } else if (kind == 9 && through) {
-            store.answers.push_back(store.watch(index, through));
+            store.answers.push_back(store.watch(index, through.revision));
         } else if (kind < 12 && !store.answers.empty()) {
             const auto& answer = store.answers[static_cast<std::size_t>(other) % store.answers.size()];
             TransitView& receiver = views[answer.receiver];
             version = versionIn(receiver);
             if (answer.isRead)
-                receiver.applySnapshot(answer.changes, Revision(answer.asOf), start, start);
+                receiver.applySnapshot(answer.changes, StorePosition(answer.asOf), start, start);
             else
-                receiver.applyChanges(answer.changes, Revision(answer.asOf), start, start);
+                receiver.applyChanges(answer.changes, StorePosition(answer.asOf), start, start);
             RC_ASSERT(versionIn(receiver) >= version);
         } else if (kind >= 12) {
             pullDelta(view, views[static_cast<std::size_t>(other) % 3]);
@@ -402,11 +402,11 @@
         }
     }
     for (auto& view : views) {
-        auto last = view.through() ? store.watch(0, view.through()) : store.read(0, store.revision);
+        auto last = view.through() ? store.watch(0, view.through().revision) : store.read(0, store.revision);
         if (last.isRead)
-            view.applySnapshot(last.changes, Revision(last.asOf), start, start);
+            view.applySnapshot(last.changes, StorePosition(last.asOf), start, start);
         else
-            view.applyChanges(last.changes, Revision(last.asOf), start, start);
+            view.applyChanges(last.changes, StorePosition(last.asOf), start, start);
         view.expire(start);
         checkState(store, view);
     }
--- a/tests/transit_lost_test.cpp
+++ b/tests/transit_lost_test.cpp
@@ -379,7 +379,7 @@
         forward.packet.flags.isOpening = true;
         TransitEffects effects;
         fleet.agent({ holder, fleetPort })
-            .onMessage(fleet.balancers[0], { fleet.lastRevision(), forward }, fleet.now(), effects);
+            .onMessage(fleet.balancers[0], { fleet.lastPosition(), forward }, fleet.now(), effects);
         CHECK(std::none_of(effects.begin(), effects.end(),
             [](const auto& effect) { return std::holds_alternative<DeliverToTarget>(effect); }));
     }
@@ -497,7 +497,7 @@
         ForwardMessage copy { .replyTo = fleet.balancers[1],
             .service = "web",
             .packet = { .flow = flow, .flags = { .isOpening = true }, .acknowledged = 1 } };
-        fleet.agent(other).onMessage(fleet.balancers[1], { Revision(1), copy }, fleet.now(), effects);
+        fleet.agent(other).onMessage(fleet.balancers[1], { StorePosition(1), copy }, fleet.now(), effects);
         fleet.applyEffectsFor(other, effects);
         fleet.run(milliseconds(5));
     }
--- a/tests/transit_overload_test.cpp
+++ b/tests/transit_overload_test.cpp
@@ -208,7 +208,8 @@
         ForwardMessage query { .replyTo = fleet.balancers[0], .isLocating = true, .hops = 1 };
         query.packet = { .flow = flowOf(2000000), .sequence = 1, .dataSize = 100 };
         TransitEffects effects;
-        fleet.agent(fleet.agents[0]).onMessage(fleet.balancers[0], Message { Revision(), query }, fleet.now(), effects);
+        fleet.agent(fleet.agents[0])
+            .onMessage(fleet.balancers[0], Message { StorePosition(), query }, fleet.now(), effects);
         bool isDelivered = std::any_of(effects.begin(), effects.end(),
             [](const auto& effect) { return std::holds_alternative<DeliverToTarget>(effect); });
         CHECK(isDelivered);
@@ -244,7 +245,7 @@
         forward.packet = { .flow = queued, .flags = flags, .sequence = 2 };
         TransitEffects effects;
         fleet.agent(fleet.agents[0])
-            .onMessage(fleet.balancers[0], Message { Revision(), forward }, fleet.now(), effects);
+            .onMessage(fleet.balancers[0], Message { StorePosition(), forward }, fleet.now(), effects);
         std::size_t delivered = 0;
         for (const auto& effect : effects)
             delivered += std::holds_alternative<DeliverToTarget>(effect);
--- a/tests/transit_place_test.cpp
+++ b/tests/transit_place_test.cpp
@@ -39,7 +39,7 @@
             changes.emplace_back(TargetChange { Revision(5), target });
         if (!evacuated.empty())
             changes.emplace_back(EvacuationChange { Revision(6), evacuated });
-        core.onStorePage(changes, Revision(6), {}, now, effects);
+        core.onStorePage(changes, StorePosition(6), {}, now, effects);
     }
 
     HttpReply ask(const std::string& target) const
@@ -93,7 +93,7 @@
 Event messageFrom(std::uint32_t agent, const MessageBody& body)
 {
     return [agent, body](TransitBalancer& balancer, TimePoint now, TransitEffects& effects) {
-        balancer.onMessage({ agent, fleetPort }, { Revision(6), body }, now, effects);
+        balancer.onMessage({ agent, fleetPort }, { StorePosition(6), body }, now, effects);
     };
 }
 
--- a/tests/transit_registration_test.cpp
+++ b/tests/transit_registration_test.cpp
@@ -171,7 +171,7 @@
     TransitView view;
     view.applySnapshot({ configuration(3, { "web" }), written(4, targetRecord(11, "own")),
                            written(5, otherEntry(11, "mail")), written(6, otherEntry(12, "mail")) },
-        Revision(6), start, start);
+        StorePosition(6), start, start);
     REQUIRE(idAt(view, 11) == "own");
     CHECK_FALSE(view.targetAt({ 12, targetPort }));
     CHECK(view.targetsOf("mail").empty());
@@ -179,7 +179,7 @@
 
     SECTION("an entry is one as soon as a configuration has its service")
     {
-        view.applyChanges({ configuration(7, { "web", "mail" }) }, Revision(7), start, start);
+        view.applyChanges({ configuration(7, { "web", "mail" }) }, StorePosition(7), start, start);
         CHECK(idAt(view, 11) == "other-11");
         CHECK(view.targetsOf("mail").size() == 2);
         CHECK(view.targetsOf("web").empty());
@@ -187,7 +187,7 @@
 
         SECTION("and none any more when a later one does not")
         {
-            view.applyChanges({ configuration(8, { "web" }) }, Revision(8), start, start);
+            view.applyChanges({ configuration(8, { "web" }) }, StorePosition(8), start, start);
             CHECK(idAt(view, 11) == "own");
             CHECK(view.targets().size() == 1);
         }
@@ -195,7 +195,7 @@
     SECTION("an entry that is removed before that is none")
     {
         view.applyChanges({ TargetRemoval { Revision(7), "other-11" }, configuration(8, { "web", "mail" }) },
-            Revision(8), start, start);
+            StorePosition(8), start, start);
         view.expire(start);
         CHECK(idAt(view, 11) == "own");
         CHECK(view.unknownServiceCount() == 0);
@@ -203,15 +203,16 @@
     SECTION("before the first configuration every entry is one")
     {
         TransitView early;
-        early.applySnapshot(
-            { written(4, targetRecord(11, "own")), written(6, otherEntry(12, "mail")) }, Revision(6), start, start);
+        early.applySnapshot({ written(4, targetRecord(11, "own")), written(6, otherEntry(12, "mail")) },
+            StorePosition(6), start, start);
         CHECK(early.targets().size() == 2);
-        early.applyChanges({ configuration(7, { "web" }) }, Revision(7), start, start);
+        early.applyChanges({ configuration(7, { "web" }) }, StorePosition(7), start, start);
         CHECK(early.targets().size() == 1);
     }
     SECTION("a registration that lapsed in an outage of the store gives way to no entry of another service")
     {
-        view.applyChanges({ TargetRemoval { Revision(7), "own" } }, Revision(7), start, start + reregistrationTime);
+        view.applyChanges(
+            { TargetRemoval { Revision(7), "own" } }, StorePosition(7), start, start + reregistrationTime);
         CHECK(idAt(view, 11) == "own");
     }
 }
@@ -302,7 +303,7 @@
     REQUIRE(rc::check("those of the services in force with the latest start at their addresses", [] {
         RegistrationModel model { .entries = {}, .services = { "web" } };
         std::vector<TransitView> views(2); // One gets the changes of the store, the other deltas.
-        views[0].applySnapshot({ configuration(1, { "web" }) }, Revision(1), start, start);
+        views[0].applySnapshot({ configuration(1, { "web" }) }, StorePosition(1), start, start);
         std::uint64_t revision = 1;
         auto steps = *rc::gen::container<std::vector<std::tuple<int, int, int, int>>>(rc::gen::tuple(
             rc::gen::inRange(0, 8), rc::gen::inRange(0, 5), rc::gen::inRange(0, 3), rc::gen::inRange(1, 4)));
@@ -315,15 +316,16 @@
                 record.address.address = static_cast<std::uint32_t>(20 + number % 2);
                 record.startedAt = static_cast<std::uint64_t>(startedAt);
                 model.entries[id] = record;
-                views[0].applyChanges({ written(revision, record) }, Revision(revision), start, start);
+                views[0].applyChanges({ written(revision, record) }, StorePosition(revision), start, start);
             } else if (kind == 4) {
                 model.entries.erase(id);
-                views[0].applyChanges({ TargetRemoval { Revision(revision), id } }, Revision(revision), start, start);
+                views[0].applyChanges(
+                    { TargetRemoval { Revision(revision), id } }, StorePosition(revision), start, start);
             } else if (kind < 7) {
                 if (!model.services.erase(service))
                     model.services.insert(service);
                 views[0].applyChanges({ configuration(revision, { model.services.begin(), model.services.end() }) },
-                    Revision(revision), start, start);
+                    StorePosition(revision), start, start);
             } else {
                 pullDelta(views[1], views[0]);
                 views[1].expire(start);
--- a/tests/transit_relay_test.cpp
+++ b/tests/transit_relay_test.cpp
@@ -300,7 +300,7 @@
     Endpoint sender = fleet.balancers["a"][0];
     Endpoint receiver = fleet.agents["b"][0];
     Endpoint relay = fleet.agents["c"][0];
-    Message message { fleet.lastRevision(), NotHeldFlowsMessage { { flowOf(1) } }, receiver, sender };
+    Message message { fleet.lastPosition(), NotHeldFlowsMessage { { flowOf(1) } }, receiver, sender };
     auto forwarded = [&](Endpoint from) {
         TransitEffects effects;
         fleet.agent(relay).receive(from, message, fleet.now(), effects);
@@ -319,7 +319,7 @@
         CHECK(sent[0].to == receiver);
         CHECK(sent[0].message.relayTo == receiver);
         CHECK(sent[0].message.origin == sender);
-        CHECK(sent[0].message.through == fleet.lastRevision());
+        CHECK(sent[0].message.through == fleet.lastPosition());
     }
     SECTION("not when it has passed another relay, which guards against loops")
     {
@@ -334,7 +334,7 @@
     }
     SECTION("and a receiver takes a message from members only")
     {
-        message = { fleet.lastRevision(), LeavingMessage { ProcessRole::Balancer }, relay, sender };
+        message = { fleet.lastPosition(), LeavingMessage { ProcessRole::Balancer }, relay, sender };
         auto isAliveAfter = [&](Endpoint from) {
             TransitEffects effects;
             fleet.agent(relay).receive(from, message, fleet.now(), effects);
@@ -346,7 +346,7 @@
     SECTION("and a receiver takes no stamp from a relay, since stamps are the measurement")
     {
         message
-            = { fleet.lastRevision(), StampMessage { .role = ProcessRole::Balancer, .incarnation = 5 }, relay, sender };
+            = { fleet.lastPosition(), StampMessage { .role = ProcessRole::Balancer, .incarnation = 5 }, relay, sender };
         TransitEffects effects;
         fleet.agent(relay).receive(fleet.agents["c"][1], message, fleet.now(), effects);
         CHECK(fleet.agent(relay).fleet().members().at(sender).incarnation != 5);
@@ -362,8 +362,8 @@
     TransitEffects effects;
     auto stamp = [&](std::uint32_t address, const std::string& domain, std::vector<PathReport> paths) {
         fleet.recordReceived({ address, fleetPort }, now);
-        fleet.recordContact({ address, fleetPort }, Revision(), now, effects);
-        fleet.onStamp({ address, fleetPort }, Revision(),
+        fleet.recordContact({ address, fleetPort }, StorePosition(), now, effects);
+        fleet.onStamp({ address, fleetPort }, StorePosition(),
             { .role = ProcessRole::Agent,
                 .incarnation = address,
                 .failureDomain = domain,
@@ -415,7 +415,7 @@
     std::size_t reports = 0;
     for (int round = 0; round < 2; ++round) {
         for (std::uint32_t i = 0; i < 420; ++i)
-            fleet.onStamp({ 2, fleetPort }, Revision(),
+            fleet.onStamp({ 2, fleetPort }, StorePosition(),
                 { .incarnation = 2, .failureDomain = "b", .paths = { { i + 1, i / 20 + 1000, 10, 5 } } }, now, effects);
         effects.clear();
         fleet.startGossipRound(now, effects);
--- a/tests/transit_sim.cpp
+++ b/tests/transit_sim.cpp
@@ -135,11 +135,19 @@
     for (const auto& name : m_services)
         services.push_back(
             { .name = name, .flowLimit = 2000, .warmup = seconds(2), .warmupPerSecond = warmupPerSecond });
-    StoreChange change = ConfigurationChange { m_revision, routes, services };
+    StoreChange change = ConfigurationChange { m_revision, routes, services, ++m_configurationVersion };
     m_store["configuration"] = change;
     m_history.emplace_back(m_revision, change);
 }
 
+void TransitSim::restoreStore(const StoreCopy& copy)
+{
+    m_store = copy.items;
+    m_history = copy.history;
+    m_revision = copy.revision;
+    ++m_era.value;
+}
+
 void TransitSim::writeTarget(const TargetRecord& target)
 {
     ++m_revision.value;
@@ -373,7 +381,8 @@
         } else if (std::get_if<ReadStore>(&effect) || std::get_if<WatchStore>(&effect)) {
             ++m_storeCalls;
             auto* watch = std::get_if<WatchStore>(&effect);
-            m_watches.push_back({ process, incarnation, watch ? watch->after : Revision(),
+            m_fullReads[process] += !watch;
+            m_watches.push_back({ process, incarnation, watch ? watch->after : StorePosition(),
                 m_now + (watch ? watch->wait : Duration {}) });
         } else if (auto* line = std::get_if<WriteLog>(&effect)) {
             ++m_logLineCounts[std::string(line->event)];
@@ -390,7 +399,7 @@
     auto watches = std::exchange(m_watches, {});
     for (const Watch& watch : watches) {
         bool isFullRead = !watch.after;
-        bool isDue = isFullRead || m_revision > watch.after || m_now >= watch.until || m_isStoreDown;
+        bool isDue = isFullRead || m_revision != watch.after.revision || m_now >= watch.until || m_isStoreDown;
         if (!isDue) {
             m_watches.push_back(watch);
             continue;
@@ -398,11 +407,13 @@
         deliver(watch.process, watch.incarnation, [this, watch, isFullRead](TransitCore& core) {
             TransitEffects effects;
             if (m_isStoreDown)
-                core.onStoreFailure(StoreFailure::Unreachable, m_now, effects);
+                core.onStoreFailure(StoreFailure::Unreachable, {}, m_now, effects);
             else if (isFullRead)
-                core.onStorePage(storeContent(), m_revision, {}, m_now, effects);
+                core.onStorePage(storeContent(), lastPosition(), {}, m_now, effects);
+            else if (watch.after.revision > m_revision)
+                core.onStoreFailure(StoreFailure::HistoryGone, m_era, m_now, effects);
             else
-                core.onStoreChanges(changesAfter(watch.after), m_revision, m_now, effects);
+                core.onStoreChanges(changesAfter(watch.after.revision), lastPosition(), m_now, effects);
             applyEffects(watch.process, effects);
         });
     }
--- a/tests/transit_sim.h
+++ b/tests/transit_sim.h
@@ -119,12 +119,23 @@
     void pause(Endpoint process) { m_paused.insert(process); }
     void resume(Endpoint process) { m_paused.erase(process); }
 
-    /** @return Revision of the last change in the store. */
-    Revision lastRevision() const { return m_revision; }
+    /** @return Position of the last change in the store. */
+    StorePosition lastPosition() const { return { m_era, m_revision }; }
 
     /** @return Current value of every key in the store. */
     std::vector<StoreChange> storeContent() const;
 
+    /** Content of the store at some time. */
+    struct StoreCopy {
+        std::map<std::string, StoreChange> items;
+        std::vector<std::pair<Revision, StoreChange>> history;
+        Revision revision;
+    };
+    StoreCopy copyStore() const { return { m_store, m_history, m_revision }; }
+
+    /** The store comes back from a copy: what was written since is gone, and a new era begins. */
+    void restoreStore(const StoreCopy& copy);
+
     /** While the store is down, its calls fail as unreachable. */
     void setStoreDown(bool isDown) { m_isStoreDown = isDown; }
     void writeRoutes(const std::vector<RouteRecord>& routes, double warmupPerSecond = 0);
@@ -185,6 +196,13 @@
     /** @return Reads and watches of the store. */
     std::size_t storeCalls() const { return m_storeCalls; }
 
+    /** @return Full reads of the store by a process. */
+    std::size_t fullReads(Endpoint process) const
+    {
+        auto found = m_fullReads.find(process);
+        return found == m_fullReads.end() ? 0 : found->second;
+    }
+
     /** @return Health probes of targets. */
     std::size_t probes() const { return m_probes; }
 
@@ -214,7 +232,7 @@
     struct Watch {
         Endpoint process;
         std::uint64_t incarnation;
-        Revision after;
+        StorePosition after;
         TimePoint until;
     };
 
@@ -266,7 +284,10 @@
     std::map<std::string, StoreChange> m_store; ///< Current items by key.
     std::vector<std::pair<Revision, StoreChange>> m_history;
     std::vector<Watch> m_watches;
+    std::map<Endpoint, std::size_t> m_fullReads;
     Revision m_revision { 10 };
+    StoreEra m_era { 1 };
+    std::uint64_t m_configurationVersion {};
     std::set<std::string> m_services { "web", "mail" }; ///< Services of the configuration.
     std::vector<RouteRecord> m_routes;
     double m_warmupPerSecond {};
--- a/tests/transit_transfer_fleet_test.cpp
+++ b/tests/transit_transfer_fleet_test.cpp
@@ -98,7 +98,7 @@
             .flags = { .hasAcknowledgement = true, .isFinal = true },
             .sequence = firstSequence + longRequestBytes };
         TransitEffects effects;
-        fleet.theAgent().onMessage(fleet.balancers[0], Message { Revision(), forward }, fleet.now(), effects);
+        fleet.theAgent().onMessage(fleet.balancers[0], Message { StorePosition(), forward }, fleet.now(), effects);
         bool isDelivered = std::any_of(effects.begin(), effects.end(),
             [](const auto& effect) { return std::holds_alternative<DeliverToTarget>(effect); });
         CHECK_FALSE(isDelivered); // A final packet waits as well.
--- a/tests/transit_view_test.cpp
+++ b/tests/transit_view_test.cpp
@@ -31,39 +31,39 @@
 TEST_CASE("The revision of a key in a view never decreases", "[transit][view]")
 {
     TransitView view;
-    view.applySnapshot({ routes(5, { routeTo("web") }), target(4, "one") }, Revision(6), start, start);
+    view.applySnapshot({ routes(5, { routeTo("web") }), target(4, "one") }, StorePosition(6), start, start);
     REQUIRE(view.routeAt(routeAddress));
     REQUIRE(view.targetsOf("web").size() == 1);
 
     SECTION("an older value of a key is ignored, which guards against a configuration that reverts")
     {
-        view.applyChanges({ routes(8, { routeTo("mail") }) }, Revision(8), start, start);
-        view.applyChanges({ routes(7, { routeTo("web") }) }, Revision(7), start, start);
+        view.applyChanges({ routes(8, { routeTo("mail") }) }, StorePosition(8), start, start);
+        view.applyChanges({ routes(7, { routeTo("web") }) }, StorePosition(7), start, start);
         CHECK(view.routeAt(routeAddress)->shares.front().service == "mail");
-        CHECK(view.through() == Revision(8));
+        CHECK(view.through() == StorePosition(8));
     }
     SECTION("a route that is missing from a new configuration is removed")
     {
-        view.applyChanges({ routes(8, {}) }, Revision(8), start, start);
+        view.applyChanges({ routes(8, {}) }, StorePosition(8), start, start);
         CHECK_FALSE(view.routeAt(routeAddress));
     }
     SECTION("an unchanged route keeps its revision, so that a change of one route gives a small delta")
     {
         RouteRecord second = routeTo("mail", { 1, 2 });
-        view.applyChanges({ routes(9, { routeTo("web"), second }) }, Revision(9), start, start);
-        CHECK(view.routeRevisionAt(routeAddress) == Revision(5));
-        CHECK(view.deltaSince(Revision(6)).items.size() == 1);
+        view.applyChanges({ routes(9, { routeTo("web"), second }) }, StorePosition(9), start, start);
+        CHECK(view.routePositionAt(routeAddress) == StorePosition(5));
+        CHECK(view.deltaSince(StorePosition(6)).items.size() == 1);
     }
     SECTION("of two incarnations at one address the newer is used, whatever their order in the store")
     {
-        view.applyChanges({ target(7, "two", 11, 9), target(8, "one", 11, 1) }, Revision(8), start, start);
+        view.applyChanges({ target(7, "two", 11, 9), target(8, "one", 11, 1) }, StorePosition(8), start, start);
         CHECK(view.targetAt({ 11, targetPort })->record.id == "two");
         CHECK(view.targetsOf("web").size() == 1);
     }
     SECTION("a target whose registration expired while the store was unreachable stays in use until the time to "
             "register again is over")
     {
-        view.applyChanges({ removal(7, "one") }, Revision(7), start, start + reregistrationTime);
+        view.applyChanges({ removal(7, "one") }, StorePosition(7), start, start + reregistrationTime);
         view.expire(start + reregistrationTime - milliseconds(1));
         CHECK(view.targetsOf("web").size() == 1);
         view.expire(start + reregistrationTime);
@@ -71,13 +71,13 @@
     }
     SECTION("a target that is removed while the store is reachable is dropped at once")
     {
-        view.applyChanges({ removal(7, "one") }, Revision(7), start, start);
+        view.applyChanges({ removal(7, "one") }, StorePosition(7), start, start);
         view.expire(start);
         CHECK(view.targetsOf("web").empty());
     }
     SECTION("a full read removes what the store no longer contains")
     {
-        view.applySnapshot({ routes(5, { routeTo("web") }) }, Revision(9), start, start);
+        view.applySnapshot({ routes(5, { routeTo("web") }) }, StorePosition(9), start, start);
         view.expire(start);
         CHECK(view.targetsOf("web").empty());
         CHECK(view.routeAt(routeAddress));
@@ -87,8 +87,8 @@
         TransitView other;
         other.applyDelta(view.deltaSince(other.through()), start);
         REQUIRE(other.through() == view.through());
-        view.applyChanges(
-            { target(7, "two", 12), removal(8, "one"), routes(9, { routeTo("mail") }) }, Revision(9), start, start);
+        view.applyChanges({ target(7, "two", 12), removal(8, "one"), routes(9, { routeTo("mail") }) }, StorePosition(9),
+            start, start);
         other.applyDelta(view.deltaSince(other.through()), start);
         other.expire(start);
         view.expire(start);
@@ -99,8 +99,8 @@
         {
             TransitView late;
             late.applySnapshot({ routes(9, { routeTo("mail") }), target(7, "two", 12), target(11, "three", 13) },
-                Revision(11), start, start);
-            other.applyChanges({ target(10, "gone", 14) }, Revision(10), start, start);
+                StorePosition(11), start, start);
+            other.applyChanges({ target(10, "gone", 14) }, StorePosition(10), start, start);
             ViewDelta delta = late.deltaSince(other.through());
             CHECK(delta.hasKeys);
             CHECK(delta.items.size() == 1);
@@ -112,9 +112,11 @@
     }
     SECTION("a delta that starts above the revision of the view is ignored, which guards against missed changes")
     {
-        ViewDelta delta { .since = Revision(8), .through = Revision(9), .hasKeys = false, .keys = {}, .items = {} };
+        ViewDelta delta {
+            .since = StorePosition(8), .through = StorePosition(9), .hasKeys = false, .keys = {}, .items = {}
+        };
         CHECK(view.applyDelta(delta, start) == DeltaOutcome::Ignored);
-        CHECK(view.through() == Revision(6));
+        CHECK(view.through() == StorePosition(6));
     }
 }
 
@@ -125,22 +127,22 @@
     // and added again.
     TransitView all;
     TransitView some;
-    all.applySnapshot({ routes(5, { routeTo("web"), reAdded }) }, Revision(5), start, start);
-    some.applySnapshot({ routes(5, { routeTo("web"), reAdded }) }, Revision(5), start, start);
-    all.applyChanges({ routes(6, { routeTo("web") }) }, Revision(6), start, start);
-    some.applyChanges({ routes(7, { routeTo("web"), reAdded }) }, Revision(7), start, start);
+    all.applySnapshot({ routes(5, { routeTo("web"), reAdded }) }, StorePosition(5), start, start);
+    some.applySnapshot({ routes(5, { routeTo("web"), reAdded }) }, StorePosition(5), start, start);
+    all.applyChanges({ routes(6, { routeTo("web") }) }, StorePosition(6), start, start);
+    some.applyChanges({ routes(7, { routeTo("web"), reAdded }) }, StorePosition(7), start, start);
     REQUIRE_FALSE(all.routeAt({ 1, 2 }));
 
     // Guards against a process that has the newest revision but never gets the route back.
     CHECK(all.applyDelta(some.deltaSince(all.through()), start) == DeltaOutcome::Mismatch);
-    CHECK(all.applyDelta(some.deltaSince(Revision()), start) == DeltaOutcome::Applied);
+    CHECK(all.applyDelta(some.deltaSince(StorePosition()), start) == DeltaOutcome::Applied);
     CHECK(all.routeAt({ 1, 2 }));
     CHECK(all.digest() == some.digest());
 
     SECTION("and so does a third view that is updated from one of them")
     {
         TransitView third;
-        third.applySnapshot({ routes(6, { routeTo("web") }) }, Revision(6), start, start);
+        third.applySnapshot({ routes(6, { routeTo("web") }) }, StorePosition(6), start, start);
         CHECK(third.applyDelta(all.deltaSince(third.through()), start) == DeltaOutcome::Applied);
         CHECK(third.routeAt({ 1, 2 }));
     }
@@ -153,11 +155,11 @@
         std::map<std::string, StoreChange> store;
         std::vector<StoreChange> all;
         TransitView source;
-        source.applySnapshot({}, Revision(1), start, start);
+        source.applySnapshot({}, StorePosition(1), start, start);
         std::vector<TransitView> others(3);
         std::uint64_t revision = 1;
         auto write = [&](const std::string& key, StoreChange change, bool isRemoved) {
-            source.applyChanges({ change }, Revision(revision), start, start);
+            source.applyChanges({ change }, StorePosition(revision), start, start);
             if (isRemoved)
                 store.erase(key);
             else
@@ -179,8 +181,8 @@
                 all.clear();
                 for (const auto& [key, change] : store)
                     all.push_back(change);
-                others[static_cast<std::size_t>(which) % 3].applySnapshot(all, Revision(revision), start, start);
-                source.applyChanges({}, Revision(revision), start, start);
+                others[static_cast<std::size_t>(which) % 3].applySnapshot(all, StorePosition(revision), start, start);
+                source.applyChanges({}, StorePosition(revision), start, start);
             } else {
                 TransitView& from = which == 3 ? source : others[static_cast<std::size_t>(which)];
                 TransitView& to = others[static_cast<std::size_t>(kind) % 3];
@@ -188,7 +190,7 @@
                     pullDelta(to, from);
             }
         }
-        source.applyChanges({}, Revision(++revision), start, start);
+        source.applyChanges({}, StorePosition(++revision), start, start);
         source.expire(start);
         for (auto& other : others) {
             pullDelta(other, source);
--- a/tests/transit_view_util.h
+++ b/tests/transit_view_util.h
@@ -14,7 +14,7 @@
 inline void pullDelta(TransitView& to, const TransitView& from)
 {
     if (to.applyDelta(from.deltaSince(to.through()), viewStart) == DeltaOutcome::Mismatch)
-        to.applyDelta(from.deltaSince(Revision()), viewStart);
+        to.applyDelta(from.deltaSince(StorePosition()), viewStart);
 }
 
 /** @return A configuration with routes, and with the services that the routes of tests name. */
