An answer of another era than its call is discarded, so that no change after the store's return is skipped

Cause, and the assumption that was false: "a watch that succeeds returns all changes since the position that it was started from". The store had given out the lost revisions again, so that it knew the revision of the watch; what it had written up to that revision in the new era was not in the answer. What else rested on it: a watch that is open while a delta brings the new era, reads whose pages are of two eras, and the confirmation of a view by such answers.

Change: the fleet keeps the position that a watch was started from and discards an answer of another era. If that era is new, a full read follows at once; if the view has it already, another watch; if it is a former one, the next call waits as after a failure. Views ignore changes of another era.

--- a/src/transit_effect_type.h
+++ b/src/transit_effect_type.h
@@ -104,7 +104,7 @@
     MessagesOut,
     StoreCalls,
     StoreFailures,
-    StoreAnswersDiscarded, ///< Of the failures: the response was of another era of the store.
+    StoreAnswersDiscarded, ///< Responses of another era than the call, the view or the pages before.
     LogLinesDropped,
     EntryChanges, ///< A balancer left rotation or returned because of the load.
     MessagesRelayed, ///< Sent through a relay, since the path to the receiver's failure domain is broken.
--- a/src/transit_fleet_base.h
+++ b/src/transit_fleet_base.h
@@ -277,6 +277,7 @@
     std::uint32_t m_consecutiveFailures {}; ///< Failed store calls since the last response.
     std::uint32_t m_readsBehind {}; ///< Full reads in a row that were older than the view.
     std::optional<TimePoint> m_storeRecoveredAt; ///< Time of the first response after failed calls.
+    StorePosition m_watchedFrom; ///< Position that the last watch was started from.
     bool m_needsFullRead {}; ///< The store no longer has the history since the position of the view.
     bool m_wasReader {};
     std::vector<StoreChange> m_pages; ///< Content of the pages received so far in a full read.
--- a/src/transit_fleet_store.cpp
+++ b/src/transit_fleet_store.cpp
@@ -64,6 +64,19 @@
 bool TransitFleet::onStoreChanges(
     const std::vector<StoreChange>& changes, StorePosition asOf, TimePoint now, TransitEffects& effects)
 {
+    // The changes are complete from the position that the watch was started from. In another era that means nothing:
+    // changes after the copy may have lower revisions, and are not among them.
+    if (asOf.era < m_watchedFrom.era) {
+        discardStoreAnswer(asOf, now, effects);
+        return false;
+    }
+    if (asOf.era > m_watchedFrom.era || asOf.era < m_view.through().era) {
+        effects.push_back(CountEvent { TransitCounter::StoreAnswersDiscarded });
+        m_isCallPending = false;
+        m_nextCallAt = now;
+        m_needsFullRead |= isFullReadNeededFor(asOf.era);
+        return false;
+    }
     recordStoreAnswer(asOf, now, now, effects);
     StorePosition before = m_view.through();
     bool hasChanged = m_view.applyChanges(changes, asOf, now, retainRemovedUntil(now));
@@ -211,7 +224,8 @@
         effects.push_back(ReadStore { {}, readTimeout });
         return;
     }
-    effects.push_back(WatchStore { m_view.through(), watchWait, watchWait + watchGrace });
+    m_watchedFrom = m_view.through();
+    effects.push_back(WatchStore { m_watchedFrom, watchWait, watchWait + watchGrace });
 }
 
 void TransitFleet::recordStoreAnswer(StorePosition asOf, TimePoint confirmedAt, TimePoint now, TransitEffects& effects)
--- a/src/transit_view_cmd.cpp
+++ b/src/transit_view_cmd.cpp
@@ -75,6 +75,9 @@
 bool TransitView::applyChanges(
     const std::vector<StoreChange>& changes, StorePosition asOf, TimePoint now, TimePoint retainRemovedUntil)
 {
+    // Changes of another era are not complete from any position of the view.
+    if (asOf.era != m_through.era)
+        return false;
     StorePosition known = m_through;
     bool hasChanged = false;
     for (const auto& change : changes) {
--- a/tests/transit_era_test.cpp
+++ b/tests/transit_era_test.cpp
@@ -55,6 +55,12 @@
         return count;
     }
 
+    const TransitView& viewOf(Endpoint process)
+    {
+        bool isAgent = std::find(agents.begin(), agents.end(), process) != agents.end();
+        return isAgent ? agent(process).fleet().view() : balancer(process).fleet().view();
+    }
+
     std::size_t mostFullReads() const
     {
         std::size_t most = 0;
@@ -131,6 +137,167 @@
     }
 }
 
+// Guards against a configuration that is never read, without any sign of it (incident review-12).
+TEST_CASE("Changes that give out the lost revisions again are in force", "[transit][fleet][era]")
+{
+    RestoredFleet fleet;
+    REQUIRE(fleet.flowsInEvacuatedDomain() > 0);
+    fleet.writeConfigurations(3);
+    std::size_t readsBefore = fleet.mostFullReads();
+    fleet.setStoreDown(true);
+    fleet.run(milliseconds(500));
+    fleet.restoreStore(fleet.copy);
+    std::size_t callsBefore = fleet.storeCalls();
+
+    SECTION("an evacuation and a dropped route, written before the readers call again")
+    {
+        fleet.evacuate("b", true);
+        fleet.writeRoutes({ routeTo("web") });
+        for (int i = 0; i < 4; ++i)
+            fleet.writeTarget(targetRecord(11, "t11"));
+        fleet.setStoreDown(false);
+        fleet.run(seconds(2));
+        CHECK(fleet.flowsInEvacuatedDomain() == 0);
+        for (const auto& processes : { fleet.balancers, fleet.agents }) {
+            for (Endpoint process : processes)
+                CHECK_FALSE(fleet.viewOf(process).routeAt(otherRoute));
+        }
+    }
+    SECTION("as many changes as were lost")
+    {
+        fleet.evacuate("b", true);
+        fleet.writeRoutes({ routeTo("web") });
+        fleet.writeRoutes({ routeTo("web") });
+        REQUIRE(fleet.lastPosition().revision == fleet.viewOf(fleet.balancers[0]).through().revision);
+        fleet.setStoreDown(false);
+        fleet.run(seconds(2));
+        CHECK(fleet.flowsInEvacuatedDomain() == 0);
+    }
+    fleet.run(seconds(9));
+    CHECK(fleet.storeCalls() - callsBefore < 100);
+    CHECK(fleet.mostFullReads() <= readsBefore + 2);
+}
+
+namespace {
+
+/** Balancer whose calls to the store the test answers. */
+struct CalledStore {
+    FleetOptions options { .self = { 1, fleetPort }, .role = ProcessRole::Balancer, .incarnation = 3 };
+    TransitFleet fleet { options };
+    TimePoint now { seconds(10).us };
+
+    /** @return The next call; none if there is none within the time. */
+    std::optional<TransitEffect> nextCall(Duration time)
+    {
+        for (TimePoint end = now + time; now < end; now = now + milliseconds(1)) {
+            TransitEffects effects;
+            fleet.onTick(now, {}, effects);
+            for (auto& effect : effects) {
+                if (std::holds_alternative<ReadStore>(effect) || std::holds_alternative<WatchStore>(effect))
+                    return effect;
+            }
+        }
+        return std::nullopt;
+    }
+
+    template <typename Call> bool isNextCall(Duration time)
+    {
+        auto call = nextCall(time);
+        return call && std::holds_alternative<Call>(*call);
+    }
+
+    void answerRead(StorePosition asOf, std::vector<StoreChange> changes, const std::string& nextAfter = {})
+    {
+        TransitEffects effects;
+        fleet.onStorePage(std::move(changes), asOf, nextAfter, now, effects);
+    }
+
+    bool answerWatch(StorePosition asOf, const std::vector<StoreChange>& changes)
+    {
+        TransitEffects effects;
+        return fleet.onStoreChanges(changes, asOf, now, effects);
+    }
+};
+
+}
+
+// Guards against changes that are skipped, or undone, by an answer of another era (incident review-12).
+TEST_CASE("An answer of another era than its call is not applied", "[transit][fleet][era]")
+{
+    constexpr Duration atOnce = milliseconds(5);
+    CalledStore store;
+    std::vector<StoreChange> content { routes(100, { routeTo("web") }) };
+    std::vector<StoreChange> later { EvacuationChange { Revision(118), "b" } };
+    REQUIRE(store.isNextCall<ReadStore>(seconds(1)));
+    store.answerRead(StorePosition(113, 1), content);
+    REQUIRE(store.isNextCall<WatchStore>(atOnce));
+
+    SECTION("a watch that is answered in a new era is followed by a full read at once")
+    {
+        CHECK_FALSE(store.answerWatch(StorePosition(118, 2), later));
+        CHECK(store.fleet.view().through() == StorePosition(113, 1));
+        CHECK(store.isNextCall<ReadStore>(atOnce));
+        store.answerRead(StorePosition(118, 2), content);
+        CHECK(store.fleet.view().through() == StorePosition(118, 2));
+        CHECK(store.isNextCall<WatchStore>(atOnce));
+    }
+    SECTION("and so is a refusal that tells of one, after the wait for refusals")
+    {
+        TransitEffects effects;
+        store.fleet.onStoreFailure(StoreFailure::Refused, StoreEra(2), store.now, effects);
+        CHECK_FALSE(store.nextCall(atOnce));
+        CHECK(store.isNextCall<ReadStore>(seconds(1)));
+    }
+    SECTION("a watch that began before the view got the new era from another process is started again")
+    {
+        TransitView peer;
+        peer.applySnapshot(content, StorePosition(105, 2), store.now, store.now);
+        TransitEffects effects;
+        store.fleet.onDelta({ 2, fleetPort }, { {}, peer.deltaSince(StorePosition(113, 1)) }, store.now, effects);
+        REQUIRE(store.fleet.view().through() == StorePosition(105, 2));
+
+        SECTION("when it is answered in that era, whose changes up to the former position it lacks")
+        {
+            CHECK_FALSE(store.answerWatch(StorePosition(118, 2), later));
+        }
+        SECTION("when it is answered in the former era")
+        {
+            CHECK_FALSE(store.answerWatch(StorePosition(118, 1), later));
+        }
+        CHECK_FALSE(store.fleet.view().isEvacuated("b"));
+        auto call = store.nextCall(atOnce);
+        REQUIRE(call);
+        REQUIRE(std::holds_alternative<WatchStore>(*call));
+        CHECK(std::get<WatchStore>(*call).after == StorePosition(105, 2));
+        CHECK(store.answerWatch(StorePosition(118, 2), later));
+        CHECK(store.fleet.view().isEvacuated("b"));
+    }
+    SECTION("an answer of a former era has no effect, and the next call waits")
+    {
+        CHECK_FALSE(store.answerWatch(StorePosition(118, 2), later));
+        REQUIRE(store.isNextCall<ReadStore>(atOnce));
+        store.answerRead(StorePosition(118, 2), content);
+        REQUIRE(store.isNextCall<WatchStore>(atOnce));
+
+        SECTION("a watch") { CHECK_FALSE(store.answerWatch(StorePosition(200, 1), later)); }
+        SECTION("a read") { store.answerRead(StorePosition(200, 1), content); }
+        CHECK(store.fleet.view().through() == StorePosition(118, 2));
+        CHECK_FALSE(store.nextCall(atOnce));
+        CHECK(store.nextCall(seconds(1)));
+    }
+    SECTION("pages of different eras are no read")
+    {
+        CHECK_FALSE(store.answerWatch(StorePosition(118, 2), later));
+        REQUIRE(store.isNextCall<ReadStore>(atOnce));
+        store.answerRead(StorePosition(118, 2), content, "target/x");
+        store.answerRead(StorePosition(106, 3), {});
+        CHECK(store.fleet.view().through() == StorePosition(113, 1));
+        REQUIRE(store.isNextCall<ReadStore>(seconds(1)));
+        store.answerRead(StorePosition(106, 3), content);
+        CHECK(store.fleet.view().through() == StorePosition(106, 3));
+    }
+}
+
 TEST_CASE("Open flows live on while the store comes back from a copy", "[transit][fleet][era]")
 {
     RestoredFleet fleet;
