What a view carries over from an era holds against a further copy, and against views that know less

Cause: the revision that a carried value was known at was lost, as the item took the position of the copy's entry or of the read that lacked it.

Change: items keep the highest revision of earlier eras that their value is from; such a value counts as one that may be older. A retained entry of another process replaces nothing that was there in the same era.

--- a/src/transit_codec_func.cpp
+++ b/src/transit_codec_func.cpp
@@ -143,6 +143,7 @@
         out->era = item.position.era.value;
         out->is_removed = item.isRemoved;
         out->is_missing = item.isMissing;
+        out->carried_from = item.carriedFrom.value;
         out->hold_us = std::max<std::int64_t>((item.retainedUntil - now).us, 0);
         out->age_us = std::max<std::int64_t>((now - item.receivedAt).us, 0);
         if (item.value)
@@ -189,6 +190,7 @@
             .retainedUntil = now + Duration { in.hold_us },
             .receivedAt = now,
             .isMissing = in.is_missing,
+            .carriedFrom = Revision(in.carried_from),
         };
         if (in.route)
             item.value = routeOf(*in.route);
--- a/src/transit_view_base.h
+++ b/src/transit_view_base.h
@@ -47,8 +47,8 @@
         const std::vector<StoreChange>& changes, StorePosition asOf, TimePoint now, TimePoint retainRemovedUntil);
 
     /**
-     * Applies the changes that a watch of the store returned. Changes that the view already contains are skipped, and so
-     * are those of another era.
+     * Applies the changes that a watch of the store returned. Changes that the view already contains are skipped, and
+     * so are those of another era.
      * @param changes Changes in order of their revisions, complete from `through` or an earlier position.
      * @param asOf Position up to which the changes are complete.
      * @param now Current time.
--- a/src/transit_view_era.cpp
+++ b/src/transit_view_era.cpp
@@ -29,11 +29,10 @@
     }
 
     /** @return What holds of a target, from what is known of it and what a later era's entry says. */
-    TargetRecord mergedTarget(const ViewItem& known, const ViewItem& item)
+    TargetRecord mergedTarget(const ViewItem& known, const ViewItem& item, bool mayBeOlder)
     {
         const TargetRecord& before = *targetOf(&known);
         TargetRecord merged = *targetOf(&item);
-        bool mayBeOlder = item.position.revision < known.position.revision;
         if (mayBeOlder && before.startedAt > merged.startedAt) {
             merged = before;
             merged.coldLeft = coldLeftAt(known, item.receivedAt);
@@ -59,18 +58,29 @@
 
 void carryOver(const ViewItem& known, ViewItem& item)
 {
-    if (item.position.era <= known.position.era || !known.value || isConfigurationKey(item.key))
+    bool isLaterEra = item.position.era > known.position.era;
+    if (!isLaterEra && item.isMissing && !known.isRemoved) {
+        // This process has had the key in this era. So it was removed after the copy, and is not missing in it.
+        item = { .key = item.key, .position = item.position, .isRemoved = true, .receivedAt = item.receivedAt };
         return;
+    }
+    bool areBothMissing = item.isMissing && known.isMissing;
+    if ((!isLaterEra && !areBothMissing) || !known.value || isConfigurationKey(item.key))
+        return;
+    Revision knownFrom = std::max(known.isMissing ? Revision() : known.position.revision, known.carriedFrom);
+    // What the sender carried over itself, or retained, is not as it was written in this era.
+    bool mayBeOlder = item.isRemoved || item.carriedFrom || item.position.revision < knownFrom;
     if (item.isRemoved) {
         item.isMissing |= !known.isRemoved || known.isMissing;
-        if (!item.value)
-            item.value = known.value;
         TimePoint end = known.isRemoved ? known.retainedUntil : item.receivedAt + retentionOf(item.key);
         item.retainedUntil = std::max(item.retainedUntil, end);
-        return;
     }
-    if (targetOf(&known) && targetOf(&item))
-        item.value = mergedTarget(known, item);
+    if (item.isRemoved && !item.value)
+        item.value = known.value;
+    else if (targetOf(&known) && targetOf(&item))
+        item.value = mergedTarget(known, item, mayBeOlder);
+    if (mayBeOlder)
+        item.carriedFrom = std::max(item.carriedFrom, knownFrom);
 }
 
 std::uint64_t TransitView::keptConfigurationVersion() const
--- a/src/transit_view_type.h
+++ b/src/transit_view_type.h
@@ -79,6 +79,7 @@
                                 ///< copy lacks what was written since.
     TimePoint receivedAt {};
     bool isMissing {}; ///< Retained since the store came back from a copy without it.
+    Revision carriedFrom; ///< Highest revision of earlier eras whose value this one still contains; zero if none.
 };
 
 /** Identity of a configuration. */
--- a/tests/transit_codec_test.cpp
+++ b/tests/transit_codec_test.cpp
@@ -102,7 +102,8 @@
             .isRemoved = true,
             .value = EvacuationRecord { "a" },
             .retainedUntil = now + seconds(4),
-            .isMissing = true };
+            .isMissing = true,
+            .carriedFrom = Revision(12) };
         DeltaMessage delta { milliseconds(4), { StorePosition(9, 2), StorePosition(7, 3), true, {}, { kept } } };
         auto decode = [&](MessageBody body) {
             return decodeMessage(encodeMessage({ StorePosition(7, 3), std::move(body) }, now), format, now);
@@ -118,6 +119,7 @@
         REQUIRE(received.items.size() == 1);
         CHECK(received.items[0].position == kept.position);
         CHECK(received.items[0].isMissing);
+        CHECK(received.items[0].carriedFrom == kept.carriedFrom);
         CHECK(received.items[0].value == kept.value);
         CHECK(received.items[0].retainedUntil == kept.retainedUntil);
 
