Tests: random drills of a simulated fleet, with restarts, pauses and cuts

Five balancers and six agents in three failure domains; the store comes back from copies of up to 10 s, also several times and while a domain is cut off from the store or from its peers, a process is paused or starts again, and configurations, drains and evacuations change. Afterwards all processes have what was acknowledged, with fewer than 100 store calls in 10 s; no configuration was rolled back and, without a partition, no open flow was reset.

--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -278,6 +278,7 @@
     tests/transit_transfer_test.cpp
     tests/transit_view_test.cpp
     tests/transit_era_property_test.cpp
+    tests/transit_drill_test.cpp
     tests/transit_era_test.cpp
     tests/udp_test.cpp
 )
--- a/tests/transit_sim.cpp
+++ b/tests/transit_sim.cpp
@@ -399,14 +399,16 @@
     auto watches = std::exchange(m_watches, {});
     for (const Watch& watch : watches) {
         bool isFullRead = !watch.after;
-        bool isDue = isFullRead || m_revision != watch.after.revision || m_now >= watch.until || m_isStoreDown;
+        bool isUnreachable = m_isStoreDown
+            || (!m_domainCutFromStore.empty() && m_processes[watch.process].domain == m_domainCutFromStore);
+        bool isDue = isFullRead || m_revision != watch.after.revision || m_now >= watch.until || isUnreachable;
         if (!isDue) {
             m_watches.push_back(watch);
             continue;
         }
-        deliver(watch.process, watch.incarnation, [this, watch, isFullRead](TransitCore& core) {
+        deliver(watch.process, watch.incarnation, [this, watch, isFullRead, isUnreachable](TransitCore& core) {
             TransitEffects effects;
-            if (m_isStoreDown)
+            if (isUnreachable)
                 core.onStoreFailure(StoreFailure::Unreachable, {}, m_now, effects);
             else if (isFullRead)
                 core.onStorePage(storeContent(), lastPosition(), {}, m_now, effects);
--- a/tests/transit_sim.h
+++ b/tests/transit_sim.h
@@ -138,6 +138,10 @@
 
     /** While the store is down, its calls fail as unreachable. */
     void setStoreDown(bool isDown) { m_isStoreDown = isDown; }
+
+    /** While a failure domain is cut off from the store, the calls of its processes fail. @param domain Empty for none.
+     */
+    void cutFromStore(const std::string& domain) { m_domainCutFromStore = domain; }
     void writeRoutes(const std::vector<RouteRecord>& routes, double warmupPerSecond = 0);
     void writeTarget(const TargetRecord& target);
     void removeTarget(const std::string& id);
@@ -292,6 +296,7 @@
     std::vector<RouteRecord> m_routes;
     double m_warmupPerSecond {};
     bool m_isStoreDown {};
+    std::string m_domainCutFromStore;
     ReleaseOrder m_releaseOrder { ReleaseOrder::InTimeFirst };
     std::int64_t m_linkBytesPerSecond { 125000000 };
     bool m_relayPaths { true };
