Unchanged routes keep their position over a change of era

Cause: each change of era gave all routes and services new positions, so that all deltas after it contained the whole configuration. A trial without it passed all tests: the digest of a delta shows that a process has another value, and a full delta follows.

--- a/src/transit_view_cmd.cpp
+++ b/src/transit_view_cmd.cpp
@@ -152,8 +152,9 @@
     // Routes and services are replaced as a whole; of any other key the newer value stays.
     if (!isConfigurationKey(item.key) && found != m_items.end() && found->second.position > delta.through)
         return false;
-    bool isSame = found != m_items.end() && found->second.position.era == item.position.era
-        && found->second.isRemoved == item.isRemoved && found->second.value == item.value;
+    bool isSame = found != m_items.end() && found->second.isRemoved == item.isRemoved
+        && found->second.value == item.value
+        && (isConfigurationKey(item.key) || found->second.position.era == item.position.era);
     if (isSame)
         return false;
     ViewItem received = item;
@@ -258,10 +259,9 @@
     auto put = [&](std::string key, ViewValue value) {
         written.insert(key);
         auto found = m_items.find(key);
-        bool isSame = found != m_items.end() && found->second.position.era == era && !found->second.isRemoved
-            && found->second.value == value;
-        // An unchanged record keeps its position, so that deltas contain only what changed. Not so in a new era, where
-        // a process may have another value from changes of the former era that this one never received.
+        bool isSame = found != m_items.end() && !found->second.isRemoved && found->second.value == value;
+        // An unchanged record keeps its position, so that deltas contain only what changed. If a process has another
+        // value from changes of a former era that this one never received, the digests differ.
         if (!isSame)
             hasChanged |= apply(
                 { .key = std::move(key), .position = stamp.writtenAt, .value = std::move(value), .receivedAt = now });
