Demo on the platform: the store comes back from a copy

The stand-in store tells its era, refuses calls while it is away, and comes back from a copy that lacks five configurations; afterwards a failure domain is evacuated. Replies of the HTTP server may have further headers.

--- a/src/transit_http.cpp
+++ b/src/transit_http.cpp
@@ -47,6 +47,8 @@
             m_response = { static_cast<http::status>(reply.status), m_request.version() };
             m_response.keep_alive(m_request.keep_alive());
             m_response.set(http::field::content_type, { reply.contentType.data(), reply.contentType.size() });
+            for (const auto& [name, value] : reply.headers)
+                m_response.set(name, value);
             m_response.body() = std::move(reply.body);
             m_response.prepare_payload();
             http::async_write(
--- a/src/transit_page_type.h
+++ b/src/transit_page_type.h
@@ -6,6 +6,8 @@
 
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace hawthorncroft {
 
@@ -14,6 +16,7 @@
     unsigned status { 404 };
     std::string body;
     std::string_view contentType { "text/plain" }; ///< Refers to a literal.
+    std::vector<std::pair<std::string, std::string>> headers {}; ///< Names and values of further ones.
 };
 
 /** Body of the reply to a path that a process does not serve. `hawthorncroftctl` recognises older versions by it. */
--- a/standin/transit_demo_main.cpp
+++ b/standin/transit_demo_main.cpp
@@ -1,8 +1,9 @@
 /**
  * @file transit_demo_main.cpp
  * standin-transit-demo: runs balancers and agents for the platform as processes on loopback, with stand-ins for the
- * store, targets and callers. Meanwhile balancers and an agent are restarted, a target drains and a failure domain is
- * evacuated. Exit status: 0 all promises kept, 1 a promise was broken, 2 wrong command line or a process did not start.
+ * store, targets and callers. Meanwhile balancers and an agent are restarted, a target drains, a failure domain is
+ * evacuated, and the store comes back from a copy. Exit status: 0 all promises kept, 1 a promise was broken, 2 wrong
+ * command line or a process did not start.
  */
 #include "demo_process.h"
 #include "transit_demo_world.h"
@@ -30,6 +31,7 @@
 constexpr std::size_t requestsPerFeed = 1000000;
 constexpr double minAnsweredShare = 0.99; ///< Share of requests that must be answered.
 constexpr double maxLateShare = 0.05; ///< Share of requests that may be answered after more than 500 ms.
+constexpr std::size_t maxCallsAfterReturn = 100; ///< Calls to the store in the 7 s after it came back from a copy.
 constexpr std::chrono::seconds drainLimit { 3 }; ///< Afterwards a draining target must get no new flow.
 
 std::string domainOf(std::uint32_t agent) { return agent % 2 ? "zone-a" : "zone-b"; }
@@ -74,6 +76,13 @@
         return error;
     }
 
+    /** Writes the configuration with the next version. */
+    void writeNextConfiguration()
+    {
+        ++m_configurationVersion;
+        writeConfiguration();
+    }
+
     void writeConfiguration()
     {
         auto route = [](Endpoint address, const char* kind) {
@@ -87,7 +96,7 @@
                 { "WarmupPerS", 0.0 } };
         };
         m_store.put("op/config",
-            boost::json::serialize(boost::json::object { { "Version", 1 },
+            boost::json::serialize(boost::json::object { { "Version", m_configurationVersion },
                 { "Routes", boost::json::array { route(feedAddress, "safe"), route(confirmAddress, "unsafe") } },
                 { "Services", boost::json::array { service("web"), service("other") } } }));
     }
@@ -190,11 +199,32 @@
         });
         schedule(22.0, "agent 3 is killed while its target runs", [this] { m_processes.signal("agent-3", SIGKILL); });
         schedule(22.3, "agent 3 starts again", [this] { startAgent(3); });
-        schedule(25.0, "callers stop", [this] {
+        scheduleDrill();
+        schedule(34.0, "callers stop", [this] {
             for (auto& caller : m_callers)
                 caller->stop();
         });
-        schedule(26.0, "demo ends", [this] { m_context.stop(); });
+        schedule(35.0, "demo ends", [this] { m_context.stop(); });
+    }
+
+    /** The store comes back from a copy that lacks five configurations. */
+    void scheduleDrill()
+    {
+        schedule(24.0, "a copy of the store is made", [this] { m_store.makeCopy(); });
+        for (int i = 1; i <= 5; ++i)
+            schedule(24.0 + 0.4 * i, "the configuration changes", [this] { writeNextConfiguration(); });
+        schedule(26.5, "the store is away", [this] { m_store.goAway(); });
+        schedule(27.0, "the store comes back from the copy", [this] {
+            m_store.comeBackFromCopy();
+            m_callsAtReturn = m_store.calls();
+        });
+        schedule(27.3, "the last configuration is written again", [this] { writeConfiguration(); });
+        schedule(28.0, "zone-b is evacuated again", [this] { m_store.put("op/evacuate/zone-b", "{}"); });
+        schedule(31.0, "zone-b must get no new flow from now on", [this] { m_drillOpensAtLimit = openedIn("zone-b"); });
+        schedule(33.9, "the evacuation is checked", [this] {
+            m_drillOpensAtEnd = openedIn("zone-b");
+            m_callsAfterReturn = m_store.calls() - m_callsAtReturn;
+        });
     }
 
     void startCallers()
@@ -253,6 +283,10 @@
         isKept &= printPromise("an emptied failure domain gets nothing new after 3 s",
             m_evacuatedOpensAtReturn == m_evacuatedOpensAtLimit,
             count(m_evacuatedOpensAtReturn - m_evacuatedOpensAtLimit));
+        isKept &= printPromise("so does one that is emptied after the store came back from a copy",
+            m_drillOpensAtEnd == m_drillOpensAtLimit, count(m_drillOpensAtEnd - m_drillOpensAtLimit));
+        isKept &= printPromise("the store is not read in a loop then", m_callsAfterReturn < maxCallsAfterReturn,
+            count(m_callsAfterReturn) + " calls");
         auto ends = m_processes.unexpectedEnds();
         isKept &= printPromise("no process ends by itself", ends.empty(), count(ends.size()));
         std::cout << m_store.calls() << " calls to the store\n"
@@ -273,6 +307,11 @@
     std::size_t m_drainedOpensAtReturn {};
     std::size_t m_evacuatedOpensAtLimit {};
     std::size_t m_evacuatedOpensAtReturn {};
+    int m_configurationVersion { 1 };
+    std::size_t m_callsAtReturn {};
+    std::size_t m_callsAfterReturn {};
+    std::size_t m_drillOpensAtLimit {};
+    std::size_t m_drillOpensAtEnd {};
 };
 
 }
--- a/standin/transit_demo_world.cpp
+++ b/standin/transit_demo_world.cpp
@@ -57,8 +57,12 @@
 {
     ++m_calls;
     UrlPath url = splitPath(path);
+    if (m_isAway) {
+        reply(replyOf(503));
+        return;
+    }
     if (path.starts_with("/kv-range")) {
-        reply({ 200, itemsAfter(0, true) });
+        reply(replyOf(200, itemsAfter(0, true)));
         return;
     }
     auto watch = std::make_shared<Watch>();
@@ -69,7 +73,7 @@
     watch->timer->async_wait([this, watch](boost::system::error_code) {
         if (!watch->reply)
             return;
-        watch->reply({ 200, itemsAfter(watch->after, false) });
+        answerWatch(*watch);
         watch->reply = nullptr;
         std::erase(m_watches, watch);
     });
@@ -77,10 +81,39 @@
     answerWatches();
 }
 
+void DemoStore::goAway()
+{
+    m_isAway = true;
+    answerWatches();
+}
+
+void DemoStore::comeBackFromCopy()
+{
+    m_items = m_copy.items;
+    m_revision = m_copy.revision;
+    ++m_era;
+    m_isAway = false;
+}
+
+HttpReply DemoStore::replyOf(unsigned status, std::string body) const
+{
+    return { .status = status, .body = std::move(body), .headers = { { "Store-Era", std::to_string(m_era) } } };
+}
+
+void DemoStore::answerWatch(Watch& watch)
+{
+    if (m_isAway)
+        watch.reply(replyOf(503));
+    else if (watch.after > m_revision)
+        watch.reply(replyOf(410));
+    else
+        watch.reply(replyOf(200, itemsAfter(watch.after, false)));
+}
+
 void DemoStore::answerWatches()
 {
     for (const auto& watch : m_watches) {
-        if (watch->after < m_revision)
+        if (m_isAway || watch->after != m_revision)
             watch->timer->cancel(); // The handler of the timer answers the watch.
     }
 }
--- a/standin/transit_demo_world.h
+++ b/standin/transit_demo_world.h
@@ -29,7 +29,7 @@
     std::uint16_t store { 21169 };
 };
 
-/** Key-value store with revisions, served over HTTP by range reads and watches. */
+/** Key-value store with revisions, served over HTTP by range reads and watches. It may come back from a copy. */
 class DemoStore {
 public:
     DemoStore(boost::asio::io_context& context, Endpoint listen);
@@ -40,6 +40,15 @@
     void put(const std::string& key, const std::string& value);
     void remove(const std::string& key);
 
+    /** Makes a copy, in place of the one before. */
+    void makeCopy() { m_copy = { m_items, m_revision }; }
+
+    /** Refuses all calls until the store comes back. */
+    void goAway();
+
+    /** Comes back from the copy: what was written since is gone, and a new era begins. */
+    void comeBackFromCopy();
+
     /** @return Number of range reads and watches. */
     std::size_t calls() const { return m_calls; }
 
@@ -49,6 +58,10 @@
         std::uint64_t revision {};
         bool isRemoved {};
     };
+    struct Copy {
+        std::map<std::string, Item> items;
+        std::uint64_t revision {};
+    };
     struct Watch {
         std::uint64_t after {};
         std::shared_ptr<boost::asio::steady_timer> timer;
@@ -57,6 +70,8 @@
 
     void answer(const std::string& path, const TransitHttpServer::ReplyCallback& reply);
     void answerWatches();
+    void answerWatch(Watch& watch);
+    HttpReply replyOf(unsigned status, std::string body = {}) const;
     std::string itemsAfter(std::uint64_t after, bool isRange) const;
 
     boost::asio::io_context& m_context;
@@ -64,6 +79,9 @@
     TransitHttpServer m_server;
     std::map<std::string, Item> m_items;
     std::uint64_t m_revision { 100 };
+    std::uint64_t m_era { 1 };
+    Copy m_copy;
+    bool m_isAway {};
     std::vector<std::shared_ptr<Watch>> m_watches;
     std::size_t m_calls {};
 };
--- a/tests/transit_era_test.cpp
+++ b/tests/transit_era_test.cpp
@@ -502,12 +502,42 @@
         known.readCopy({ unchanged, target(101, known.record) }, isFromPeer);
         CHECK(view.targetAt(address)->record.isDraining);
 
+        SECTION("also when the store comes back from that copy again")
+        {
+            view.applySnapshot({ unchanged, target(101, known.record) }, StorePosition(105, 3), start, start);
+            CHECK(view.targetAt(address)->record.isDraining);
+        }
         SECTION("until it writes something else")
         {
             view.applyChanges({ target(106, known.record) }, StorePosition(106, 2), start, start);
             CHECK_FALSE(view.targetAt(address)->record.isDraining);
         }
     }
+    SECTION("that it drains, at a process that gets an older value from one that retained it")
+    {
+        TargetRecord draining = known.record;
+        draining.isDraining = true;
+        known.knowUntil(113, { target(110, draining) });
+        TransitView peer;
+        peer.applySnapshot({ unchanged, target(101, known.record) }, StorePosition(105, 1), start, start);
+        peer.applySnapshot({ unchanged }, StorePosition(100, 2), start, start);
+        REQUIRE_FALSE(peer.targetAt(address)->record.isDraining);
+        view.applyDelta(peer.deltaSince(view.through()), start);
+        REQUIRE(view.through() == StorePosition(100, 2));
+        CHECK(view.targetAt(address)->record.isDraining);
+    }
+    SECTION("but not that it is there, if it was removed in the new era")
+    {
+        TransitView peer;
+        peer.applySnapshot({ unchanged, target(101, known.record) }, StorePosition(105, 1), start, start);
+        peer.applySnapshot({ unchanged }, StorePosition(106, 2), start, start);
+        REQUIRE(peer.targetAt(address));
+        view.applySnapshot({ unchanged, target(101, known.record) }, StorePosition(105, 2), start, start);
+        pullDelta(view, peer);
+        view.expire(start);
+        REQUIRE(view.through() == StorePosition(106, 2));
+        CHECK_FALSE(view.targetAt(address));
+    }
     SECTION("but not that it drained before it wrote what the copy has")
     {
         TargetRecord draining = known.record;
