--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	@echo "test          run the tests of an existing build"
 	@echo "check         install, build, test"
 	@echo "demo          run both examples under load while parts of them change; below two minutes"
-	@echo "demo-platform run balancers and agents for the platform before stand-ins while parts change; half a minute"
+	@echo "demo-platform run balancers and agents for the platform before stand-ins while parts change; 40 s"
 	@echo "bench         compare the decisions with baselines, and measure the configuration's spread"
 	@echo "bench-core    time of one routing decision and bytes of one flow"
 	@echo "format        format all sources; format-check only checks"
--- a/cmake/sources.cmake
+++ b/cmake/sources.cmake
@@ -137,6 +137,7 @@
     src/transit_fleet.cpp
     src/transit_fleet_path.cpp
     src/transit_fleet_store.cpp
+    src/transit_fragment.cpp
     src/transit_health.cpp
     src/transit_http.cpp
     src/transit_inventory.cpp
@@ -279,6 +280,7 @@
     tests/transit_view_test.cpp
     tests/transit_era_property_test.cpp
     tests/transit_drill_test.cpp
+    tests/transit_era_fleet_test.cpp
     tests/transit_era_test.cpp
     tests/udp_test.cpp
 )
