--- a/tests/transit_drill_test.cpp
+++ b/tests/transit_drill_test.cpp
@@ -1,3 +1,4 @@
+#include "transit_codec_func.h"
 #include "transit_sim.h"
 
 #include "table/transit_limits.h"
@@ -227,3 +228,59 @@
             fleet.checkFlows();
     }));
 }
+
+// Guards against processes that stay in a former era in fleets in which not every process hears each other one.
+TEST_CASE("A fleet of any size is in the new era in time and with few reads", "[transit][fleet][era][large]")
+{
+    std::uint32_t size = GENERATE(10U, 100U, 300U);
+    TransitSim fleet;
+    std::vector<Endpoint> processes;
+    constexpr const char* domains[] { "a", "b", "c" };
+    for (std::uint32_t i = 0; i < size / 3; ++i)
+        processes.push_back(fleet.addBalancer(i + 1, domains[i % 3]));
+    for (std::uint32_t i = 0; i < size - size / 3; ++i)
+        processes.push_back(fleet.addAgent(1000 + i, "web", domains[i % 3]));
+    fleet.run(seconds(5));
+    auto copy = fleet.copyStore();
+    for (int i = 0; i < 5; ++i) {
+        fleet.writeRoutes({ routeTo("web"), routeTo("web", otherRoute) });
+        fleet.run(milliseconds(200));
+    }
+    fleet.setStoreDown(true);
+    fleet.run(milliseconds(500));
+    std::map<Endpoint, std::size_t> readsBefore;
+    for (Endpoint process : processes)
+        readsBefore[process] = fleet.fullReads(process);
+    std::size_t deltaBytes = 0;
+    fleet.setMessageFate([&](Endpoint, Endpoint, const MessageBody& body) -> std::optional<Duration> {
+        if (std::holds_alternative<DeltaMessage>(body))
+            deltaBytes += encodeMessage({ StorePosition(1, 1), body }, fleet.now()).size();
+        return milliseconds(1);
+    });
+    fleet.restoreStore(copy);
+    fleet.evacuate("b", true);
+    fleet.setStoreDown(false);
+    TimePoint returnedAt = fleet.now();
+    auto viewOf = [&](Endpoint process) -> const TransitView& {
+        return process.address < 1000 ? fleet.balancer(process).fleet().view() : fleet.agent(process).fleet().view();
+    };
+    auto doAllFollow = [&] {
+        return std::all_of(processes.begin(), processes.end(), [&](Endpoint process) {
+            return viewOf(process).through() == fleet.lastPosition() && viewOf(process).isEvacuated("b");
+        });
+    };
+    while (!doAllFollow() && fleet.now() < returnedAt + changeTime)
+        fleet.run(milliseconds(10));
+    Duration taken = fleet.now() - returnedAt;
+    INFO(size << " processes took " << taken.us / 1000 << " ms and " << deltaBytes / size << " bytes of deltas each");
+    CHECK(doAllFollow());
+    fleet.run(seconds(2));
+    std::size_t readers = 0;
+    for (Endpoint process : processes) {
+        std::size_t reads = fleet.fullReads(process) - readsBefore[process];
+        readers += reads > 0;
+        CHECK(reads <= 2);
+    }
+    INFO(readers << " processes read the store");
+    CHECK(readers <= permanentStoreReaders * 3);
+}
