--- a/src/transit_fleet_base.h
+++ b/src/transit_fleet_base.h
@@ -240,6 +240,8 @@
     Duration nextBackoff(std::uint32_t attempts);
     bool isFullReadNeededFor(StoreEra era) const;
     void discardStoreAnswer(StorePosition asOf, TimePoint now, TransitEffects& effects);
+    void logStoreAnswer(std::string_view call, StorePosition before, StorePosition asOf, std::size_t items,
+        TimePoint now, TransitEffects& effects) const;
     void logEraChange(StorePosition before, std::string_view source, TransitEffects& effects) const;
     TimePoint retainRemovedUntil(TimePoint now) const;
     std::uint64_t nextRandom();
--- a/src/transit_fleet_store.cpp
+++ b/src/transit_fleet_store.cpp
@@ -39,12 +39,7 @@
     m_needsFullRead = false;
     bool hasChanged = m_view.applySnapshot(m_pages, asOf, now, retainRemovedUntil(now));
     logEraChange(before, "store", effects);
-    effects.push_back(WriteLog { "view_from_store",
-        { { "call", std::string("read") }, { "from_revision", static_cast<std::int64_t>(before.revision.value) },
-            { "as_of", static_cast<std::int64_t>(asOf.revision.value) },
-            { "took_ms", (now - m_callStartedAt).us / 1000 },
-            { "revision", static_cast<std::int64_t>(m_view.through().revision.value) },
-            { "items", static_cast<std::int64_t>(m_pages.size()) } } });
+    logStoreAnswer("read", before, asOf, m_pages.size(), now, effects);
     discardPages();
     // A store that gives out no revision as high as that of the view would be read again at once, and without end.
     m_readsBehind = asOf < before ? m_readsBehind + 1 : 0;
@@ -80,19 +75,24 @@
     recordStoreAnswer(asOf, now, now, effects);
     StorePosition before = m_view.through();
     bool hasChanged = m_view.applyChanges(changes, asOf, now, retainRemovedUntil(now));
-    if (!changes.empty()) {
-        effects.push_back(WriteLog { "view_from_store",
-            { { "call", std::string("watch") }, { "from_revision", static_cast<std::int64_t>(before.revision.value) },
-                { "as_of", static_cast<std::int64_t>(asOf.revision.value) },
-                { "took_ms", (now - m_callStartedAt).us / 1000 },
-                { "revision", static_cast<std::int64_t>(m_view.through().revision.value) },
-                { "items", static_cast<std::int64_t>(changes.size()) } } });
-    }
+    if (!changes.empty())
+        logStoreAnswer("watch", before, asOf, changes.size(), now, effects);
     if (m_view.through() > before)
         startGossipRound(now, effects);
     return hasChanged;
 }
 
+void TransitFleet::logStoreAnswer(std::string_view call, StorePosition before, StorePosition asOf, std::size_t items,
+    TimePoint now, TransitEffects& effects) const
+{
+    effects.push_back(WriteLog { "view_from_store",
+        { { "call", std::string(call) }, { "from_revision", static_cast<std::int64_t>(before.revision.value) },
+            { "as_of", static_cast<std::int64_t>(asOf.revision.value) },
+            { "took_ms", (now - m_callStartedAt).us / 1000 },
+            { "revision", static_cast<std::int64_t>(m_view.through().revision.value) },
+            { "items", static_cast<std::int64_t>(items) } } });
+}
+
 void TransitFleet::discardStoreAnswer(StorePosition asOf, TimePoint now, TransitEffects& effects)
 {
     effects.push_back(CountEvent { TransitCounter::StoreAnswersDiscarded });
